--- /dev/null
+++ b/control/loop.go
@@ -0,0 +1,95 @@
+// Package control runs the one goroutine that owns a node's control state.
+// Other goroutines reach that state only by messages; what they may read
+// without a message is published as an immutable snapshot.
+package control
+
+import (
+	"context"
+	"time"
+)
+
+// inboxSize is how many messages wait for the control goroutine.
+const inboxSize = 1024
+
+// Message is one typed message to the control goroutine.
+type Message interface{}
+
+// Handler owns the control state. Both methods are called from the control
+// goroutine only and must not block.
+type Handler interface {
+	// Handle applies one message.
+	Handle(now time.Time, message Message)
+	// Tick does what time alone brings about. gap is the time since the
+	// last tick: much more than the interval means that the process was
+	// paused.
+	Tick(now time.Time, gap time.Duration)
+}
+
+// Loop feeds a Handler from any number of goroutines.
+type Loop struct {
+	inbox    chan Message
+	interval time.Duration
+}
+
+// NewLoop returns a loop that ticks at the given interval.
+func NewLoop(interval time.Duration) *Loop {
+	return &Loop{inbox: make(chan Message, inboxSize), interval: interval}
+}
+
+// Send hands a message over, waiting while the inbox is full. It fails only
+// with the context's error.
+func (l *Loop) Send(ctx context.Context, message Message) error {
+	select {
+	case l.inbox <- message:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// Offer hands a message over unless the inbox is full, and tells whether it
+// did. Traffic goroutines use it: they never wait for control.
+func (l *Loop) Offer(message Message) bool {
+	select {
+	case l.inbox <- message:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run applies messages and ticks until the context ends.
+func (l *Loop) Run(ctx context.Context, handler Handler) error {
+	ticker := time.NewTicker(l.interval)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case message := <-l.inbox:
+			handler.Handle(time.Now(), message)
+		case <-ticker.C:
+			now := time.Now()
+			handler.Tick(now, now.Sub(last))
+			last = now
+		}
+	}
+}
+
+// Ask sends the message that build makes around a reply channel, and waits for
+// the reply. The channel has room for one answer, so the control goroutine
+// never waits for the asker.
+func Ask[A any](ctx context.Context, l *Loop, build func(reply chan<- A) Message) (A, error) {
+	reply := make(chan A, 1)
+	var none A
+	if err := l.Send(ctx, build(reply)); err != nil {
+		return none, err
+	}
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		return none, context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/control/rpc/rpc.go
@@ -0,0 +1,72 @@
+// Package rpc carries calls between the system's processes: HTTP/2 over mutual
+// TLS, by IP number.
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"cactustray/identity"
+)
+
+const (
+	// CallTimeout bounds one call between processes.
+	CallTimeout = 2 * time.Second
+	// shutdownTimeout bounds the end of calls in progress at a planned stop.
+	shutdownTimeout = 5 * time.Second
+	headerTimeout   = 5 * time.Second
+	idlePing        = 5 * time.Second
+	pingTimeout     = 2 * time.Second
+)
+
+// ListenError reports an address that could not be bound.
+type ListenError struct {
+	Address netip.AddrPort
+	Cause   error
+}
+
+func (e *ListenError) Error() string {
+	return "listen on " + e.Address.String() + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// NewClient returns a client for calls to the system's processes. A peer that
+// has gone silent is noticed by pings.
+func NewClient(id *identity.Identity) *http.Client {
+	transport := &http.Transport{
+		TLSClientConfig:   id.ClientTLS(),
+		ForceAttemptHTTP2: true,
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: idlePing, PingTimeout: pingTimeout},
+	}
+	return &http.Client{Transport: transport}
+}
+
+// Base returns the base URL of the process at an address.
+func Base(address string) string { return "https://" + address }
+
+// Serve answers calls on an address until the context ends.
+func Serve(ctx context.Context, address netip.AddrPort, id *identity.Identity, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return &ListenError{Address: address, Cause: err}
+	}
+	server := &http.Server{Handler: handler, TLSConfig: id.ServerTLS(), ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		limited, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(limited)
+	})
+	defer stop()
+	server.TLSConfig.NextProtos = []string{"h2"}
+	err = server.Serve(tls.NewListener(listener, server.TLSConfig))
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
