Run one path end to end as separate processes

Not yet: the fabric stand-in goes on spraying at a stopped balancer, which QUIC's retransmission hides.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,86 @@
+// Package agent assembles the slices into the process beside a backend server:
+// one control goroutine, and traffic goroutines that end callers' flows.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"cactustray/control"
+	"cactustray/control/rpc"
+	"cactustray/event"
+	"cactustray/identity"
+	"cactustray/settings"
+	"cactustray/status"
+	"cactustray/steering"
+	"cactustray/ticket"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// tickInterval is how often the control goroutine looks at the time.
+const tickInterval = 50 * time.Millisecond
+
+// Run runs an agent until the context ends, then stops it as planned: it takes
+// no new work, and the requests in progress finish.
+func Run(ctx context.Context, s *settings.Settings, sealer *steering.Sealer, id *identity.Identity, log *event.Log) error {
+	owner := steering.Owner{
+		Endpoint:    ticket.EndpointKeyOf(s.Agent.Service, s.Agent.Endpoint),
+		Incarnation: steering.Incarnation(time.Now().Unix()),
+	}
+	loop := control.NewLoop(tickInterval)
+	snapshots := new(published)
+	callers, err := newCallerServer(s, sealer, owner, loop, snapshots)
+	if err != nil {
+		return err
+	}
+	reports := make(chan report)
+	reporter := &reporter{
+		node:      s.Node,
+		service:   ticket.ServiceKeyOf(s.Agent.Service),
+		balancers: s.Agent.Balancers,
+		client:    rpc.NewClient(id),
+		loop:      loop,
+		log:       log,
+	}
+	log.Emit(EventAgentStarted, event.Fields{"service": s.Agent.Service, "endpoint": s.Agent.Endpoint})
+	defer log.Emit(EventAgentStopped, nil)
+
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports)) })
+	group.Go(func() error { return reporter.run(running, reports) })
+	group.Go(func() error { return rpc.Serve(running, s.Control, id, controlHandler(loop)) })
+	group.Go(func() error { return callers.serve(running) })
+	group.Go(func() error {
+		defer stop()
+		return stopAsPlanned(ctx, running, loop, callers, log)
+	})
+	return group.Wait()
+}
+
+// stopAsPlanned waits for the stop and lets the work in progress finish.
+func stopAsPlanned(ctx, running context.Context, loop *control.Loop, callers *callerServer, log *event.Log) error {
+	select {
+	case <-running.Done():
+		return nil
+	case <-ctx.Done():
+	}
+	log.Emit(EventAgentDraining, nil)
+	done := make(chan struct{})
+	if err := loop.Send(running, drain{done: done}); err != nil {
+		return nil
+	}
+	<-done
+	callers.drain(running)
+	return nil
+}
+
+func controlHandler(loop *control.Loop) http.Handler {
+	mux := http.NewServeMux()
+	path, h := status.NewServer(loop).Handler()
+	mux.Handle(path, identity.Require(h, identity.Balancer, identity.Agent, identity.Operator))
+	return mux
+}
--- /dev/null
+++ b/agent/events.go
@@ -0,0 +1,16 @@
+package agent
+
+import (
+	"cactustray/event"
+
+	"github.com/sirupsen/logrus"
+)
+
+// The agent's events; docs/EVENTS.md explains each.
+var (
+	EventAgentStarted   = event.Define(2001, logrus.InfoLevel, "agent started")
+	EventAgentDraining  = event.Define(2002, logrus.InfoLevel, "agent draining")
+	EventAgentStopped   = event.Define(2003, logrus.InfoLevel, "agent stopped")
+	EventTicketInForce  = event.Define(2101, logrus.InfoLevel, "service's ticket in force")
+	EventBalancerSilent = event.Define(2201, logrus.WarnLevel, "balancer does not answer")
+)
--- /dev/null
+++ b/agent/tickets.go
@@ -0,0 +1,30 @@
+package agent
+
+import (
+	"time"
+
+	"cactustray/admission"
+	"cactustray/event"
+	"cactustray/ticket"
+)
+
+func (s *state) offered(now time.Time, m ticket.Offered) {
+	for _, h := range m.Held {
+		if h.Ticket.Key() != s.service {
+			continue
+		}
+		if s.tickets.Join(now, h) == ticket.InForce {
+			s.log.Emit(EventTicketInForce, event.Fields{"service": h.Ticket.Service, "ticket": h.Ticket.Number})
+		}
+	}
+	entry := s.tickets.Entry(s.service)
+	if entry == nil {
+		return
+	}
+	s.published.ticket.Store(entry.Ticket)
+	limits := admission.Limits{
+		Slots:     int(entry.Ticket.Limits.Slots),
+		QueueTime: time.Duration(entry.Ticket.Limits.QueueMillis) * time.Millisecond,
+	}
+	s.decide(s.admission.SetLimits(now, limits))
+}
--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,98 @@
+// Package balancer assembles the slices into the process on an entry VM: one
+// control goroutine, and traffic goroutines that forward datagrams.
+package balancer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"cactustray/control"
+	"cactustray/control/rpc"
+	"cactustray/event"
+	"cactustray/identity"
+	"cactustray/liveness/heartbeat"
+	"cactustray/settings"
+	"cactustray/status"
+	"cactustray/steering"
+	"cactustray/steering/datagram"
+	"cactustray/ticket/exchange"
+	"cactustray/ticket/platform"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// tickInterval is how often the control goroutine looks at the time.
+	tickInterval = 100 * time.Millisecond
+	// workers is how many goroutines forward in each direction.
+	workers = 2
+	// socketBuffer is the receive buffer of each socket, in bytes.
+	socketBuffer = 4 << 20
+)
+
+// Run runs a balancer until the context ends.
+func Run(ctx context.Context, s *settings.Settings, sealer *steering.Sealer, id *identity.Identity, log *event.Log) error {
+	table := new(atomic.Pointer[steering.Table])
+	forwarder, err := newForwarder(s, sealer, table)
+	if err != nil {
+		return err
+	}
+	loop := control.NewLoop(tickInterval)
+	reader := platform.NewReader(s.Platform.URL, s.Platform.Prefix)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	log.Emit(EventBalancerStarted, event.Fields{"edge": s.Balancer.Edge})
+	defer log.Emit(EventBalancerStopped, nil)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return loop.Run(ctx, newState(s.Node, s.Zone, log, table)) })
+	group.Go(func() error { return forwarder.Run(ctx, workers) })
+	group.Go(func() error { return platform.Watch(ctx, reader, loop, random) })
+	group.Go(func() error { return rpc.Serve(ctx, s.Control, id, handler(loop)) })
+	return group.Wait()
+}
+
+func handler(loop *control.Loop) http.Handler {
+	mux := http.NewServeMux()
+	mount := func(path string, h http.Handler, roles ...identity.Role) {
+		mux.Handle(path, identity.Require(h, roles...))
+	}
+	path, h := exchange.NewServer(loop).Handler()
+	mount(path, h, identity.Balancer, identity.Agent)
+	path, h = heartbeat.NewServer(loop).Handler()
+	mount(path, h, identity.Balancer, identity.Agent)
+	path, h = status.NewServer(loop).Handler()
+	mount(path, h, identity.Balancer, identity.Agent, identity.Operator)
+	return mux
+}
+
+func newForwarder(s *settings.Settings, sealer *steering.Sealer, table *atomic.Pointer[steering.Table]) (*datagram.Forwarder, error) {
+	edge, err := listen(s.Balancer.Edge)
+	if err != nil {
+		return nil, err
+	}
+	agents, err := listen(s.Datagram)
+	if err != nil {
+		return nil, err
+	}
+	return &datagram.Forwarder{
+		Edge:     edge,
+		Agents:   agents,
+		Fabric:   s.Balancer.Fabric,
+		Table:    table,
+		Sealer:   sealer,
+		Counters: new(steering.Counters),
+	}, nil
+}
+
+func listen(address netip.AddrPort) (*net.UDPConn, error) {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, &rpc.ListenError{Address: address, Cause: err}
+	}
+	_ = socket.SetReadBuffer(socketBuffer)
+	return socket, nil
+}
--- /dev/null
+++ b/demo.sh
@@ -0,0 +1,73 @@
+#!/usr/bin/env bash
+# Runs the whole system on loopback: stand-ins, 3 balancers and 8 agents as
+# separate processes. Prints what it does and what it measured.
+set -euo pipefail
+cd "$(dirname "$0")"
+go build -o bin/ ./cmd/... ./standin/cmd/...
+dir=$(mktemp -d)
+pids=()
+cleanup() {
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  rm -rf "$dir"
+}
+trap cleanup EXIT
+
+declare -A pid_of
+start() { # name, command...
+  local name=$1
+  shift
+  "$@" >"$dir/$name.log" 2>&1 &
+  pids+=($!)
+  pid_of[$name]=$!
+}
+
+bin/standin layout "$dir" >"$dir/layout"
+field() { awk -v kind="$1" -v name="$2" -v n="$3" '$1==kind && $2==name {print $n}' "$dir/layout"; }
+platform=$(awk '$1=="platform" {print $2}' "$dir/layout")
+start platform bin/standin platform --listen "$platform" --limit 2000
+start fabric bin/standin fabric "$dir/fabric.json"
+while read -r name address; do
+  start "server-$name" bin/standin backend --name "$name" --listen "$address"
+done < <(awk '$1=="backend" {print $2, $3}' "$dir/layout")
+publish() { bin/standin publish --platform "$platform" "$1" "$2"; }
+until publish vms "$dir/vms.json" 2>/dev/null; do sleep 0.05; done
+publish tickets/orders "$dir/ticket-orders.json"
+publish tickets/drawings "$dir/ticket-drawings.json"
+for name in $(awk '$1=="balancer" || $1=="backend" {print $2}' "$dir/layout"); do
+  start "$name" bin/cactustrayd "$dir/$name.json"
+done
+
+orders=https://$(field service orders 3)
+drawings=https://$(field service drawings 3)
+nodes=$(awk '$1=="balancer" {print $3}' "$dir/layout")
+operator=(--cert "$dir/operator-operator.pem" --key "$dir/operator-operator.key" --ca "$dir/ca.pem")
+request() { bin/standin request --ca "$dir/ca.pem" "$@"; }
+
+echo "== 3 balancers, 2 services with 4 backend servers each, 4 failure domains"
+until request --timeout 1s "$orders/drawing?work=1" 2>/dev/null | grep -q ^200; do sleep 0.1; done
+until request --timeout 1s "$drawings/drawing?work=1" 2>/dev/null | grep -q ^200; do sleep 0.1; done
+echo "== a drawing, and a confirmation"
+request "$drawings/drawing?work=20"
+request --method POST --key truck-17 "$orders/confirm?work=20"
+
+echo "== 20 feeds; meanwhile a ticket, then a balancer and a backend server stop as planned"
+bin/standin feed --ca "$dir/ca.pem" --count 20 --lines 80 "$orders" &
+feeds=$!
+sleep 1
+sed 's/"number": 1,/"number": 2,/' "$dir/ticket-orders.json" >"$dir/ticket-2.json"
+publish tickets/orders "$dir/ticket-2.json"
+published=$(date +%s%N)
+until [ "$(bin/cactustray status "${operator[@]}" $nodes | grep -c 'orders *2 ')" = 3 ]; do sleep 0.02; done
+echo "ticket 2 in force on 3 balancers after $((($(date +%s%N) - published) / 1000000)) ms"
+bin/cactustray status "${operator[@]}" $nodes
+kill -TERM "${pid_of[entry-1]}"
+kill -TERM "${pid_of[orders-1]}"
+echo "stopped balancer entry-1 and the agent of orders-1"
+wait "$feeds"
+echo "== requests after the stops"
+answered=0
+for _ in $(seq 10); do
+  if request --timeout 3s "$orders/drawing?work=5" | grep -q ^200; then answered=$((answered + 1)); fi
+done
+echo "answered: $answered of 10"
--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,71 @@
+// Package caller is a stand-in for foremen and families: it sends HTTP/3
+// requests and keeps feeds open.
+package caller
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+const (
+	idleTimeout = 30 * time.Second
+	keepAlive   = 5 * time.Second
+)
+
+// Caller is one caller with a connection of its own.
+type Caller struct {
+	transport *http3.Transport
+	client    *http.Client
+}
+
+// New returns a caller that trusts the authority in a PEM file.
+func New(ca string) (*Caller, error) {
+	pem, err := os.ReadFile(ca)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(pem)
+	transport := &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13},
+		QUICConfig: &quic.Config{
+			MaxIdleTimeout:          idleTimeout,
+			KeepAlivePeriod:         keepAlive,
+			DisablePathMTUDiscovery: true,
+		},
+	}
+	return &Caller{transport: transport, client: &http.Client{Transport: transport}}, nil
+}
+
+// Do sends one request.
+func (c *Caller) Do(r *http.Request) (*http.Response, error) { return c.client.Do(r) }
+
+// Feed reads a feed to its end and returns how many lines came.
+func (c *Caller) Feed(ctx context.Context, url string) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	lines := 0
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		lines++
+	}
+	return lines, scanner.Err()
+}
+
+// Close ends the caller's connection.
+func (c *Caller) Close() error { return c.transport.Close() }
--- /dev/null
+++ b/standin/e2e/path_test.go
@@ -0,0 +1,34 @@
+// Package e2e proves the promises with the real binaries as processes.
+package e2e
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"cactustray/standin/backend"
+	"cactustray/standin/fleet"
+	"cactustray/standin/layout"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestWholePath(t *testing.T) {
+	f := fleet.Start(t, layout.Size{Balancers: 3, Services: []string{"orders"}, Backends: 2})
+	ctx, cancel := context.WithTimeout(context.Background(), fleet.Patience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.URL("orders", "/confirm"), strings.NewReader("panels"))
+	must.NoError(t, err)
+	request.Header.Set(backend.IdempotencyHeader, "truck-17")
+	response, err := f.Caller().Do(request)
+	must.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusOK, response.StatusCode)
+	must.EqOp(t, "confirmed truck-17\n", string(body))
+	lines, err := f.Caller().Feed(ctx, f.URL("orders", "/feed?lines=5&interval=10"))
+	must.NoError(t, err)
+	must.EqOp(t, 5, lines)
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,233 @@
+// Package fleet runs a small deployment for tests: the daemons as real
+// processes, the stand-ins inside the test's own process.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"cactustray/control/rpc"
+	"cactustray/identity"
+	"cactustray/standin/backend"
+	"cactustray/standin/caller"
+	"cactustray/standin/fabric"
+	"cactustray/standin/layout"
+	"cactustray/standin/platform"
+	"cactustray/status/statuspb"
+	"cactustray/status/statuspb/statuspbconnect"
+	"cactustray/ticket"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	// Patience bounds each wait for a condition; it is no measure of speed.
+	Patience   = 60 * time.Second
+	pollPeriod = 10 * time.Millisecond
+	daemonPath = "cactustray/cmd/cactustrayd"
+)
+
+// Fleet is one running deployment.
+type Fleet struct {
+	*layout.Deployment
+	Platform *platform.Service
+	Fabric   *fabric.Fabric
+	Servers  map[string]*backend.Server
+
+	t        testing.TB
+	binary   string
+	operator *http.Client
+	daemons  map[string]*exec.Cmd
+}
+
+// New writes a deployment and starts the stand-ins; no daemon runs yet.
+func New(t testing.TB, size layout.Size) *Fleet {
+	d, err := layout.Write(t.TempDir(), size)
+	must.NoError(t, err)
+	id, err := identity.Load(d.Operator)
+	must.NoError(t, err)
+	f := &Fleet{
+		Deployment: d,
+		Platform:   platform.New(),
+		Servers:    make(map[string]*backend.Server),
+		t:          t,
+		binary:     build(t),
+		operator:   rpc.NewClient(id),
+		daemons:    make(map[string]*exec.Cmd),
+	}
+	f.startStandins()
+	f.publishAll()
+	return f
+}
+
+// Start starts a deployment and waits until every daemon has its tickets.
+func Start(t testing.TB, size layout.Size) *Fleet {
+	f := New(t, size)
+	for _, name := range f.Names() {
+		f.Run(name)
+	}
+	for _, tk := range f.Tickets {
+		f.AwaitTicket(tk.Service, tk.Number)
+	}
+	return f
+}
+
+func build(t testing.TB) string {
+	binary := filepath.Join(t.TempDir(), "cactustrayd")
+	output, err := exec.Command("go", "build", "-o", binary, daemonPath).CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(output)))
+	return binary
+}
+
+func (f *Fleet) startStandins() {
+	f.serve(f.Deployment.Platform, f.Platform)
+	for _, b := range f.Backends {
+		f.Servers[b.Name] = backend.New(b.Name, layout.Slots)
+		f.serve(b.Address, f.Servers[b.Name].Handler())
+	}
+	var err error
+	f.Fabric, err = fabric.New(f.Deployment.Fabric)
+	must.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Fabric.Run(ctx)
+	}()
+	f.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func (f *Fleet) serve(address netip.AddrPort, handler http.Handler) {
+	server := &http.Server{Addr: address.String(), Handler: handler}
+	go func() { _ = server.ListenAndServe() }()
+	f.t.Cleanup(func() { _ = server.Close() })
+}
+
+func (f *Fleet) publishAll() {
+	f.put("vms", f.VMs())
+	for _, tk := range f.Tickets {
+		f.Publish(tk)
+	}
+}
+
+// Publish writes a ticket to the platform, as operators do.
+func (f *Fleet) Publish(tk *ticket.Ticket) { f.put("tickets/"+tk.Service, tk) }
+
+func (f *Fleet) put(key string, value any) {
+	raw, err := json.Marshal(value)
+	must.NoError(f.t, err)
+	f.Platform.Put(layout.Prefix+key, raw)
+}
+
+// Names returns the names of all daemons.
+func (f *Fleet) Names() []string {
+	var names []string
+	for _, b := range f.Balancers {
+		names = append(names, b.Node)
+	}
+	for _, b := range f.Backends {
+		names = append(names, b.Name)
+	}
+	return names
+}
+
+// Run starts one daemon.
+func (f *Fleet) Run(name string) {
+	command := exec.Command(f.binary, filepath.Join(f.Dir, name+".json"))
+	log, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	must.NoError(f.t, err)
+	command.Stdout, command.Stderr = log, log
+	must.NoError(f.t, command.Start())
+	f.daemons[name] = command
+	f.t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+		_ = log.Close()
+	})
+}
+
+// Signal sends a signal to one daemon: SIGKILL, SIGTERM, SIGSTOP or SIGCONT.
+func (f *Fleet) Signal(name string, signal syscall.Signal) {
+	must.NoError(f.t, f.daemons[name].Process.Signal(signal))
+}
+
+// AwaitExit waits until a daemon has ended and returns its exit code.
+func (f *Fleet) AwaitExit(name string) int {
+	_ = f.daemons[name].Wait()
+	return f.daemons[name].ProcessState.ExitCode()
+}
+
+// Caller returns a new caller with a connection of its own.
+func (f *Fleet) Caller() *caller.Caller {
+	c, err := caller.New(f.CA)
+	must.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// URL returns the URL of a service's path.
+func (f *Fleet) URL(service, path string) string {
+	return "https://" + f.Tickets[service].Address.String() + path
+}
+
+// Status asks one daemon how it stands.
+func (f *Fleet) Status(control netip.AddrPort) (*statuspb.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), rpc.CallTimeout)
+	defer cancel()
+	return statuspbconnect.NewStatusServiceClient(f.operator, rpc.Base(control.String())).Status(ctx, &statuspb.StatusRequest{})
+}
+
+// AwaitTicket waits until a ticket number is in force on every running daemon
+// concerned.
+func (f *Fleet) AwaitTicket(service string, number ticket.Number) {
+	f.Await(func() bool {
+		for _, b := range f.Balancers {
+			if f.daemons[b.Node] != nil && f.InForce(b.Control, service) != number {
+				return false
+			}
+		}
+		for _, b := range f.Backends {
+			if b.Service == service && f.daemons[b.Name] != nil && f.InForce(b.Settings.Control, service) != number {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// InForce returns the number in force on a daemon, or 0.
+func (f *Fleet) InForce(control netip.AddrPort, service string) ticket.Number {
+	response, err := f.Status(control)
+	if err != nil {
+		return 0
+	}
+	for _, t := range response.Tickets {
+		if t.Service == service {
+			return ticket.Number(t.Number)
+		}
+	}
+	return 0
+}
+
+// Await waits until a condition holds.
+func (f *Fleet) Await(condition func() bool) {
+	f.t.Helper()
+	limit := time.Now().Add(Patience)
+	for !condition() {
+		if time.Now().After(limit) {
+			f.t.Fatal("the condition did not come to hold")
+		}
+		time.Sleep(pollPeriod)
+	}
+}
--- /dev/null
+++ b/standin/layout/layout.go
@@ -0,0 +1,222 @@
+// Package layout writes the settings, certificates and tickets of a small
+// deployment on loopback, for the demo and the tests.
+package layout
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"cactustray/identity"
+	"cactustray/settings"
+	"cactustray/standin/fabric"
+	"cactustray/ticket"
+	"cactustray/ticket/platform"
+)
+
+const (
+	// Prefix is where the deployment's keys stand on the platform.
+	Prefix = "cactustray/"
+	// loopback is the address every process binds.
+	loopback = "127.0.0.1"
+	zones    = 4
+	tokenKey = "00112233445566778899aabbccddeeff"
+	resetKey = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+	// Slots is how many jobs a backend server runs at once.
+	Slots     = 4
+	flows     = 2000
+	queueTime = 2000
+	drainTime = 30
+)
+
+// Size is how much of everything a deployment has.
+type Size struct {
+	Balancers int
+	// Services are the services' names.
+	Services []string
+	// Backends is how many backend servers each service has.
+	Backends int
+}
+
+// Backend is one backend server with the agent beside it.
+type Backend struct {
+	Service  string
+	Name     string
+	Address  netip.AddrPort
+	Settings *settings.Settings
+	File     string
+}
+
+// Deployment is all that has been written.
+type Deployment struct {
+	Dir       string
+	Platform  netip.AddrPort
+	Fabric    fabric.Settings
+	Balancers []*settings.Settings
+	Backends  []Backend
+	Tickets   map[string]*ticket.Ticket
+	Operator  identity.Files
+	CA        string
+
+	authority *Authority
+}
+
+// Write makes a deployment and writes its files into dir.
+func Write(dir string, size Size) (*Deployment, error) {
+	authority, err := NewAuthority(dir)
+	if err != nil {
+		return nil, err
+	}
+	d := &Deployment{Dir: dir, authority: authority, CA: authority.file("ca.pem"), Tickets: make(map[string]*ticket.Ticket)}
+	d.Platform = freeTCP()
+	d.Fabric.Return = freeUDP()
+	if d.Operator, err = authority.Node(identity.Peer{Role: identity.Operator, Name: "operator"}); err != nil {
+		return nil, err
+	}
+	for i := range size.Balancers {
+		if err := d.addBalancer(i); err != nil {
+			return nil, err
+		}
+	}
+	for _, service := range size.Services {
+		if err := d.addService(service, size.Backends); err != nil {
+			return nil, err
+		}
+	}
+	if err := d.writeTickets(); err != nil {
+		return nil, err
+	}
+	return d, d.writeJSON("fabric.json", d.Fabric)
+}
+
+func (d *Deployment) addBalancer(i int) error {
+	name := fmt.Sprintf("entry-%d", i+1)
+	s, err := d.node(identity.Balancer, name, i)
+	if err != nil {
+		return err
+	}
+	s.Role = settings.Balancer
+	s.Platform = &settings.Platform{URL: "http://" + d.Platform.String(), Prefix: Prefix}
+	s.Balancer = &settings.BalancerSettings{Edge: freeUDP(), Fabric: d.Fabric.Return}
+	d.Balancers = append(d.Balancers, s)
+	d.Fabric.Balancers = append(d.Fabric.Balancers, s.Balancer.Edge)
+	return d.writeJSON(name+".json", s)
+}
+
+func (d *Deployment) addService(service string, backends int) error {
+	address := freeUDP()
+	d.Fabric.Addresses = append(d.Fabric.Addresses, address)
+	t := &ticket.Ticket{
+		Number:     1,
+		Service:    service,
+		Address:    address,
+		Limits:     ticket.Limits{Slots: Slots, Connections: flows, QueueMillis: queueTime, DrainSeconds: drainTime},
+		Feeds:      []string{"/feed"},
+		Idempotent: []string{"/drawing"},
+	}
+	d.Tickets[service] = t
+	files, err := d.authority.Service(service, net.ParseIP(loopback))
+	if err != nil {
+		return err
+	}
+	for i := range backends {
+		if err := d.addBackend(t, i, files); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) addBackend(t *ticket.Ticket, i int, callerTLS identity.Files) error {
+	name := fmt.Sprintf("%s-%d", t.Service, i+1)
+	s, err := d.node(identity.Agent, name, i)
+	if err != nil {
+		return err
+	}
+	s.Role = settings.Agent
+	s.Agent = &settings.AgentSettings{
+		Service:   t.Service,
+		Endpoint:  name,
+		Backend:   freeTCP(),
+		CallerTLS: settings.TLS(callerTLS),
+	}
+	for _, b := range d.Balancers {
+		s.Agent.Balancers = append(s.Agent.Balancers, b.Control)
+	}
+	t.Endpoints = append(t.Endpoints, ticket.Endpoint{Name: name, Zone: s.Zone, Datagram: s.Datagram, Control: s.Control, Weight: 100})
+	d.Backends = append(d.Backends, Backend{Service: t.Service, Name: name, Address: s.Agent.Backend, Settings: s, File: d.file(name + ".json")})
+	return d.writeJSON(name+".json", s)
+}
+
+func (d *Deployment) node(role identity.Role, name string, i int) (*settings.Settings, error) {
+	files, err := d.authority.Node(identity.Peer{Role: role, Name: name})
+	if err != nil {
+		return nil, err
+	}
+	return &settings.Settings{
+		Node:     name,
+		Zone:     fmt.Sprintf("fd-%d", i%zones+1),
+		Keys:     []settings.Key{{ID: 1, Secret: tokenKey}},
+		ResetKey: resetKey,
+		TLS:      settings.TLS(files),
+		Datagram: freeUDP(),
+		Control:  freeTCP(),
+	}, nil
+}
+
+func (d *Deployment) writeTickets() error {
+	for service, t := range d.Tickets {
+		if err := d.writeJSON("ticket-"+service+".json", t); err != nil {
+			return err
+		}
+	}
+	return d.writeJSON("vms.json", d.VMs())
+}
+
+// VMs returns the list of VMs as the platform publishes it.
+func (d *Deployment) VMs() []platform.VM {
+	var vms []platform.VM
+	for _, b := range d.Balancers {
+		vms = append(vms, platform.VM{
+			Name:     b.Node,
+			Role:     "balancer",
+			Zone:     b.Zone,
+			Datagram: b.Datagram.String(),
+			Control:  b.Control.String(),
+		})
+	}
+	return vms
+}
+
+func (d *Deployment) file(name string) string { return filepath.Join(d.Dir, name) }
+
+func (d *Deployment) writeJSON(name string, value any) error {
+	raw, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(d.file(name), raw, 0o600)
+}
+
+// freeTCP and freeUDP return a port that the kernel picked.
+func freeTCP() netip.AddrPort {
+	listener, err := net.Listen("tcp", loopback+":0")
+	if err != nil {
+		panic(err) // a machine without loopback ports runs nothing
+	}
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func freeUDP() netip.AddrPort {
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(loopback)})
+	if err != nil {
+		panic(err) // a machine without loopback ports runs nothing
+	}
+	defer socket.Close()
+	address := socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
