Stop as planned, watch by few, and spread facts

Cause: agents reported to every balancer, a balancer's stop cut whatever was under way, and an agent's stop knew one source and one fixed limit. Change: liveness holds facts about endpoints and balancers, ordered by incarnation, version and suspicion; agents report to 3 balancers chosen by rendezvous hashing and reply over at most 32; balancers pass facts to the successor in each of 3 hash rings within a byte budget; a drain has several causes, any of which may be taken back but the stop itself; a leaving balancer tells peers, fails its health check and forwards until traffic has moved. The fabric's stand-in asks for health and has cuts and noise by a seed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,13 +36,12 @@
 		return err
 	}
 	reports := make(chan report)
+	draining := newDraining()
 	reporter := &reporter{
-		node:      s.Node,
-		service:   ticket.ServiceKeyOf(s.Agent.Service),
-		balancers: s.Agent.Balancers,
-		client:    rpc.NewClient(id),
-		loop:      loop,
-		log:       log,
+		node:    s.Node,
+		service: ticket.ServiceKeyOf(s.Agent.Service),
+		client:  rpc.NewClient(id),
+		loop:    loop,
 	}
 	log.Emit(EventAgentStarted, event.Fields{"service": s.Agent.Service, "endpoint": s.Agent.Endpoint})
 	defer log.Emit(EventAgentStopped, nil)
@@ -50,34 +49,18 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
-	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports)) })
+	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports, draining)) })
 	group.Go(func() error { return reporter.run(running, reports) })
 	group.Go(func() error { return rpc.Serve(running, s.Control, id, controlHandler(loop)) })
-	group.Go(func() error { return callers.serve(running) })
+	group.Go(func() error { return callers.serve(running, draining.phases) })
 	group.Go(func() error {
 		defer stop()
-		return stopAsPlanned(ctx, running, loop, callers, log)
+		stopAsPlanned(ctx, running, loop)
+		return nil
 	})
 	return group.Wait()
 }
 
-// stopAsPlanned waits for the stop and lets the work in progress finish.
-func stopAsPlanned(ctx, running context.Context, loop *control.Loop, callers *callerServer, log *event.Log) error {
-	select {
-	case <-running.Done():
-		return nil
-	case <-ctx.Done():
-	}
-	log.Emit(EventAgentDraining, nil)
-	done := make(chan struct{})
-	if err := loop.Send(running, drain{done: done}); err != nil {
-		return nil
-	}
-	<-done
-	callers.drain(running)
-	return nil
-}
-
 func controlHandler(loop *control.Loop) http.Handler {
 	mux := http.NewServeMux()
 	path, h := status.NewServer(loop).Handler()
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -1,9 +1,7 @@
 package agent
 
 import (
-	"context"
 	"encoding/hex"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -28,11 +26,6 @@
 	idleTimeout = 30 * time.Second
 	// keepAlive keeps feeds open that say nothing for long.
 	keepAlive = 10 * time.Second
-	// noticeTime is how long balancers have to stop sending new flows before
-	// the agent closes its connections gracefully.
-	noticeTime = 2 * time.Second
-	// stopTimeout bounds a planned stop.
-	stopTimeout = 30 * time.Second
 	// maxStreams bounds the requests in progress on one connection.
 	maxStreams = 1000
 )
@@ -41,7 +34,7 @@
 type callerServer struct {
 	transport *quic.Transport
 	listener  *quic.EarlyListener
-	server    *http3.Server
+	handler   http.Handler
 }
 
 func newCallerServer(s *settings.Settings, sealer *steering.Sealer, owner steering.Owner, loop *control.Loop, p *published) (*callerServer, error) {
@@ -71,7 +64,7 @@
 		Endpoint: s.Agent.Endpoint,
 		Client:   frontend.NewBackendClient(),
 	}
-	return &callerServer{transport: transport, listener: listener, server: &http3.Server{Handler: handler}}, nil
+	return &callerServer{transport: transport, listener: listener, handler: handler}, nil
 }
 
 // quicConfig never accepts 0-RTT: an attacker could run a request twice by
@@ -97,37 +90,3 @@
 	copy(key[:], raw)
 	return key
 }
-
-func (c *callerServer) serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = c.close() })
-	defer stop()
-	err := c.server.ServeListener(c.listener)
-	if ctx.Err() != nil {
-		return nil
-	}
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, quic.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
-// drain waits until new flows go elsewhere, then asks callers to go elsewhere
-// and lets requests in progress finish.
-func (c *callerServer) drain(ctx context.Context) {
-	notice := time.NewTimer(noticeTime)
-	defer notice.Stop()
-	select {
-	case <-notice.C:
-	case <-ctx.Done():
-		return
-	}
-	limited, cancel := context.WithTimeout(ctx, stopTimeout)
-	defer cancel()
-	_ = c.server.Shutdown(limited)
-}
-
-func (c *callerServer) close() error {
-	_ = c.server.Close()
-	_ = c.listener.Close()
-	return c.transport.Close()
-}
--- a/agent/control.go
+++ b/agent/control.go
@@ -30,7 +30,8 @@
 	started  time.Time
 	log      *event.Log
 
-	fact      liveness.Fact
+	reporting *reporting
+	draining  *draining
 	tickets   *ticket.Register
 	admission *admission.State
 	replies   map[admission.RequestID]chan<- admission.Decision
@@ -40,13 +41,14 @@
 	report chan<- report
 }
 
-func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report) *state {
+func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, d *draining) *state {
 	return &state{
 		settings:  s,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
 		started:   time.Now(),
 		log:       log,
-		fact:      liveness.Fact{Endpoint: owner.Endpoint, Incarnation: owner.Incarnation, State: liveness.Ready},
+		reporting: newReporting(liveness.NewSelf(liveness.EndpointSubject(owner.Endpoint), owner.Incarnation), s.Agent.Balancers),
+		draining:  d,
 		tickets:   ticket.NewRegister(),
 		admission: admission.NewState(admission.Limits{}),
 		replies:   make(map[admission.RequestID]chan<- admission.Decision),
@@ -63,7 +65,7 @@
 	case ticket.Compared:
 		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
 	case answered:
-		s.learnBalancers(m.answer)
+		s.answered(now, m)
 	case admission.Arrived:
 		s.replies[m.ID] = m.Reply
 		s.decide(s.admission.Arrive(now, m.Request))
@@ -72,18 +74,19 @@
 	case admission.Gone:
 		s.decide(s.admission.Leave(now, m.ID))
 		delete(s.replies, m.ID)
-	case drain:
-		s.drain(m)
+	case stopRequested:
+		s.requestStop(now, m)
 	case status.Asked:
 		m.Reply <- s.statusReport(now)
 	}
 }
 
 // Tick refuses what waited too long and reports to the balancers.
-func (s *state) Tick(now time.Time, _ time.Duration) {
+func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.decide(s.admission.Tick(now))
 	s.tickets.Seal(now)
-	s.sendReport()
+	s.tickDrain(now)
+	s.tickReports(now, gap)
 }
 
 func (s *state) statusReport(now time.Time) status.Report {
@@ -91,7 +94,7 @@
 		Node:    s.settings.Node,
 		Role:    membership.RoleAgent,
 		Zone:    s.settings.Zone,
-		State:   "ready",
+		State:   s.reporting.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
 		Tickets: status.InForceOf(now, s.tickets),
 		Flows:   int64(s.admission.Running()),
--- /dev/null
+++ b/agent/drain.go
@@ -0,0 +1,223 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cactustray/control"
+	"cactustray/event"
+	"cactustray/liveness"
+	"cactustray/ticket"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// defaultDrainTime is how long feeds may go on when no ticket says so.
+	defaultDrainTime = 30 * time.Second
+	// closeTime is how long callers have, after the last request has ended,
+	// to close their connections themselves.
+	closeTime = time.Second
+)
+
+// stopRequested tells the control goroutine that the process stops as
+// planned; drained is closed when nothing is left to wait for.
+type stopRequested struct{ drained chan<- struct{} }
+
+// draining is how the agent leaves, as the control goroutine sees it.
+type draining struct {
+	drain   liveness.Drain
+	phase   liveness.Phase
+	drained chan<- struct{}
+	// phases tells the goroutine that serves callers.
+	phases chan liveness.Phase
+}
+
+func newDraining() *draining {
+	return &draining{phases: make(chan liveness.Phase, 1)}
+}
+
+func (s *state) requestStop(now time.Time, m stopRequested) {
+	s.draining.drained = m.drained
+	s.setDrain(now, liveness.ByStop, true)
+}
+
+// setDrain learns whether a cause of leaving holds; balancers are told at
+// once.
+func (s *state) setDrain(now time.Time, cause liveness.Cause, holds bool) {
+	if !s.draining.drain.Set(now, cause, holds) {
+		return
+	}
+	state := liveness.Ready
+	if s.draining.drain.Leaving() {
+		state = liveness.Leaving
+		s.log.Emit(EventAgentDraining, event.Fields{"cause": cause.String()})
+	} else {
+		s.log.Emit(EventDrainReverted, event.Fields{"cause": cause.String()})
+	}
+	s.reporting.self.SetState(state)
+	s.reporting.dirty = true
+	s.tickReports(now, 0)
+}
+
+// followTicket drains an endpoint that its ticket drains, removes or no longer
+// names.
+func (s *state) followTicket(now time.Time, t *ticket.Ticket) {
+	s.setDrain(now, liveness.ByTicket, !t.TakesNew(s.settings.Agent.Endpoint))
+}
+
+func (s *state) drainTime() time.Duration {
+	entry := s.tickets.Entry(s.service)
+	if entry == nil || entry.Ticket.Limits.DrainSeconds == 0 {
+		return defaultDrainTime
+	}
+	return time.Duration(entry.Ticket.Limits.DrainSeconds) * time.Second
+}
+
+// tickDrain moves the drain on as time passes and requests end.
+func (s *state) tickDrain(now time.Time) {
+	d := s.draining
+	if phase := d.drain.Phase(now, s.drainTime()); phase != d.phase {
+		s.enterPhase(now, phase)
+	}
+	if d.drained == nil || d.phase < liveness.Draining {
+		return
+	}
+	if s.admission.Running() == 0 || d.phase == liveness.Expired {
+		close(d.drained)
+		d.drained = nil
+	}
+}
+
+func (s *state) enterPhase(now time.Time, phase liveness.Phase) {
+	s.draining.phase = phase
+	switch phase {
+	case liveness.Serving:
+		s.admission.Resume()
+	case liveness.Draining, liveness.Expired:
+		s.admission.Drain()
+	}
+	// Only the newest phase matters to callers' connections.
+	select {
+	case <-s.draining.phases:
+	default:
+	}
+	s.draining.phases <- phase
+}
+
+// stopAsPlanned waits for the stop and lets the work in progress finish.
+func stopAsPlanned(ctx, running context.Context, loop *control.Loop) {
+	select {
+	case <-running.Done():
+		return
+	case <-ctx.Done():
+	}
+	drained := make(chan struct{})
+	if err := loop.Send(running, stopRequested{drained: drained}); err != nil {
+		return
+	}
+	select {
+	case <-drained:
+	case <-running.Done():
+		return
+	}
+	timer := time.NewTimer(closeTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-running.Done():
+	}
+}
+
+// generation is the HTTP/3 server of the connections accepted between two
+// drains. A drain asks its callers to go elsewhere; a new generation takes
+// what still arrives.
+type generation struct {
+	server *http3.Server
+	expire context.CancelFunc
+}
+
+// serve ends callers' connections until the context ends.
+func (c *callerServer) serve(ctx context.Context, phases <-chan liveness.Phase) error {
+	defer c.close()
+	failed := make(chan error, 1)
+	current := c.begin(failed)
+	var retired []*generation
+	for {
+		select {
+		case <-ctx.Done():
+			closeAll(append(retired, current))
+			return nil
+		case err := <-failed:
+			return err
+		case phase := <-phases:
+			if phase == liveness.Draining || phase == liveness.Expired {
+				retired = append(retired, c.retire(ctx, current))
+				current = c.begin(failed)
+			}
+			if phase == liveness.Expired {
+				expireAll(retired)
+				retired = nil
+			}
+		}
+	}
+}
+
+// begin serves the listener's next connections.
+func (c *callerServer) begin(failed chan<- error) *generation {
+	g := &generation{server: &http3.Server{Handler: c.handler}}
+	go func() {
+		err := g.server.ServeListener(c.listener)
+		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, quic.ErrServerClosed) {
+			return
+		}
+		select {
+		case failed <- err:
+		default:
+		}
+	}()
+	return g
+}
+
+// retire asks the callers of a generation to go elsewhere; what is open goes
+// on until it expires.
+func (c *callerServer) retire(ctx context.Context, g *generation) *generation {
+	limited, expire := context.WithCancel(ctx)
+	g.expire = expire
+	go func() { _ = g.server.Shutdown(limited) }()
+	return g
+}
+
+func expireAll(generations []*generation) {
+	for _, g := range generations {
+		g.expire()
+	}
+}
+
+// closeAll tells the callers of all generations that their connections end.
+func closeAll(generations []*generation) {
+	var group errgroup.Group
+	for _, g := range generations {
+		group.Go(g.server.Close)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = group.Wait()
+	}()
+	timer := time.NewTimer(closeTime)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+func (c *callerServer) close() {
+	_ = c.listener.Close()
+	_ = c.transport.Close()
+}
--- a/agent/events.go
+++ b/agent/events.go
@@ -13,4 +13,6 @@
 	EventAgentStopped   = event.Define(2003, logrus.InfoLevel, "agent stopped")
 	EventTicketInForce  = event.Define(2101, logrus.InfoLevel, "service's ticket in force")
 	EventBalancerSilent = event.Define(2201, logrus.WarnLevel, "balancer does not answer")
+	EventDrainReverted  = event.Define(2004, logrus.InfoLevel, "drain taken back")
+	EventPaused         = event.Define(2202, logrus.WarnLevel, "process was paused")
 )
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -4,12 +4,9 @@
 	"context"
 	"net/http"
 	"net/netip"
-	"time"
 
 	"cactustray/control"
 	"cactustray/control/rpc"
-	"cactustray/event"
-	"cactustray/liveness"
 	"cactustray/liveness/heartbeat"
 	"cactustray/ticket"
 	"cactustray/ticket/exchange"
@@ -17,70 +14,66 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// maxHeartbeats bounds the heartbeats under way, so that a silent balancer
+// does not delay the reports to others.
+const maxHeartbeats = 12
+
 // reporter carries the agent's heartbeats, and fetches its ticket when a
 // balancer holds a newer one.
 type reporter struct {
-	node      string
-	service   ticket.ServiceKey
-	balancers []netip.AddrPort
-	client    *http.Client
-	loop      *control.Loop
-	log       *event.Log
+	node    string
+	service ticket.ServiceKey
+	client  *http.Client
+	loop    *control.Loop
 }
 
-// run reports each heartbeat interval until the context ends; a change of the
-// fact is reported at once.
+// run sends the reports that the control goroutine hands over until the
+// context ends.
 func (r *reporter) run(ctx context.Context, reports <-chan report) error {
-	var last time.Time
-	var version uint32
+	var group errgroup.Group
+	group.SetLimit(maxHeartbeats)
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return group.Wait()
 		case next := <-reports:
-			if time.Since(last) < liveness.HeartbeatInterval && next.fact.Version == version {
-				continue
-			}
-			last, version = time.Now(), next.fact.Version
-			r.reportAll(ctx, next)
+			r.send(ctx, &group, next)
 		}
 	}
 }
 
-func (r *reporter) reportAll(ctx context.Context, next report) {
-	ctx, cancel := context.WithTimeout(ctx, rpc.CallTimeout)
-	defer cancel()
-	var group errgroup.Group
-	for _, balancer := range r.balancers {
-		group.Go(func() error {
-			if err := r.reportTo(ctx, balancer, next); err != nil {
-				r.log.Emit(EventBalancerSilent, event.Fields{"balancer": balancer, "cause": err})
-			}
-			return nil
-		})
+func (r *reporter) send(ctx context.Context, group *errgroup.Group, next report) {
+	for _, balancer := range next.targets {
+		group.Go(func() error { return r.reportTo(ctx, balancer, next) })
+	}
+	next.Last = true
+	for _, balancer := range next.last {
+		group.Go(func() error { return r.takeLeave(ctx, balancer, next) })
 	}
-	_ = group.Wait()
 }
 
+// reportTo sends one heartbeat; the control goroutine learns how it went.
 func (r *reporter) reportTo(ctx context.Context, balancer netip.AddrPort, next report) error {
+	limited, cancel := context.WithTimeout(ctx, rpc.CallTimeout)
+	defer cancel()
 	base := rpc.Base(balancer.String())
-	var number ticket.Number
-	if len(next.digests) > 0 {
-		number = next.digests[0].Number
-	}
-	answer, err := heartbeat.NewClient(r.client, base).Send(ctx, r.node, r.service, number, next.fact)
-	if err != nil {
-		return err
-	}
-	if err := r.loop.Send(ctx, answered{answer: answer}); err != nil {
-		return err
-	}
-	if answer.Ticket <= number {
+	answer, err := heartbeat.NewClient(r.client, base).Send(limited, next.Report)
+	_ = r.loop.Send(ctx, answered{from: balancer, answer: answer, cause: err})
+	if err != nil || answer.Ticket <= next.Ticket {
 		return nil
 	}
-	offered, err := exchange.NewClient(r.client, base).Fetch(ctx, r.node, next.digests, []ticket.ServiceKey{r.service})
-	if err != nil {
-		return err
+	offered, err := exchange.NewClient(r.client, base).Fetch(limited, r.node, next.digests, []ticket.ServiceKey{r.service})
+	if err == nil {
+		_ = r.loop.Send(ctx, offered)
 	}
-	return r.loop.Send(ctx, offered)
+	return nil
+}
+
+// takeLeave tells a balancer that others watch this agent from now on. One
+// that cannot be told suspects the agent, which then refutes it.
+func (r *reporter) takeLeave(ctx context.Context, balancer netip.AddrPort, next report) error {
+	limited, cancel := context.WithTimeout(ctx, rpc.CallTimeout)
+	defer cancel()
+	_, _ = heartbeat.NewClient(r.client, rpc.Base(balancer.String())).Send(limited, next.Report)
+	return nil
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -47,11 +47,21 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	log.Emit(EventBalancerStarted, event.Fields{"edge": s.Balancer.Edge})
 	defer log.Emit(EventBalancerStopped, nil)
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return loop.Run(ctx, newState(s.Node, s.Zone, log, table)) })
-	group.Go(func() error { return forwarder.Run(ctx, workers) })
-	group.Go(func() error { return platform.Watch(ctx, reader, loop, random) })
-	group.Go(func() error { return rpc.Serve(ctx, s.Control, id, handler(loop)) })
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	peers := newPeers(s.Node, table)
+	caller := &peerCaller{client: rpc.NewClient(id), loop: loop, log: log}
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return loop.Run(running, newState(s, log, table, peers)) })
+	group.Go(func() error { return forwarder.Run(running, workers) })
+	group.Go(func() error { return platform.Watch(running, reader, loop, random) })
+	group.Go(func() error { return rpc.Serve(running, s.Control, id, handler(loop)) })
+	group.Go(func() error { return caller.run(running, peers.calls) })
+	group.Go(func() error { return serveHealth(running, s.Balancer.Health, &peers.healthy) })
+	group.Go(func() error {
+		defer stop()
+		return stopAsPlanned(ctx, running, loop, forwarder.Counters, log)
+	})
 	return group.Wait()
 }
 
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -9,6 +9,7 @@
 	"cactustray/liveness"
 	"cactustray/liveness/heartbeat"
 	"cactustray/membership"
+	"cactustray/settings"
 	"cactustray/status"
 	"cactustray/steering"
 	"cactustray/ticket"
@@ -26,21 +27,25 @@
 	tickets  *ticket.Register
 	observer *liveness.Observer
 	members  *membership.State
+	peers    *peers
 
 	table *atomic.Pointer[steering.Table]
 }
 
-func newState(node, zone string, log *event.Log, table *atomic.Pointer[steering.Table]) *state {
-	return &state{
-		node:     node,
-		zone:     zone,
+func newState(s *settings.Settings, log *event.Log, table *atomic.Pointer[steering.Table], p *peers) *state {
+	st := &state{
+		node:     s.Node,
+		zone:     s.Zone,
 		started:  time.Now(),
 		log:      log,
 		tickets:  ticket.NewRegister(),
 		observer: liveness.NewObserver(),
 		members:  membership.NewState(),
+		peers:    p,
 		table:    table,
 	}
+	st.members.SetSelf(selfNode(s))
+	return st
 }
 
 // Handle applies one message of any slice.
@@ -51,11 +56,17 @@
 	case ticket.Compared:
 		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
 	case membership.Listed:
-		s.members.Learn(m)
+		s.listed(now, m)
 	case platform.Failed:
 		s.log.Emit(EventPlatformUnavailable, event.Fields{"cause": m.Cause})
 	case heartbeat.Heard:
 		s.heard(now, m)
+	case heartbeat.Passed:
+		s.passed(now, m)
+	case called:
+		s.called(now, m)
+	case leave:
+		s.leave(now, m)
 	case status.Asked:
 		m.Reply <- s.report(now)
 	}
@@ -64,9 +75,7 @@
 // Tick seals tickets and suspects endpoints that have gone silent.
 func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.tickets.Seal(now)
-	if s.observer.Tick(now, gap) > 0 {
-		s.publish()
-	}
+	s.tickLiveness(now, gap)
 }
 
 func (s *state) publish() {
@@ -78,7 +87,7 @@
 		Node:    s.node,
 		Role:    membership.RoleBalancer,
 		Zone:    s.zone,
-		State:   "ready",
+		State:   s.peers.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
 		Tickets: status.InForceOf(now, s.tickets),
 		Nodes:   s.members.Nodes(),
--- /dev/null
+++ b/balancer/spread.go
@@ -0,0 +1,51 @@
+package balancer
+
+import (
+	"context"
+	"net/http"
+
+	"cactustray/control"
+	"cactustray/control/rpc"
+	"cactustray/event"
+	"cactustray/liveness"
+	"cactustray/liveness/heartbeat"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// called brings the end of a call to another balancer to the control
+// goroutine; cause is nil when it was answered.
+type called struct {
+	to      string
+	beliefs heartbeat.Beliefs
+	cause   error
+}
+
+// peerCaller makes the calls to other balancers that the control goroutine
+// asks for.
+type peerCaller struct {
+	client *http.Client
+	loop   *control.Loop
+	log    *event.Log
+}
+
+// run makes calls, each in a goroutine of its own, until the context ends.
+func (c *peerCaller) run(ctx context.Context, calls <-chan liveness.Batch) error {
+	var group errgroup.Group
+	for {
+		select {
+		case <-ctx.Done():
+			return group.Wait()
+		case batch := <-calls:
+			group.Go(func() error { return c.call(ctx, batch) })
+		}
+	}
+}
+
+func (c *peerCaller) call(ctx context.Context, batch liveness.Batch) error {
+	limited, cancel := context.WithTimeout(ctx, rpc.CallTimeout)
+	defer cancel()
+	beliefs, err := heartbeat.NewClient(c.client, rpc.Base(batch.To.Control)).Spread(limited, batch)
+	_ = c.loop.Send(ctx, called{to: batch.To.Name, beliefs: beliefs, cause: err})
+	return nil
+}
--- a/balancer/tickets.go
+++ b/balancer/tickets.go
@@ -18,8 +18,10 @@
 		s.log.Emit(EventTicketRefused, event.Fields{"service": r.Service, "cause": r.Cause})
 	}
 	if changed {
+		s.followTickets(now, m)
 		s.publish()
 	}
+	s.refreshed()
 }
 
 func (s *state) logOutcome(h ticket.Held, outcome ticket.Outcome) {
--- a/liveness/heartbeat/heartbeat.go
+++ b/liveness/heartbeat/heartbeat.go
@@ -1,5 +1,5 @@
 // Package heartbeat is the wire side of the liveness slice: agents' heartbeats
-// to balancers.
+// to balancers, and the spread of facts between balancers.
 package heartbeat
 
 import (
@@ -7,37 +7,49 @@
 	"net/http"
 
 	"cactustray/control"
+	"cactustray/identity"
 	"cactustray/liveness"
 	"cactustray/liveness/livenesspb"
 	"cactustray/liveness/livenesspb/livenesspbconnect"
-	"cactustray/membership"
-	"cactustray/steering"
 	"cactustray/ticket"
 
 	"connectrpc.com/connect"
 )
 
-// Heard brings a heartbeat to a balancer's control goroutine.
-type Heard struct {
+// Report is what an agent tells a balancer.
+type Report struct {
 	Fact    liveness.Fact
 	Service ticket.ServiceKey
-	Ticket  ticket.Number
-	Reply   chan<- Answer
+	// Ticket is the number the agent has in force.
+	Ticket ticket.Number
+	// Paths is the digest of the balancers the agent knows.
+	Paths uint64
+	// Last tells that the agent reports to another balancer from now on.
+	Last bool
+}
+
+// Heard brings a report to a balancer's control goroutine.
+type Heard struct {
+	Report
+	// Node is the agent's name by its certificate.
+	Node  string
+	Reply chan<- Answer
 }
 
 // Answer is what a balancer tells an agent in return.
 type Answer struct {
 	// Ticket is the number in force on the balancer for the agent's service.
 	Ticket ticket.Number
-	// Balancers are live balancers.
-	Balancers []membership.Node
+	// Believed is what the balancer holds of the agent.
+	Believed liveness.Fact
+	// Leaving tells that the platform lists the agent's VM as leaving.
+	Leaving bool
+	// Balancers are those the agent may use; empty when it knows them.
+	Balancers []liveness.Peer
 }
 
-// Server takes heartbeats.
-type Server struct {
-	livenesspbconnect.UnimplementedLivenessServiceHandler
-	loop *control.Loop
-}
+// Server takes heartbeats and facts.
+type Server struct{ loop *control.Loop }
 
 // NewServer returns a server that tells the given control loop.
 func NewServer(loop *control.Loop) *Server { return &Server{loop: loop} }
@@ -49,25 +61,25 @@
 
 // Heartbeat takes one heartbeat in.
 func (s *Server) Heartbeat(ctx context.Context, r *livenesspb.HeartbeatRequest) (*livenesspb.HeartbeatResponse, error) {
+	peer, _ := identity.PeerFrom(ctx)
+	report := decodeReport(r)
 	answer, err := control.Ask(ctx, s.loop, func(reply chan<- Answer) control.Message {
-		return Heard{
-			Fact:    decodeFact(r.Fact),
-			Service: ticket.ServiceKey(r.Service),
-			Ticket:  ticket.Number(r.Ticket),
-			Reply:   reply,
-		}
+		return Heard{Report: report, Node: peer.Name, Reply: reply}
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	response := &livenesspb.HeartbeatResponse{Ticket: uint64(answer.Ticket)}
-	for _, n := range answer.Balancers {
-		response.Balancers = append(response.Balancers, &livenesspb.Peer{Name: n.Name, Datagram: n.Datagram, Control: n.Control})
+	response := &livenesspb.HeartbeatResponse{Ticket: uint64(answer.Ticket), Leaving: answer.Leaving}
+	if answer.Believed != report.Fact {
+		response.Believed = encodeFact(answer.Believed)
+	}
+	for _, p := range answer.Balancers {
+		response.Balancers = append(response.Balancers, encodePeer(p))
 	}
 	return response, nil
 }
 
-// Client sends heartbeats to one balancer.
+// Client calls one balancer.
 type Client struct {
 	remote livenesspbconnect.LivenessServiceClient
 }
@@ -77,45 +89,24 @@
 	return &Client{remote: livenesspbconnect.NewLivenessServiceClient(client, base)}
 }
 
-// Send reports a fact and returns the balancer's answer.
-func (c *Client) Send(ctx context.Context, node string, service ticket.ServiceKey, number ticket.Number, fact liveness.Fact) (Answer, error) {
-	response, err := c.remote.Heartbeat(ctx, &livenesspb.HeartbeatRequest{
-		Node:    node,
-		Service: uint64(service),
-		Fact:    encodeFact(fact),
-		Ticket:  uint64(number),
-	})
+// Send reports to the balancer and returns its answer.
+func (c *Client) Send(ctx context.Context, report Report) (Answer, error) {
+	response, err := c.remote.Heartbeat(ctx, encodeReport(report))
 	if err != nil {
 		return Answer{}, err
 	}
-	answer := Answer{Ticket: ticket.Number(response.Ticket)}
-	for _, p := range response.Balancers {
-		answer.Balancers = append(answer.Balancers, membership.Node{
-			Name:     p.Name,
-			Role:     membership.RoleBalancer,
-			Datagram: p.Datagram,
-			Control:  p.Control,
-		})
+	answer := Answer{
+		Ticket:   ticket.Number(response.Ticket),
+		Believed: report.Fact,
+		Leaving:  response.Leaving,
 	}
-	return answer, nil
-}
-
-func encodeFact(f liveness.Fact) *livenesspb.Fact {
-	return &livenesspb.Fact{
-		Endpoint:    uint64(f.Endpoint),
-		Incarnation: uint32(f.Incarnation),
-		Version:     f.Version,
-		State:       livenesspb.State(f.State),
-		Suspected:   f.Suspected,
+	if response.Believed != nil {
+		answer.Believed = decodeFact(response.Believed)
 	}
-}
-
-func decodeFact(f *livenesspb.Fact) liveness.Fact {
-	return liveness.Fact{
-		Endpoint:    ticket.EndpointKey(f.GetEndpoint()),
-		Incarnation: steering.Incarnation(f.GetIncarnation()),
-		Version:     f.GetVersion(),
-		State:       liveness.State(f.GetState()),
-		Suspected:   f.GetSuspected(),
+	for _, p := range response.Balancers {
+		if peer, ok := decodePeer(p); ok {
+			answer.Balancers = append(answer.Balancers, peer)
+		}
 	}
+	return answer, nil
 }
--- /dev/null
+++ b/membership/choose.go
@@ -0,0 +1,87 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Choose returns up to count nodes for the process named key by rendezvous
+// hashing, in turn from every zone: any run of the first ones stands in as
+// many zones as there are, and a change of the nodes moves only the choices it
+// must. Every process with the same nodes chooses the same.
+func Choose(key string, nodes []Node, count int) []Node {
+	ranked := rank(key, nodes)
+	taken := make(map[string]int)
+	type place struct {
+		node  Node
+		round int
+	}
+	places := make([]place, len(ranked))
+	for i, node := range ranked {
+		places[i] = place{node: node, round: taken[node.Zone]}
+		taken[node.Zone]++
+	}
+	slices.SortStableFunc(places, func(a, b place) int { return cmp.Compare(a.round, b.round) })
+	chosen := make([]Node, min(count, len(places)))
+	for i := range chosen {
+		chosen[i] = places[i].node
+	}
+	return chosen
+}
+
+type scored struct {
+	node  Node
+	score uint64
+}
+
+// rank orders nodes by the hash of key and name, the lowest first.
+func rank(key string, nodes []Node) []Node {
+	list := make([]scored, len(nodes))
+	for i, node := range nodes {
+		list[i] = scored{node: node, score: xxhash.Sum64String(key + "\x00" + node.Name)}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.node.Name, b.node.Name))
+	})
+	ranked := make([]Node, len(list))
+	for i, s := range list {
+		ranked[i] = s.node
+	}
+	return ranked
+}
+
+// Successors returns the node that follows self in each of a number of hash
+// rings. Over all nodes every node is followed, and follows, as often as there
+// are rings, and what each passes to its successors reaches all.
+func Successors(self string, nodes []Node, rings int) []Node {
+	var chosen []Node
+	for ring := range rings {
+		if next, ok := successor(self, nodes, ring, chosen); ok {
+			chosen = append(chosen, next)
+		}
+	}
+	return chosen
+}
+
+// successor returns the node with the smallest distance ahead on one ring.
+func successor(self string, nodes []Node, ring int, except []Node) (next Node, ok bool) {
+	start := position(self, ring)
+	var nearest uint64
+	for _, node := range nodes {
+		if node.Name == self || slices.Contains(except, node) {
+			continue
+		}
+		distance := position(node.Name, ring) - start
+		if !ok || distance < nearest {
+			next, nearest, ok = node, distance, true
+		}
+	}
+	return next, ok
+}
+
+func position(name string, ring int) uint64 {
+	return xxhash.Sum64String(strconv.Itoa(ring) + "\x00" + name)
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -29,33 +29,56 @@
 }
 
 // State is what is known of the nodes. The control goroutine owns it.
-type State struct{ nodes []Node }
+type State struct {
+	self    *Node
+	nodes   []Node
+	leaving map[string]bool
+}
 
 // NewState returns a state that knows nobody.
 func NewState() *State { return &State{} }
 
+// SetSelf names this process, which may not be listed yet.
+func (s *State) SetSelf(self Node) { s.self = &self }
+
 // Learn takes the platform's list in; one that could not be read changes
 // nothing.
 func (s *State) Learn(listed Listed) {
-	if listed.Refused == nil {
-		s.nodes = listed.Nodes
+	if listed.Refused != nil {
+		return
+	}
+	s.nodes = listed.Nodes
+	s.leaving = make(map[string]bool)
+	for _, n := range listed.Nodes {
+		if n.Leaving {
+			s.leaving[n.Name] = true
+		}
 	}
 }
 
 // Nodes returns all known nodes.
 func (s *State) Nodes() []Node { return s.nodes }
 
-// Balancers returns the balancers that are not leaving.
+// Balancers returns the balancers that are not leaving, this process among
+// them.
 func (s *State) Balancers() []Node {
 	var balancers []Node
+	listed := s.self == nil
 	for _, n := range s.nodes {
+		listed = listed || n.Name == s.self.Name
 		if n.Role == RoleBalancer && !n.Leaving {
 			balancers = append(balancers, n)
 		}
 	}
+	if !listed {
+		balancers = append(balancers, *s.self)
+	}
 	return balancers
 }
 
+// Leaving tells whether the platform lists the named node as leaving.
+func (s *State) Leaving(name string) bool { return s.leaving[name] }
+
 // Address parses an address of the list; ok is false when it is none.
 func Address(text string) (address netip.AddrPort, ok bool) {
 	address, err := netip.ParseAddrPort(text)
--- a/settings/check.go
+++ b/settings/check.go
@@ -90,6 +90,7 @@
 	}
 	c.address("balancer.edge", s.Balancer.Edge)
 	c.address("balancer.fabric", s.Balancer.Fabric)
+	c.address("balancer.health", s.Balancer.Health)
 }
 
 func (c *checker) agent(s *Settings) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,6 +66,8 @@
 	Edge netip.AddrPort `json:"edge"`
 	// Fabric is where datagrams for callers are handed to the fabric.
 	Fabric netip.AddrPort `json:"fabric"`
+	// Health is where the fabric asks over HTTP whether to send datagrams.
+	Health netip.AddrPort `json:"health"`
 }
 
 // AgentSettings are the agent's own.
--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -4,8 +4,8 @@
 package fabric
 
 import (
+	"bytes"
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -23,21 +23,38 @@
 	Return netip.AddrPort `json:"return"`
 	// Addresses are the services' addresses, where callers send.
 	Addresses []netip.AddrPort `json:"addresses"`
-	// Balancers are the balancers' edges.
-	Balancers []netip.AddrPort `json:"balancers"`
+	// Balancers are whom datagrams are sprayed over.
+	Balancers []Balancer `json:"balancers"`
+	// Seed fixes the choices of the fabric and its faults.
+	Seed uint64 `json:"seed,omitempty"`
+}
+
+// Balancer is one balancer as the fabric sees it.
+type Balancer struct {
+	// Edge is where it takes datagrams.
+	Edge netip.AddrPort `json:"edge"`
+	// Health is where it answers health checks.
+	Health netip.AddrPort `json:"health"`
 }
 
 // Fabric sprays datagrams.
 type Fabric struct {
-	balancers atomic.Pointer[[]netip.AddrPort]
-	back      *net.UDPConn
-	sockets   map[netip.AddrPort]*net.UDPConn
+	balancers []Balancer
+	// healthy are the edges that datagrams are sprayed over.
+	healthy atomic.Pointer[[]netip.AddrPort]
+	back    *net.UDPConn
+	sockets map[netip.AddrPort]*net.UDPConn
+	faults  *Faults
 }
 
 // New binds the fabric's sockets.
 func New(s Settings) (*Fabric, error) {
-	f := &Fabric{sockets: make(map[netip.AddrPort]*net.UDPConn)}
-	f.SetBalancers(s.Balancers)
+	f := &Fabric{
+		balancers: s.Balancers,
+		sockets:   make(map[netip.AddrPort]*net.UDPConn),
+		faults:    newFaults(s.Seed),
+	}
+	f.sprayOver(nil)
 	back, err := bind(s.Return)
 	if err != nil {
 		return nil, err
@@ -62,8 +79,19 @@
 	return socket, nil
 }
 
-// SetBalancers changes whom datagrams are sprayed over.
-func (f *Fabric) SetBalancers(balancers []netip.AddrPort) { f.balancers.Store(&balancers) }
+// Faults returns what goes wrong between the fabric and the balancers.
+func (f *Fabric) Faults() *Faults { return f.faults }
+
+// sprayOver changes whom datagrams are sprayed over; with nobody healthy it is
+// everybody.
+func (f *Fabric) sprayOver(healthy []netip.AddrPort) {
+	if len(healthy) == 0 {
+		for _, b := range f.balancers {
+			healthy = append(healthy, b.Edge)
+		}
+	}
+	f.healthy.Store(&healthy)
+}
 
 // Run sprays until the context ends.
 func (f *Fabric) Run(ctx context.Context) error {
@@ -74,6 +102,7 @@
 		group.Go(func() error { return f.spray(ctx, address, socket) })
 	}
 	group.Go(func() error { return f.deliver(ctx) })
+	group.Go(func() error { return f.probe(ctx) })
 	return group.Wait()
 }
 
@@ -99,27 +128,29 @@
 		if err != nil {
 			return err
 		}
-		balancers := *f.balancers.Load()
-		to := balancers[rand.IntN(len(balancers))]
-		_, _ = f.back.WriteToUDPAddrPort(append(header, buffer[:n]...), to)
+		healthy := *f.healthy.Load()
+		to := healthy[f.faults.pick(len(healthy))]
+		raw := append(header, buffer[:n]...)
+		f.faults.carry(To, to, func() { _, _ = f.back.WriteToUDPAddrPort(raw, to) })
 	}
 }
 
 func (f *Fabric) deliver(ctx context.Context) error {
 	buffer := make([]byte, datagram.MaxDatagram)
 	for {
-		n, _, err := f.back.ReadFromUDPAddrPort(buffer)
+		n, from, err := f.back.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		edge, payload, ok := datagram.ParseEdge(buffer[:n])
+		edge, payload, ok := datagram.ParseEdge(bytes.Clone(buffer[:n]))
 		socket := f.sockets[edge.Source]
 		if !ok || socket == nil {
 			continue
 		}
-		_, _ = socket.WriteToUDPAddrPort(payload, edge.Destination)
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		f.faults.carry(From, from, func() { _, _ = socket.WriteToUDPAddrPort(payload, edge.Destination) })
 	}
 }
--- a/standin/layout/layout.go
+++ b/standin/layout/layout.go
@@ -100,9 +100,9 @@
 	}
 	s.Role = settings.Balancer
 	s.Platform = &settings.Platform{URL: "http://" + d.Platform.String(), Prefix: Prefix}
-	s.Balancer = &settings.BalancerSettings{Edge: freeUDP(), Fabric: d.Fabric.Return}
+	s.Balancer = &settings.BalancerSettings{Edge: freeUDP(), Fabric: d.Fabric.Return, Health: freeTCP()}
 	d.Balancers = append(d.Balancers, s)
-	d.Fabric.Balancers = append(d.Fabric.Balancers, s.Balancer.Edge)
+	d.Fabric.Balancers = append(d.Fabric.Balancers, fabric.Balancer{Edge: s.Balancer.Edge, Health: s.Balancer.Health})
 	return d.writeJSON(name+".json", s)
 }
 
