Place new flows by fresh load within one service

Cause: a home agent had no knowledge of its peers, so every new flow and all waiting work stayed where the hash put it.

Result: go test -race ./placement passes; nothing is wired yet, and the margin and intervals are not yet measured.

--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,183 @@
+package placement
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"cactustray/ticket"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func peers(count int) []Peer {
+	list := make([]Peer, count)
+	for i := range list {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+		list[i] = Peer{Key: ticket.EndpointKey(i + 1), Datagram: address, Weight: 100}
+	}
+	return list
+}
+
+// service returns the state of endpoint 1 among count, all idle and heard.
+func service(count int) *State {
+	s := NewState(1)
+	s.SetPeers(peers(count))
+	s.SetOwn(idle(1))
+	for i := 2; i <= count; i++ {
+		s.Hear(start, Heard{Load: idle(ticket.EndpointKey(i))})
+	}
+	return s
+}
+
+func idle(key ticket.EndpointKey) Load {
+	return Load{Endpoint: key, Sequence: 1, Slots: 2, ConnectionLimit: 2000, Ramp: FullRamp}
+}
+
+func TestOldAndRepeatedLoadsChangeNothing(t *testing.T) {
+	s := service(3)
+	newer := idle(2)
+	newer.Sequence = 5
+	must.True(t, s.Hear(start, Heard{Load: newer}))
+	must.False(t, s.Hear(start, Heard{Load: newer}))
+	must.False(t, s.Hear(start, Heard{Load: idle(2)}))
+	must.False(t, s.Hear(start, Heard{Load: idle(99)}), must.Sprint("not in the ticket"))
+	reborn := idle(2)
+	reborn.Incarnation = 1
+	must.True(t, s.Hear(start, Heard{Load: reborn}))
+}
+
+func TestOnlyFreshLoadsCount(t *testing.T) {
+	s := service(3)
+	must.Len(t, 2, s.Fresh(start.Add(FreshFor)))
+	must.Len(t, 0, s.Fresh(start.Add(FreshFor+1)))
+	s.SetPeers(peers(2))
+	must.Len(t, 1, s.Fresh(start))
+}
+
+func TestPlace(t *testing.T) {
+	leaving := func(l *Load) { l.Leaving = true }
+	full := func(l *Load) { l.Connections = l.ConnectionLimit }
+	busy := func(l *Load) { l.Running, l.Queued = 2, 4 }
+	cold := func(l *Load) { l.Running, l.Ramp = 1, 10 }
+	same := func(*Load) {}
+	cases := []struct {
+		name      string
+		own, peer func(*Load)
+		want      Verdict
+	}{
+		{"equal load stays", same, same, Accept},
+		{"a queue is handed on", busy, same, HandOn},
+		{"equal queues stay", busy, busy, Accept},
+		{"a cold peer is spared", busy, cold, Accept},
+		{"a full peer gets nothing", busy, full, Accept},
+		{"a leaving peer gets nothing", busy, leaving, Accept},
+		{"leaving hands on", leaving, same, HandOn},
+		{"full hands on", full, same, HandOn},
+		{"leaving hands on to a busy peer", leaving, busy, HandOn},
+		{"nowhere to go", full, leaving, Refuse},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := service(2)
+			own, peer := idle(1), idle(2)
+			c.own(&own)
+			c.peer(&peer)
+			peer.Sequence = 2
+			s.SetOwn(own)
+			s.Hear(start, Heard{Load: peer})
+			got := s.View(start).Place(start, own.Connections, 0)
+			must.EqOp(t, c.want, got.Verdict)
+		})
+	}
+}
+
+// A view that has grown old, as after a pause, hands nothing on.
+func TestPlaceAfterPause(t *testing.T) {
+	s := service(2)
+	own := idle(1)
+	own.Queued = 8
+	s.SetOwn(own)
+	v := s.View(start)
+	must.EqOp(t, HandOn, v.Place(start, 0, 0).Verdict)
+	must.EqOp(t, Accept, v.Place(start.Add(FreshFor+1), 0, 0).Verdict)
+}
+
+// New flows never go to endpoints that drain, leave or are full, whatever the
+// loads; what was handed on is never handed on again.
+func TestPlaceHonoursLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 20).Draw(t, "endpoints")
+		s := NewState(1)
+		list := peers(count)
+		loads := make(map[ticket.EndpointKey]Load)
+		for i := range list {
+			list[i].Draining = rapid.Bool().Draw(t, "draining")
+			l := idle(list[i].Key)
+			l.Connections = rapid.Uint32Range(0, l.ConnectionLimit).Draw(t, "connections")
+			l.Queued = rapid.Uint32Range(0, 9).Draw(t, "queued")
+			l.Leaving = rapid.Bool().Draw(t, "leaving")
+			loads[l.Endpoint] = l
+		}
+		s.SetPeers(list)
+		s.SetOwn(loads[1])
+		for _, l := range loads {
+			s.Hear(start, Heard{Load: l})
+		}
+		v := s.View(start)
+		got := v.Place(start, loads[1].Connections, rapid.Uint64().Draw(t, "random"))
+		switch got.Verdict {
+		case HandOn:
+			must.True(t, v.Fit(start, got.Alternate))
+			must.False(t, got.Alternate.Draining)
+			must.False(t, loads[got.Alternate.Key].Leaving)
+			must.False(t, loads[got.Alternate.Key].full())
+		case Accept:
+			must.False(t, list[0].Draining || loads[1].Leaving || loads[1].full())
+		}
+		must.NotEq(t, HandOn, v.PlaceHandedOn(loads[1].Connections).Verdict)
+	})
+}
+
+// Whatever the service's size, an endpoint sends a bounded number of reports,
+// and each peer in reach hears it well within FreshFor.
+func TestReportsAreBounded(t *testing.T) {
+	for _, count := range []int{2, 7, 11, 300} {
+		s := service(count)
+		own := idle(1)
+		own.Running = 1
+		s.SetOwn(own)
+		heard := make(map[ticket.EndpointKey]int)
+		sent := 0
+		for at := start; at.Before(start.Add(FreshFor)); at = at.Add(busyInterval) {
+			targets, load := s.Report(at)
+			must.EqOp(t, 1, load.Endpoint)
+			for _, p := range targets {
+				heard[p.Key]++
+				sent++
+			}
+		}
+		must.EqOp(t, min(reach, count-1), len(heard))
+		must.LessEq(t, burst*int(FreshFor/busyInterval+1), sent)
+		for key, times := range heard {
+			must.GreaterEq(t, 3, times, must.Sprint("peer", key))
+		}
+	}
+}
+
+func TestHandOverPrefersTheShortestWait(t *testing.T) {
+	s := service(4)
+	for key, wait := range map[ticket.EndpointKey]time.Duration{2: 30 * time.Millisecond, 3: 0, 4: 10 * time.Millisecond} {
+		l := idle(key)
+		l.Sequence, l.ExpectedWait = 2, wait
+		s.Hear(start, Heard{Load: l})
+	}
+	var order []ticket.EndpointKey
+	for _, p := range s.HandOver(start) {
+		order = append(order, p.Key)
+	}
+	must.Eq(t, []ticket.EndpointKey{3, 4, 2}, order)
+}
