Test the control loop under concurrent senders

Cause: every promise rests on one goroutine owning control state, and nothing proved that messages are applied one at a time and that traffic never waits. Change: three tests of control.Loop: 8 goroutines asking 50 times each, a full inbox, an ended context.

--- /dev/null
+++ b/control/loop_test.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+)
+
+type add struct {
+	amount int
+	reply  chan<- int
+}
+
+// adder is a handler whose state breaks under the race detector when more than
+// one goroutine touches it.
+type adder struct {
+	sum   int
+	ticks int
+}
+
+func (a *adder) Handle(_ time.Time, message Message) {
+	m := message.(add)
+	a.sum += m.amount
+	m.reply <- a.sum
+}
+
+func (a *adder) Tick(time.Time, time.Duration) { a.ticks++ }
+
+// Messages of many goroutines are applied one at a time, each exactly once.
+func TestMessagesAreAppliedOnceAndInTurn(t *testing.T) {
+	const senders, each = 8, 50
+	ctx, cancel := context.WithCancel(context.Background())
+	loop := NewLoop(time.Millisecond)
+	state := new(adder)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = loop.Run(ctx, state)
+	}()
+	var group errgroup.Group
+	for range senders {
+		group.Go(func() error {
+			for range each {
+				if _, err := Ask(ctx, loop, func(reply chan<- int) Message { return add{amount: 1, reply: reply} }); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	must.NoError(t, group.Wait())
+	cancel()
+	<-ended
+	must.EqOp(t, senders*each, state.sum)
+}
+
+// A traffic goroutine is never held up by a full inbox.
+func TestOfferNeverWaits(t *testing.T) {
+	loop := NewLoop(time.Hour)
+	for range inboxSize {
+		must.True(t, loop.Offer(add{}))
+	}
+	must.False(t, loop.Offer(add{}))
+}
+
+// An asker whose context has ended gets the cause, not a wait without end.
+func TestAskEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := Ask(ctx, NewLoop(time.Hour), func(reply chan<- int) Message { return add{reply: reply} })
+	must.ErrorIs(t, err, context.Canceled)
+}
