Test liveness decisions: order of facts, doubt, pauses, drains, spread

Cause: the decisions had no tests of their own. Change: properties over the order of facts and the causes of a drain; cases for doubt, pauses, refutation, silent balancers, chosen paths; many balancers' real spreaders joined by calls. The spread of a backlog spent its budget on call overhead; calls now wait for enough to carry.

--- /dev/null
+++ b/liveness/drain_test.go
@@ -0,0 +1,104 @@
+package liveness
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+const feedTime = 30 * time.Second
+
+func TestDrainPhases(t *testing.T) {
+	var d Drain
+	must.EqOp(t, Serving, d.Phase(start, feedTime))
+	must.True(t, d.Set(start, ByTicket, true))
+	must.EqOp(t, Notifying, d.Phase(start, feedTime))
+	must.EqOp(t, Draining, d.Phase(start.Add(Notice), feedTime))
+	must.EqOp(t, Expired, d.Phase(start.Add(feedTime), feedTime))
+	must.True(t, d.Set(start.Add(time.Minute), ByTicket, false))
+	must.EqOp(t, Serving, d.Phase(start.Add(time.Hour), feedTime))
+}
+
+// A process leaves while any cause holds; being told to stop always holds, and
+// a second cause does not begin the time anew.
+func TestDrainCauses(t *testing.T) {
+	causes := []Cause{ByStop, ByTicket, ByList, ByBackend}
+	rapid.Check(t, func(t *rapid.T) {
+		var d Drain
+		held := make(map[Cause]bool)
+		now, since := start, start
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			cause := rapid.SampledFrom(causes).Draw(t, "cause")
+			holds := rapid.Bool().Draw(t, "holds")
+			before := len(held) > 0
+			if holds {
+				held[cause] = true
+			} else if cause != ByStop {
+				delete(held, cause)
+			}
+			must.EqOp(t, before != (len(held) > 0), d.Set(now, cause, holds))
+			if !before && len(held) > 0 {
+				since = now
+			}
+			must.EqOp(t, len(held) > 0, d.Leaving())
+			must.EqOp(t, held[ByStop], d.Stopping())
+			must.EqOp(t, len(held) > 0 && now.Sub(since) >= Notice, d.Phase(now, feedTime) >= Draining)
+		}
+	})
+}
+
+func TestQuietWaitsForTrafficAndNotForever(t *testing.T) {
+	q := NewQuiet(start)
+	must.False(t, q.Observe(start.Add(QuietTime), 5))
+	must.False(t, q.Observe(start.Add(Notice), 6))
+	must.False(t, q.Observe(start.Add(Notice+QuietTime-1), 6))
+	must.True(t, q.Observe(start.Add(Notice+QuietTime), 6))
+	must.True(t, q.Observe(start.Add(StopLimit), 7))
+}
+
+func testPeers(count int) []Peer {
+	var peers []Peer
+	for i := range count {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+		peers = append(peers, Peer{Datagram: address, Control: address})
+	}
+	return peers
+}
+
+// A balancer that misses an answer is left alone for a while; when most are
+// silent, all go on being used.
+func TestPathsLeaveTheSilentAlone(t *testing.T) {
+	peers := testPeers(5)
+	p := NewPaths(nil)
+	p.Learn(peers)
+	p.Answered(start, peers[0].Control, false)
+	must.False(t, slices.Contains(p.Targets(start), peers[0].Control))
+	must.SliceLen(t, Watchers, p.Targets(start))
+	must.SliceLen(t, 4, p.Replies(start))
+	p.Answered(start, peers[1].Control, false)
+	must.SliceLen(t, 3, p.Replies(start))
+	p.Answered(start, peers[2].Control, false)
+	must.SliceLen(t, 5, p.Replies(start))
+	must.True(t, slices.Contains(p.Targets(start.Add(silentFor)), peers[0].Control))
+	p.Resume()
+	must.EqOp(t, peers[0].Control, p.Targets(start)[0])
+}
+
+// With every listed balancer silent the agent asks those of its settings.
+func TestPathsFallBackToSeeds(t *testing.T) {
+	peers := testPeers(2)
+	seed := netip.MustParseAddrPort("10.9.9.9:1")
+	p := NewPaths([]netip.AddrPort{seed})
+	must.True(t, slices.Equal([]netip.AddrPort{seed}, p.Targets(start)))
+	p.Learn(peers)
+	p.Learn(nil)
+	for _, peer := range peers {
+		p.Answered(start, peer.Control, false)
+	}
+	must.True(t, slices.Equal([]netip.AddrPort{seed}, p.Targets(start)))
+}
--- a/liveness/observer.go
+++ b/liveness/observer.go
@@ -36,13 +36,17 @@
 
 // group counts the processes that are doubted together.
 type group struct {
-	service         ticket.ServiceKey
-	size, suspected int
+	service ticket.ServiceKey
+	size    int
+	// stopping leave as planned or have left; suspected are among the rest.
+	stopping, suspected int
 }
 
 // Doubted tells whether so many look dead that the observer is doubted: the
 // suspicions of the group then count for nothing.
-func (g *group) Doubted() bool { return g != nil && g.suspected*doubtShare > g.size }
+func (g *group) Doubted() bool {
+	return g != nil && g.suspected*doubtShare > g.size-g.stopping
+}
 
 // Observer holds what a balancer knows of the other processes. It trusts those
 // it knows nothing of. The control goroutine owns it.
@@ -138,11 +142,15 @@
 
 func (o *Observer) count(fact Fact, by int) {
 	g := o.groups[fact.Subject]
-	if g == nil || !fact.Suspected || fact.Stopping() {
-		return
+	switch {
+	case g == nil:
+	case fact.Stopping():
+		g.stopping += by
+		o.fleet.stopping += by
+	case fact.Suspected:
+		g.suspected += by
+		o.fleet.suspected += by
 	}
-	g.suspected += by
-	o.fleet.suspected += by
 }
 
 // Tick suspects watched processes that have fallen silent and returns them.
--- /dev/null
+++ b/liveness/observer_test.go
@@ -0,0 +1,167 @@
+package liveness
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cactustray/membership"
+	"cactustray/steering"
+	"cactustray/ticket"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+const testService = ticket.ServiceKey(7)
+
+var start = time.Unix(1000, 0)
+
+// watching returns an observer that hears the given number of endpoints of one
+// service.
+func watching(endpoints int) (*Observer, []ticket.EndpointKey) {
+	o := NewObserver()
+	var keys []ticket.EndpointKey
+	for i := range endpoints {
+		keys = append(keys, ticket.EndpointKey(100+i))
+	}
+	o.SetService(start, testService, keys)
+	for _, key := range keys {
+		o.Heard(start, Fact{Subject: EndpointSubject(key), Incarnation: 1, State: Ready})
+	}
+	return o, keys
+}
+
+// silence lets all but the first heard endpoints fall silent.
+func silence(o *Observer, keys []ticket.EndpointKey, heard int) time.Time {
+	now := start.Add(SuspectAfter + time.Second)
+	for _, key := range keys[:heard] {
+		o.Heard(now, Fact{Subject: EndpointSubject(key), Incarnation: 1, State: Ready})
+	}
+	for _, fact := range o.Tick(now, time.Second) {
+		o.Learn(now, fact)
+	}
+	return now
+}
+
+func TestSilenceIsSuspectedAndRefuted(t *testing.T) {
+	o, keys := watching(4)
+	now := silence(o, keys, 3)
+	must.False(t, o.TakesNew(keys[3]))
+	must.True(t, o.TakesNew(keys[0]))
+	self := NewSelf(EndpointSubject(keys[3]), 1)
+	believed, _ := o.Fact(EndpointSubject(keys[3]))
+	must.True(t, self.Refute(believed))
+	change := o.Learn(now, self.Fact())
+	must.Eq(t, Change{News: true, Service: testService}, change)
+	must.True(t, o.TakesNew(keys[3]))
+}
+
+// After one suspicion the endpoint is unwatched: a cut path does not suspect
+// it again once others have cleared it.
+func TestOneCutOneSuspicion(t *testing.T) {
+	o, keys := watching(4)
+	now := silence(o, keys, 3)
+	o.Learn(now, Fact{Subject: EndpointSubject(keys[3]), Incarnation: 1, Version: 1, State: Ready})
+	silent := func(f Fact) bool { return f.Subject == EndpointSubject(keys[3]) }
+	for _, fact := range o.Tick(now.Add(2*SuspectAfter), time.Second) {
+		must.False(t, silent(fact))
+	}
+}
+
+func TestPauseSuspectsNobody(t *testing.T) {
+	o, keys := watching(4)
+	woken := start.Add(time.Hour)
+	must.SliceEmpty(t, o.Tick(woken, time.Hour))
+	must.SliceEmpty(t, o.Tick(woken.Add(SuspectAfter), time.Second))
+	must.SliceLen(t, 4, o.Tick(woken.Add(SuspectAfter+1), time.Second))
+	must.True(t, o.TakesNew(keys[0]))
+}
+
+// When most of a service looks dead, suspicion counts for nothing; a planned
+// stop always counts.
+func TestMostDeadMeansDoubt(t *testing.T) {
+	o, keys := watching(4)
+	now := silence(o, keys, 1)
+	for _, key := range keys {
+		must.True(t, o.TakesNew(key))
+	}
+	o.Learn(now, Fact{Subject: EndpointSubject(keys[1]), Incarnation: 1, Version: 1, State: Leaving})
+	must.False(t, o.TakesNew(keys[1]))
+	must.True(t, o.TakesNew(keys[2]), must.Sprint("2 of the 3 that stay are suspected"))
+}
+
+func TestNewIncarnationClearsSuspicion(t *testing.T) {
+	o, keys := watching(4)
+	now := silence(o, keys, 3)
+	o.Heard(now, Fact{Subject: EndpointSubject(keys[3]), Incarnation: 2, State: Ready})
+	must.True(t, o.TakesNew(keys[3]))
+	stale := o.Learn(now, Fact{Subject: EndpointSubject(keys[3]), Incarnation: 1, State: Ready, Suspected: true})
+	must.Eq(t, Change{News: true}, stale, must.Sprint("whoever still suspects must hear"))
+	must.True(t, o.TakesNew(keys[3]))
+}
+
+func TestUnnamedIsForgotten(t *testing.T) {
+	o, keys := watching(2)
+	o.SetBalancers(start, []membership.Node{{Name: "entry-1"}})
+	o.Learn(start, Fact{Subject: BalancerSubject("entry-1"), Incarnation: 1})
+	o.Learn(start, Fact{Subject: 999, Incarnation: 1, Suspected: true})
+	must.EqOp(t, 4, o.Len())
+	o.SetService(start, testService, keys[:1])
+	o.Tick(start.Add(ForgetAfter+1), time.Second)
+	must.EqOp(t, 2, o.Len())
+}
+
+func TestLiveDoubtsMostBalancers(t *testing.T) {
+	o := NewObserver()
+	var nodes []membership.Node
+	for i := range 4 {
+		nodes = append(nodes, membership.Node{Name: fmt.Sprint(i)})
+	}
+	suspect := func(i int) {
+		o.Learn(start, Fact{Subject: BalancerSubject(nodes[i].Name), Suspected: true})
+	}
+	suspect(0)
+	suspect(1)
+	must.SliceLen(t, 2, o.Live(nodes))
+	suspect(2)
+	must.SliceLen(t, 4, o.Live(nodes))
+	o.Learn(start, Fact{Subject: BalancerSubject("3"), Version: 1, State: Leaving})
+	must.SliceLen(t, 3, o.Live(nodes))
+}
+
+func drawFact(t *rapid.T) Fact {
+	return Fact{
+		Subject:     Subject(rapid.Uint64Range(100, 105).Draw(t, "subject")),
+		Incarnation: steering.Incarnation(rapid.Uint32Range(1, 2).Draw(t, "incarnation")),
+		Version:     rapid.Uint32Range(0, 3).Draw(t, "version"),
+		State:       Ready,
+		Suspected:   rapid.Bool().Draw(t, "suspected"),
+	}
+}
+
+// Facts lead to one state in whatever order and however often they arrive,
+// and the counts behind doubt always agree with the facts.
+func TestFactsCommute(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		facts := rapid.SliceOfN(rapid.Custom(drawFact), 1, 30).Draw(t, "facts")
+		again := append(rapid.Permutation(facts).Draw(t, "order"), facts...)
+		a, keys := watching(4)
+		b, _ := watching(4)
+		for _, f := range facts {
+			a.Learn(start, f)
+		}
+		for _, f := range again {
+			b.Learn(start, f)
+		}
+		must.Eq(t, a.facts, b.facts)
+		suspected := 0
+		for _, key := range keys {
+			if a.facts[EndpointSubject(key)].Suspected {
+				suspected++
+			}
+		}
+		must.EqOp(t, suspected, a.fleet.suspected)
+		must.EqOp(t, suspected, a.groups[EndpointSubject(keys[0])].suspected)
+	})
+}
--- a/liveness/spread.go
+++ b/liveness/spread.go
@@ -21,6 +21,8 @@
 	// callBytes and factBytes are what a call and a fact in it cost, in bytes.
 	callBytes = 150
 	factBytes = 13
+	// fullCall is how many bytes of facts are worth a call, however many wait.
+	fullCall = 1000
 	// missedCalls is how many calls in a row a neighbour may not answer.
 	missedCalls = 2
 )
@@ -120,7 +122,11 @@
 	if waited >= PingInterval {
 		return true
 	}
-	return len(n.pending) > 0 && waited >= SpreadInterval && s.credit >= callBytes+factBytes
+	if len(n.pending) == 0 || waited < SpreadInterval {
+		return false
+	}
+	// With a backlog, few large calls cost less than many small ones.
+	return s.credit >= callBytes+float64(min(len(n.pending)*factBytes, fullCall))
 }
 
 func (s *Spreader) take(now time.Time, n *neighbour, self Fact, observer *Observer) Batch {
--- /dev/null
+++ b/liveness/spread_test.go
@@ -0,0 +1,206 @@
+package liveness
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cactustray/membership"
+
+	"github.com/shoenig/test/must"
+)
+
+// mesh is many balancers' real decisions, joined by calls that arrive within a
+// round.
+type mesh struct {
+	now       time.Time
+	names     []string
+	nodes     []membership.Node
+	observers map[string]*Observer
+	spreaders map[string]*Spreader
+	// sent counts what the busiest balancer sent, in bytes, by factBytes and
+	// callBytes.
+	sent map[string]int
+	// lost tells whether a call from one to another is lost.
+	lost func(from, to string) bool
+}
+
+func newMesh(size int) *mesh {
+	m := &mesh{
+		now:       start,
+		observers: make(map[string]*Observer),
+		spreaders: make(map[string]*Spreader),
+		sent:      make(map[string]int),
+		lost:      func(string, string) bool { return false },
+	}
+	for i := range size {
+		name := fmt.Sprintf("entry-%d", i)
+		m.names = append(m.names, name)
+		m.nodes = append(m.nodes, membership.Node{Name: name})
+		m.observers[name], m.spreaders[name] = NewObserver(), NewSpreader()
+	}
+	for _, name := range m.names {
+		m.observers[name].SetBalancers(start, m.nodes)
+		m.neighbours(name)
+	}
+	return m
+}
+
+func (m *mesh) neighbours(name string) {
+	live := m.observers[name].Live(m.nodes)
+	m.spreaders[name].SetNeighbours(membership.Successors(name, live, Rings), m.observers[name].Withheld)
+}
+
+func (m *mesh) learn(name string, fact Fact, from string) {
+	change := m.observers[name].Learn(m.now, fact)
+	if change.News {
+		m.spreaders[name].Add(fact.Subject, from)
+	}
+	if change.Balancers {
+		m.neighbours(name)
+	}
+}
+
+// round makes the calls that are due on every balancer.
+func (m *mesh) round() {
+	m.now = m.now.Add(SpreadInterval)
+	due := make(map[string][]Batch)
+	for _, name := range m.names {
+		due[name] = m.spreaders[name].Due(m.now, Fact{Subject: BalancerSubject(name), State: Ready}, m.observers[name])
+	}
+	for _, name := range m.names {
+		for _, batch := range due[name] {
+			m.call(name, batch)
+		}
+	}
+}
+
+func (m *mesh) call(from string, batch Batch) {
+	m.sent[from] += callBytes + len(batch.Facts)*factBytes
+	if m.lost(from, batch.To.Name) {
+		if m.spreaders[from].Called(batch.To.Name, false) {
+			fact := Fact{Subject: BalancerSubject(batch.To.Name), Suspected: true}
+			m.learn(from, fact, "")
+		}
+		return
+	}
+	for _, fact := range batch.Facts {
+		m.learn(batch.To.Name, fact, from)
+	}
+	m.spreaders[from].Called(batch.To.Name, true)
+}
+
+// rounds runs until every balancer that is asked about knows as many facts.
+func (m *mesh) rounds(facts int, asked []string) int {
+	for n := 1; n < 10_000; n++ {
+		m.round()
+		known := true
+		for _, name := range asked {
+			known = known && len(m.observers[name].Withheld()) >= facts
+		}
+		if known {
+			return n
+		}
+	}
+	return 0
+}
+
+func TestFactsReachEveryoneWithinTheBudget(t *testing.T) {
+	const facts = 400
+	m := newMesh(60)
+	for i := range facts {
+		m.learn(m.names[i%60], Fact{Subject: Subject(1000 + i), Incarnation: 1, State: Ready, Suspected: true}, "")
+	}
+	rounds := m.rounds(facts, m.names)
+	must.Positive(t, rounds)
+	allowed := SpreadRate + int(float64(rounds)*SpreadInterval.Seconds()*SpreadRate) + Rings*callBytes
+	for name, bytes := range m.sent {
+		must.LessEq(t, allowed, bytes, must.Sprint(name))
+	}
+}
+
+// A balancer that dies is suspected by its neighbours, and all others learn it;
+// one that joins learns all withheld facts.
+func TestDeadBalancerAndNewcomer(t *testing.T) {
+	m := newMesh(40)
+	dead, newcomer := "entry-7", "entry-9"
+	m.lost = func(from, to string) bool { return from == dead || to == dead || from == newcomer || to == newcomer }
+	others := make([]string, 0, len(m.names))
+	for _, name := range m.names {
+		if name != dead && name != newcomer {
+			others = append(others, name)
+		}
+	}
+	must.Positive(t, m.rounds(2, others))
+	m.lost = func(from, to string) bool { return from == dead || to == dead }
+	m.observers[newcomer], m.spreaders[newcomer] = NewObserver(), NewSpreader()
+	m.observers[newcomer].SetBalancers(m.now, m.nodes)
+	m.neighbours(newcomer)
+	back := Fact{Subject: BalancerSubject(newcomer), Incarnation: 1, State: Ready}
+	m.learn("entry-1", back, "")
+	must.Positive(t, m.rounds(1, []string{newcomer}))
+	fact, _ := m.observers[newcomer].Fact(BalancerSubject(dead))
+	must.True(t, fact.Suspected)
+}
+
+// What a call that was lost carried is sent again.
+func TestLostCallIsSentAgain(t *testing.T) {
+	o, s := NewObserver(), NewSpreader()
+	node := membership.Node{Name: "entry-1"}
+	s.SetNeighbours([]membership.Node{node}, o.Withheld)
+	o.Learn(start, Fact{Subject: 1, Suspected: true})
+	s.Add(1, "")
+	must.SliceLen(t, 1, s.Due(start, Fact{}, o)[0].Facts)
+	must.SliceEmpty(t, s.Due(start.Add(PingInterval), Fact{}, o), must.Sprint("a call is under way"))
+	must.False(t, s.Called("entry-1", false))
+	must.SliceLen(t, 1, s.Due(start.Add(PingInterval), Fact{}, o)[0].Facts)
+	must.True(t, s.Called("entry-1", false))
+	must.EqOp(t, 1, s.Pending())
+}
+
+// Calls under way when this process was paused say nothing of the other end.
+func TestPauseForgivesCallsUnderWay(t *testing.T) {
+	o, s := NewObserver(), NewSpreader()
+	s.SetNeighbours([]membership.Node{{Name: "entry-1"}}, o.Withheld)
+	s.Due(start, Fact{}, o)
+	s.Called("entry-1", false)
+	s.Due(start.Add(PingInterval), Fact{}, o)
+	s.Resume()
+	must.False(t, s.Called("entry-1", false))
+}
+
+// Two parts that suspect each other probe each other now and then.
+func TestSuspectedAreProbed(t *testing.T) {
+	o, s := NewObserver(), NewSpreader()
+	nodes := []membership.Node{{Name: "entry-1"}, {Name: "entry-2"}}
+	o.Learn(start, Fact{Subject: BalancerSubject("entry-2"), Incarnation: 4, Suspected: true})
+	first := func(int) int { return 0 }
+	probes := s.Probe(start, Fact{}, o, o.SuspectedBalancers(nodes), first)
+	must.EqOp(t, "entry-2", probes[0].To.Name)
+	self := NewSelf(BalancerSubject("entry-2"), 4)
+	must.True(t, self.Refute(probes[0].Facts[0]))
+	must.SliceEmpty(t, s.Probe(start, Fact{}, o, o.SuspectedBalancers(nodes), first))
+}
+
+// BenchmarkDomainLost measures how long the facts of a lost failure domain
+// take to reach all balancers, and what a balancer sends meanwhile.
+func BenchmarkDomainLost(b *testing.B) {
+	const balancers, facts = 2880, 2400 + 320
+	for range b.N {
+		m := newMesh(balancers)
+		for i := range facts {
+			for watcher := range Watchers {
+				name := m.names[(i*Watchers+watcher)%balancers]
+				m.learn(name, Fact{Subject: Subject(1_000_000 + i), Incarnation: 1, State: Ready, Suspected: true}, "")
+			}
+		}
+		rounds := m.rounds(facts, m.names)
+		most := 0
+		for _, bytes := range m.sent {
+			most = max(most, bytes)
+		}
+		seconds := float64(rounds) * SpreadInterval.Seconds()
+		b.ReportMetric(seconds, "s-to-all")
+		b.ReportMetric(float64(most)/seconds, "B/s-sent")
+	}
+}
