--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -4,10 +4,12 @@
 package ticket
 
 import (
-	"encoding/json"
+	"fmt"
 	"net/netip"
 	"strings"
 
+	"cactustray/document"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -98,16 +100,17 @@
 	return false
 }
 
-// Parse reads and checks a ticket's JSON text. It fails with *SyntaxError or
-// *CheckError.
-func Parse(document []byte) (*Ticket, error) {
-	decoder := json.NewDecoder(strings.NewReader(string(document)))
-	decoder.DisallowUnknownFields()
-	t := new(Ticket)
-	if err := decoder.Decode(t); err != nil {
-		return nil, &SyntaxError{Cause: err}
+// Parse reads and checks a ticket's JSON text. It fails with *CheckError, which
+// names everything that is wrong.
+func Parse(text []byte) (*Ticket, error) {
+	if len(text) > MaxDocumentBytes {
+		var c checker
+		c.Require(false, "document", fmt.Sprintf("%d bytes", len(text)), fmt.Sprintf("%d bytes or less", MaxDocumentBytes))
+		return nil, &CheckError{Problems: c.Problems}
 	}
-	if problems := Check(t); len(problems) > 0 {
+	t := new(Ticket)
+	decoding := document.Decode(text, t)
+	if problems := document.Merge(decoding, Check(t)); len(problems) > 0 {
 		return nil, &CheckError{Service: t.Service, Problems: problems}
 	}
 	return t, nil
