--- a/settings/check.go
+++ b/settings/check.go
@@ -4,101 +4,198 @@
 	"encoding/hex"
 	"fmt"
 	"net/netip"
+	"net/url"
+	"slices"
 	"strings"
 
+	"cactustray/document"
 	"cactustray/steering"
+
+	"github.com/sirupsen/logrus"
 )
 
-// resetKeySize is the length of the reset key in bytes.
-const resetKeySize = 32
+const (
+	// resetKeySize is the length of the reset key in bytes.
+	resetKeySize = 32
+	// minDistinctBytes is how many different bytes a secret must have.
+	minDistinctBytes = 8
+	// maxKeys is how many token keys are valid at once, for a rotation.
+	maxKeys = 2
+	// maxNameBytes bounds the names of nodes and failure domains.
+	maxNameBytes = 128
+)
 
-// Problem is one thing wrong with the settings.
-type Problem struct {
-	// Key is the JSON path.
-	Key string
-	// Value is what the file says.
-	Value string
-	// Allowed is what it may say.
-	Allowed string
-}
+const (
+	allowedSecret   = "32 hexadecimal digits from a random source"
+	allowedResetKey = "64 hexadecimal digits from a random source, without a token key in them"
+	allowedName     = "a name of 1 to 128 bytes"
+	allowedAddress  = "IP:port of this process, no wildcard"
+	allowedPeer     = "IP:port, no wildcard"
+	allowedURL      = "an http or https URL"
+)
 
 // CheckError reports everything wrong with a file at once.
 type CheckError struct {
 	File     string
-	Problems []Problem
+	Problems []document.Problem
 }
 
 func (e *CheckError) Error() string {
-	var text strings.Builder
-	for _, p := range e.Problems {
-		fmt.Fprintf(&text, "%s: %s is %q, allowed: %s\n", e.File, p.Key, p.Value, p.Allowed)
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = e.File + ": " + p.String()
 	}
-	return strings.TrimSuffix(text.String(), "\n")
+	return strings.Join(lines, "\n")
 }
 
 // Check returns what is wrong with settings; nothing means that they are
-// valid.
-func Check(s *Settings) []Problem {
+// valid. It opens no file.
+func Check(s *Settings) []document.Problem {
 	var c checker
-	c.require(s.Node != "", "node", s.Node, "a name")
-	c.require(s.Zone != "", "zone", s.Zone, "a failure domain")
+	c.name("node", s.Node)
+	c.name("zone", s.Zone)
 	c.keys(s.Keys)
-	raw, err := hex.DecodeString(s.ResetKey)
-	c.require(err == nil && len(raw) == resetKeySize, "reset_key", "(hidden)", "64 hexadecimal digits")
-	c.address("datagram", s.Datagram)
-	c.address("control", s.Control)
+	c.resetKey(s)
+	c.tls("tls", s.TLS)
+	c.Require(s.TLS.CA != "", "tls.ca", s.TLS.CA, "a file")
+	c.observation(s)
 	switch s.Role {
 	case Balancer:
 		c.balancer(s)
 	case Agent:
 		c.agent(s)
 	default:
-		c.require(false, "role", s.Role, "balancer or agent")
+		c.Require(false, "role", s.Role, "balancer or agent")
 	}
-	return c.problems
+	c.addresses(s)
+	return c.Problems
 }
 
-type checker struct{ problems []Problem }
+type checker struct{ document.Checker }
 
-func (c *checker) require(ok bool, key string, value any, allowed string) {
-	if !ok {
-		c.problems = append(c.problems, Problem{Key: key, Value: fmt.Sprint(value), Allowed: allowed})
-	}
+func (c *checker) name(field, value string) {
+	c.Require(value != "" && len(value) <= maxNameBytes, field, value, allowedName)
 }
 
-func (c *checker) address(key string, value netip.AddrPort) {
-	c.require(value.IsValid() && value.Port() > 0, key, value, "IP:port")
+func (c *checker) address(field string, value netip.AddrPort, allowed string) {
+	usable := value.IsValid() && value.Port() > 0 && !value.Addr().IsUnspecified() && !value.Addr().IsMulticast()
+	c.Require(usable, field, value, allowed)
 }
 
 func (c *checker) keys(keys []Key) {
-	c.require(len(keys) >= 1 && len(keys) <= 2, "keys", len(keys), "1 or 2 keys")
+	c.Require(len(keys) >= 1 && len(keys) <= maxKeys, "keys", fmt.Sprintf("%d keys", len(keys)), "1 or 2 keys")
 	for i, key := range keys {
 		_, err := steering.ParseKey(key.ID, key.Secret)
-		c.require(err == nil, fmt.Sprintf("keys[%d].secret", i), "(hidden)", "32 hexadecimal digits")
+		c.Require(err == nil && !isWeak(key.Secret), fmt.Sprintf("keys[%d].secret", i), document.Hidden, allowedSecret)
+		for j, earlier := range keys[:i] {
+			other := fmt.Sprintf("another than keys[%d]", j)
+			c.Require(key.ID != earlier.ID, fmt.Sprintf("keys[%d].id", i), key.ID, other)
+			c.Require(!strings.EqualFold(key.Secret, earlier.Secret), fmt.Sprintf("keys[%d].secret", i), document.Hidden, other)
+		}
 	}
-	if len(keys) == 2 {
-		c.require(keys[0].ID != keys[1].ID, "keys[1].id", keys[1].ID, "another id than keys[0]")
-		c.require(keys[0].Secret != keys[1].Secret, "keys[1].secret", "(hidden)", "another secret than keys[0]")
+}
+
+func (c *checker) resetKey(s *Settings) {
+	raw, err := hex.DecodeString(s.ResetKey)
+	strong := err == nil && len(raw) == resetKeySize && !isWeak(s.ResetKey)
+	reused := slices.ContainsFunc(s.Keys, func(k Key) bool {
+		return k.Secret != "" && strings.Contains(strings.ToLower(s.ResetKey), strings.ToLower(k.Secret))
+	})
+	c.Require(strong && !reused, "reset_key", document.Hidden, allowedResetKey)
+}
+
+// isWeak tells whether a secret has too few different bytes to be random.
+func isWeak(secret string) bool {
+	raw, err := hex.DecodeString(secret)
+	if err != nil {
+		return true
 	}
+	slices.Sort(raw)
+	return len(slices.Compact(raw)) < minDistinctBytes
+}
+
+func (c *checker) tls(field string, files TLS) {
+	c.Require(files.Certificate != "", field+".certificate", files.Certificate, "a file")
+	c.Require(files.Key != "", field+".key", files.Key, "a file")
+}
+
+// observation checks logs, metrics and traces.
+func (c *checker) observation(s *Settings) {
+	_, err := logrus.ParseLevel(s.LogLevel)
+	c.Require(s.LogLevel == "" || err == nil, "log_level", s.LogLevel, "trace, debug, info, warning or error")
+	if s.Metrics != (netip.AddrPort{}) {
+		c.address("metrics", s.Metrics, allowedAddress)
+	}
+	c.Require(s.TraceShare >= 0 && s.TraceShare <= 1, "trace_share", s.TraceShare, "0 to 1")
+	c.Require(s.TraceOTLP == "" || isURL(s.TraceOTLP), "trace_otlp", s.TraceOTLP, allowedURL)
+	c.Require(s.TraceOTLP == "" || s.TraceFile == "", "trace_file", s.TraceFile, "nothing beside trace_otlp")
+}
+
+func isURL(text string) bool {
+	parsed, err := url.Parse(text)
+	return err == nil && parsed.Host != "" && (parsed.Scheme == "http" || parsed.Scheme == "https")
 }
 
 func (c *checker) balancer(s *Settings) {
-	c.require(s.Platform != nil, "platform", "missing", "the platform's url and prefix")
+	c.Require(s.Agent == nil, "agent", "present", "nothing on a balancer")
+	c.Require(s.Platform != nil, "platform", "missing", "the platform's url and prefix")
+	if s.Platform != nil {
+		c.Require(isURL(s.Platform.URL), "platform.url", s.Platform.URL, allowedURL)
+	}
 	if s.Balancer == nil {
-		c.require(false, "balancer", "missing", "the balancer's settings")
+		c.Require(false, "balancer", "missing", "the balancer's settings")
 		return
 	}
-	c.address("balancer.edge", s.Balancer.Edge)
-	c.address("balancer.fabric", s.Balancer.Fabric)
+	c.address("balancer.edge", s.Balancer.Edge, allowedAddress)
+	c.address("balancer.fabric", s.Balancer.Fabric, allowedPeer)
 }
 
 func (c *checker) agent(s *Settings) {
+	c.Require(s.Balancer == nil, "balancer", "present", "nothing on an agent")
 	if s.Agent == nil {
-		c.require(false, "agent", "missing", "the agent's settings")
+		c.Require(false, "agent", "missing", "the agent's settings")
 		return
 	}
-	c.require(s.Agent.Service != "", "agent.service", s.Agent.Service, "a service's name")
-	c.require(s.Agent.Endpoint != "", "agent.endpoint", s.Agent.Endpoint, "an endpoint's name")
-	c.require(len(s.Agent.Balancers) > 0, "agent.balancers", len(s.Agent.Balancers), "1 or more")
-	c.address("agent.backend", s.Agent.Backend)
+	c.name("agent.service", s.Agent.Service)
+	c.name("agent.endpoint", s.Agent.Endpoint)
+	c.address("agent.backend", s.Agent.Backend, allowedPeer)
+	c.tls("agent.caller_tls", s.Agent.CallerTLS)
+	c.Require(len(s.Agent.Balancers) > 0, "agent.balancers", "none", "1 or more addresses")
+	for i, balancer := range s.Agent.Balancers {
+		field := fmt.Sprintf("agent.balancers[%d]", i)
+		c.address(field, balancer, allowedPeer)
+		c.Require(!slices.Contains(s.Agent.Balancers[:i], balancer), field, balancer, "an address listed once")
+	}
+}
+
+// use is one address and the field that names it.
+type use struct {
+	field   string
+	address netip.AddrPort
+}
+
+// addresses checks that no address serves two purposes. A datagram port and a
+// stream port may be equal.
+func (c *checker) addresses(s *Settings) {
+	datagram := []use{{"datagram", s.Datagram}}
+	stream := []use{{"control", s.Control}, {"metrics", s.Metrics}}
+	if s.Balancer != nil {
+		datagram = append(datagram, use{"balancer.edge", s.Balancer.Edge}, use{"balancer.fabric", s.Balancer.Fabric})
+	}
+	if s.Agent != nil {
+		stream = append(stream, use{"agent.backend", s.Agent.Backend})
+	}
+	c.address("datagram", s.Datagram, allowedAddress)
+	c.address("control", s.Control, allowedAddress)
+	c.distinct(datagram)
+	c.distinct(stream)
+}
+
+func (c *checker) distinct(uses []use) {
+	for i, u := range uses {
+		for _, earlier := range uses[:i] {
+			equal := u.address.IsValid() && u.address == earlier.address
+			c.Require(!equal, u.field, u.address, "another address than "+earlier.field)
+		}
+	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,10 +2,10 @@
 package settings
 
 import (
-	"encoding/json"
 	"net/netip"
 	"os"
-	"strings"
+
+	"cactustray/document"
 )
 
 // Role is what a daemon does.
@@ -26,7 +26,7 @@
 	Keys []Key  `json:"keys"`
 	// ResetKey ends flows that their owner has lost track of: 64 hexadecimal
 	// digits, the same on every agent.
-	ResetKey  string            `json:"reset_key"`
+	ResetKey  string            `json:"reset_key" secret:""`
 	TLS       TLS               `json:"tls"`
 	Datagram  netip.AddrPort    `json:"datagram"`
 	Control   netip.AddrPort    `json:"control"`
@@ -44,7 +44,7 @@
 // Key is one secret for owner tokens; the first of the list makes new ones.
 type Key struct {
 	ID     byte   `json:"id"`
-	Secret string `json:"secret"`
+	Secret string `json:"secret" secret:""`
 }
 
 // TLS names the files of the node's identity towards the system's processes.
@@ -79,7 +79,7 @@
 	CallerTLS TLS `json:"caller_tls"`
 }
 
-// ReadError reports settings that could not be read as JSON.
+// ReadError reports settings that could not be read.
 type ReadError struct {
 	File  string
 	Cause error
@@ -90,20 +90,41 @@
 // Unwrap returns the cause.
 func (e *ReadError) Unwrap() error { return e.Cause }
 
-// Load reads and checks a file. It fails with *ReadError or *CheckError.
+// Load reads and checks a file. It fails with *ReadError or *CheckError; the
+// latter names everything that is wrong.
 func Load(file string) (*Settings, error) {
 	raw, err := os.ReadFile(file)
 	if err != nil {
 		return nil, &ReadError{File: file, Cause: err}
 	}
-	decoder := json.NewDecoder(strings.NewReader(string(raw)))
-	decoder.DisallowUnknownFields()
 	s := new(Settings)
-	if err := decoder.Decode(s); err != nil {
-		return nil, &ReadError{File: file, Cause: err}
-	}
-	if problems := Check(s); len(problems) > 0 {
+	decoding := document.Decode(raw, s)
+	checking := append(Check(s), missingFiles(s)...)
+	if problems := document.Merge(decoding, checking); len(problems) > 0 {
 		return nil, &CheckError{File: file, Problems: problems}
 	}
 	return s, nil
 }
+
+// missingFiles reports every named file that cannot be opened.
+func missingFiles(s *Settings) []document.Problem {
+	var c document.Checker
+	readable := func(field, file string) {
+		if file == "" {
+			return // the check reports it
+		}
+		opened, err := os.Open(file)
+		c.Require(err == nil, field, file, "a file that can be read")
+		if err == nil {
+			_ = opened.Close()
+		}
+	}
+	readable("tls.certificate", s.TLS.Certificate)
+	readable("tls.key", s.TLS.Key)
+	readable("tls.ca", s.TLS.CA)
+	if s.Agent != nil {
+		readable("agent.caller_tls.certificate", s.Agent.CallerTLS.Certificate)
+		readable("agent.caller_tls.key", s.Agent.CallerTLS.Key)
+	}
+	return c.Problems
+}
--- a/standin/layout/layout.go
+++ b/standin/layout/layout.go
@@ -24,7 +24,7 @@
 	loopback = "127.0.0.1"
 	zones    = 4
 	tokenKey = "00112233445566778899aabbccddeeff"
-	resetKey = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+	resetKey = "8f3a61c0d27b94e51f06ab38c9de7254036b81f7e29a4dc5b0587c163fe8a24d"
 	// Slots is how many jobs a backend server runs at once.
 	Slots     = 4
 	flows     = 2000
