Let operators ask for services and for the ticket in force

A report names the agents that the node's tickets name, so that one address is enough to find the others; services and omit_nodes keep the answer small at 3,200 nodes. Operators may not use the exchange: it takes tickets in.

--- a/agent/control.go
+++ b/agent/control.go
@@ -75,7 +75,7 @@
 	case drain:
 		s.drain(m)
 	case status.Asked:
-		m.Reply <- s.statusReport(now)
+		m.Reply <- s.statusReport(now, m)
 	}
 }
 
@@ -86,14 +86,15 @@
 	s.sendReport()
 }
 
-func (s *state) statusReport(now time.Time) status.Report {
+func (s *state) statusReport(now time.Time, asked status.Asked) status.Report {
 	return status.Report{
 		Node:    s.settings.Node,
 		Role:    membership.RoleAgent,
 		Zone:    s.settings.Zone,
 		State:   "ready",
 		Uptime:  now.Sub(s.started),
-		Tickets: status.InForceOf(now, s.tickets),
-		Flows:   int64(s.admission.Running()),
+		Tickets: asked.InForceOf(now, s.tickets),
+		Load:    status.Load{Requests: int64(s.admission.Running())},
+		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -57,7 +57,7 @@
 	case heartbeat.Heard:
 		s.heard(now, m)
 	case status.Asked:
-		m.Reply <- s.report(now)
+		m.Reply <- s.report(now, m)
 	}
 }
 
@@ -73,14 +73,14 @@
 	s.table.Store(steering.BuildTable(s.tickets, s.observer, s.table.Load()))
 }
 
-func (s *state) report(now time.Time) status.Report {
+func (s *state) report(now time.Time, asked status.Asked) status.Report {
 	return status.Report{
 		Node:    s.node,
 		Role:    membership.RoleBalancer,
 		Zone:    s.zone,
 		State:   "ready",
 		Uptime:  now.Sub(s.started),
-		Tickets: status.InForceOf(now, s.tickets),
-		Nodes:   s.members.Nodes(),
+		Tickets: asked.InForceOf(now, s.tickets),
+		Nodes:   asked.KnownOf(s.members.Nodes(), s.tickets),
 	}
 }
--- /dev/null
+++ b/status/client.go
@@ -0,0 +1,79 @@
+package status
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"cactustray/status/statuspb"
+	"cactustray/status/statuspb/statuspbconnect"
+	"cactustray/ticket"
+)
+
+// Query says what a report is to hold.
+type Query struct {
+	// Services limits the report; empty means all.
+	Services []string
+	// OmitNodes leaves the known nodes out.
+	OmitNodes bool
+}
+
+// Client asks one node.
+type Client struct {
+	remote statuspbconnect.StatusServiceClient
+}
+
+// NewClient returns a client of the node at a base URL.
+func NewClient(client *http.Client, base string) *Client {
+	return &Client{remote: statuspbconnect.NewStatusServiceClient(client, base)}
+}
+
+// Report asks the node how it stands.
+func (c *Client) Report(ctx context.Context, q Query) (*Report, error) {
+	response, err := c.remote.Status(ctx, &statuspb.StatusRequest{Services: q.Services, OmitNodes: q.OmitNodes})
+	if err != nil {
+		return nil, err
+	}
+	return decode(response), nil
+}
+
+// Ticket returns the text of the ticket in force on the node, or nothing.
+func (c *Client) Ticket(ctx context.Context, service string) ([]byte, error) {
+	response, err := c.remote.Ticket(ctx, &statuspb.TicketRequest{Service: service})
+	if err != nil {
+		return nil, err
+	}
+	return response.Document, nil
+}
+
+func decode(r *statuspb.StatusResponse) *Report {
+	report := &Report{
+		Node:   r.Node,
+		Role:   r.Role,
+		Zone:   r.Zone,
+		State:  r.State,
+		Uptime: time.Duration(r.UptimeMillis) * time.Millisecond,
+		Load:   Load{Flows: r.Flows, Requests: r.Requests, Queued: r.Queued},
+		Cost:   Cost{BytesPerSecond: r.ControlBytesPerSecond, CoreShare: r.ControlCoreShare},
+	}
+	for _, t := range r.Tickets {
+		report.Tickets = append(report.Tickets, decodeInForce(t))
+	}
+	for _, n := range r.Nodes {
+		known := Known{Name: n.Name, Role: n.Role, Control: n.Control, Service: n.Service, Leaving: n.State == stateLeaving}
+		report.Nodes = append(report.Nodes, known)
+	}
+	return report
+}
+
+func decodeInForce(t *statuspb.InForce) InForce {
+	return InForce{
+		Service:   t.Service,
+		Number:    ticket.Number(t.Number),
+		Content:   t.Content,
+		Sealed:    t.Sealed,
+		Age:       time.Duration(t.AgeMillis) * time.Millisecond,
+		Conflicts: int(t.Conflicts),
+		Refused:   t.Refused,
+	}
+}
--- a/status/statuspb/statuspbconnect/status.connect.go
+++ b/status/statuspb/statuspbconnect/status.connect.go
@@ -35,11 +35,16 @@
 const (
 	// StatusServiceStatusProcedure is the fully-qualified name of the StatusService's Status RPC.
 	StatusServiceStatusProcedure = "/cactustray.status.v1.StatusService/Status"
+	// StatusServiceTicketProcedure is the fully-qualified name of the StatusService's Ticket RPC.
+	StatusServiceTicketProcedure = "/cactustray.status.v1.StatusService/Ticket"
 )
 
 // StatusServiceClient is a client for the cactustray.status.v1.StatusService service.
 type StatusServiceClient interface {
+	// Status reports how the process stands.
 	Status(context.Context, *statuspb.StatusRequest) (*statuspb.StatusResponse, error)
+	// Ticket returns the ticket in force for one service.
+	Ticket(context.Context, *statuspb.TicketRequest) (*statuspb.TicketResponse, error)
 }
 
 // NewStatusServiceClient constructs a client for the cactustray.status.v1.StatusService service. By
@@ -59,12 +64,19 @@
 			connect.WithSchema(statusServiceMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
+		ticket: connect.NewClient[statuspb.TicketRequest, statuspb.TicketResponse](
+			httpClient,
+			baseURL+StatusServiceTicketProcedure,
+			connect.WithSchema(statusServiceMethods.ByName("Ticket")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // statusServiceClient implements StatusServiceClient.
 type statusServiceClient struct {
 	status *connect.Client[statuspb.StatusRequest, statuspb.StatusResponse]
+	ticket *connect.Client[statuspb.TicketRequest, statuspb.TicketResponse]
 }
 
 // Status calls cactustray.status.v1.StatusService.Status.
@@ -76,9 +88,21 @@
 	return nil, err
 }
 
+// Ticket calls cactustray.status.v1.StatusService.Ticket.
+func (c *statusServiceClient) Ticket(ctx context.Context, req *statuspb.TicketRequest) (*statuspb.TicketResponse, error) {
+	response, err := c.ticket.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // StatusServiceHandler is an implementation of the cactustray.status.v1.StatusService service.
 type StatusServiceHandler interface {
+	// Status reports how the process stands.
 	Status(context.Context, *statuspb.StatusRequest) (*statuspb.StatusResponse, error)
+	// Ticket returns the ticket in force for one service.
+	Ticket(context.Context, *statuspb.TicketRequest) (*statuspb.TicketResponse, error)
 }
 
 // NewStatusServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -94,10 +118,18 @@
 		connect.WithSchema(statusServiceMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
+	statusServiceTicketHandler := connect.NewUnaryHandlerSimple(
+		StatusServiceTicketProcedure,
+		svc.Ticket,
+		connect.WithSchema(statusServiceMethods.ByName("Ticket")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cactustray.status.v1.StatusService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case StatusServiceStatusProcedure:
 			statusServiceStatusHandler.ServeHTTP(w, r)
+		case StatusServiceTicketProcedure:
+			statusServiceTicketHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -110,3 +142,7 @@
 func (UnimplementedStatusServiceHandler) Status(context.Context, *statuspb.StatusRequest) (*statuspb.StatusResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactustray.status.v1.StatusService.Status is not implemented"))
 }
+
+func (UnimplementedStatusServiceHandler) Ticket(context.Context, *statuspb.TicketRequest) (*statuspb.TicketResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactustray.status.v1.StatusService.Ticket is not implemented"))
+}
