Give operators a client that submits, follows and discovers

ticket check shows all problems and what would change; ticket submit refuses a number in force with other content, publishes by PUT with the operator's own credentials, and follows until accepted everywhere, with exit codes 0, 2, 3, 1; status and flows find the other nodes from one node's answer, ask them concurrently within a bound and list the unreachable.

--- /dev/null
+++ b/cmd/cactustray/exit.go
@@ -0,0 +1,42 @@
+package main
+
+import "cactustray/status"
+
+// Exit codes that scripts rely on.
+const (
+	exitDone    = 0
+	exitFailure = 1
+	exitRefused = 2
+	exitNotYet  = 3
+)
+
+// RefusedError reports a ticket that will not come into force.
+type RefusedError struct {
+	Service string
+	Reason  string
+}
+
+func (e *RefusedError) Error() string {
+	return "ticket for service " + e.Service + " refused: " + e.Reason
+}
+
+// ExitCode tells scripts that the ticket was refused.
+func (*RefusedError) ExitCode() int { return exitRefused }
+
+// NotYetError reports a ticket that was not in force everywhere at the
+// deadline.
+type NotYetError struct {
+	Service string
+	Waiting []status.Standing
+}
+
+func (e *NotYetError) Error() string {
+	text := "ticket for service " + e.Service + " not yet in force everywhere"
+	for _, s := range e.Waiting {
+		text += "\n  " + s.Node + ": " + s.Reason
+	}
+	return text
+}
+
+// ExitCode tells scripts that the ticket may still come into force.
+func (*NotYetError) ExitCode() int { return exitNotYet }
--- /dev/null
+++ b/cmd/cactustray/submit.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"cactustray/membership"
+	"cactustray/status"
+	"cactustray/status/survey"
+	"cactustray/ticket"
+)
+
+// followInterval is the time between two looks at the nodes.
+const followInterval = 250 * time.Millisecond
+
+type ticketSubmitCommand struct {
+	connectionFlags
+	Publish           string        `placeholder:"URL" env:"CACTUSTRAY_PUBLISH" help:"Where the platform takes the ticket by PUT; {service} stands for the service's name. Without it, only follow."`
+	Token             string        `env:"CACTUSTRAY_PUBLISH_TOKEN" placeholder:"TOKEN" help:"Bearer token towards the platform."`
+	Deadline          time.Duration `default:"30s" help:"How long to follow."`
+	IgnoreUnreachable bool          `help:"Don't wait for nodes that do not answer."`
+	JSON              bool          `name:"json" help:"Write JSON."`
+	File              string        `arg:"" type:"existingfile" help:"The ticket."`
+}
+
+// Help is the command's page.
+func (*ticketSubmitCommand) Help() string {
+	return `Checks the ticket, compares it with the one in force, publishes it with the
+operator's own credentials and follows it until every balancer and every agent of the
+service has it in force and accepted. Nodes of the system never write to the platform.
+Where tickets are published by other means, leave --publish out and start the command
+after publishing: it then only follows.
+
+A number that is in force with other content is refused before anything is published.
+
+Exit codes: 0 in force and accepted everywhere, 2 refused, 3 not yet at the deadline
+(it may still come into force; the nodes waited for are listed), 1 other failure.`
+}
+
+// submitted is the outcome of a submission.
+type submitted struct {
+	Service string          `json:"service"`
+	Number  ticket.Number   `json:"number"`
+	Verdict string          `json:"verdict"`
+	Nodes   int             `json:"nodes"`
+	After   time.Duration   `json:"after_ns"`
+	Changes []ticket.Change `json:"changes,omitempty"`
+	Waiting []waitingNode   `json:"waiting,omitempty"`
+}
+
+// Run hands the ticket over and follows it.
+func (c *ticketSubmitCommand) Run(ctx context.Context, out io.Writer) error {
+	held, err := readTicket(c.File)
+	var invalid *ticket.CheckError
+	if errors.As(err, &invalid) {
+		return &RefusedError{Service: invalid.Service, Reason: invalid.Error()}
+	}
+	if err != nil {
+		return err
+	}
+	inForce, err := c.inForce(ctx, held.Ticket.Service)
+	if err != nil {
+		return err
+	}
+	if err := refusal(inForce, held); err != nil {
+		return err
+	}
+	if c.Publish != "" {
+		if err := publish(ctx, c.Publish, c.Token, held); err != nil {
+			return err
+		}
+	}
+	surveyor, err := c.surveyor()
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	progress := c.follow(ctx, surveyor, held)
+	outcome := submitted{
+		Service: held.Ticket.Service,
+		Number:  held.Ticket.Number,
+		Verdict: progress.Verdict.String(),
+		Nodes:   len(progress.Standings),
+		After:   time.Since(started),
+		Changes: ticket.Changes(ticketOf(inForce), held.Ticket),
+		Waiting: waitingNodes(progress),
+	}
+	if err := writeSubmitted(out, outcome, c.JSON); err != nil {
+		return err
+	}
+	return failureOf(outcome, progress)
+}
+
+// follow looks at the nodes until the verdict is final or the deadline passes.
+func (c *ticketSubmitCommand) follow(ctx context.Context, surveyor *survey.Surveyor, held ticket.Held) status.Progress {
+	ctx, cancel := context.WithTimeout(ctx, c.Deadline)
+	defer cancel()
+	target := status.Target{Service: held.Ticket.Service, Number: held.Ticket.Number, Content: held.Content}
+	scope := survey.Scope{Seeds: c.Nodes, Known: agentsOf(held.Ticket), Services: []string{target.Service}}
+	ticker := time.NewTicker(followInterval)
+	defer ticker.Stop()
+	var last status.Progress
+	for {
+		fleet := surveyor.Ask(ctx, scope)
+		if ctx.Err() != nil && len(last.Standings) > 0 {
+			return last // the deadline cut this look short
+		}
+		if c.IgnoreUnreachable {
+			fleet = fleet.Reachable()
+		}
+		last = fleet.Follow(target)
+		if last.Verdict != status.NotYet {
+			return last
+		}
+		select {
+		case <-ctx.Done():
+			return last
+		case <-ticker.C:
+		}
+	}
+}
+
+// agentsOf returns the agents that a ticket names.
+func agentsOf(t *ticket.Ticket) []status.Known {
+	var known []status.Known
+	for _, e := range t.Endpoints {
+		known = append(known, status.Known{Name: e.Name, Role: membership.RoleAgent, Control: e.Control.String(), Service: t.Service})
+	}
+	return known
+}
+
+func failureOf(outcome submitted, progress status.Progress) error {
+	switch progress.Verdict {
+	case status.Everywhere:
+		return nil
+	case status.Refused:
+		return &RefusedError{Service: outcome.Service, Reason: refusedReason(progress)}
+	}
+	return &NotYetError{Service: outcome.Service, Waiting: progress.Waiting()}
+}
+
+func refusedReason(progress status.Progress) string {
+	for _, s := range progress.Standings {
+		if s.Verdict == status.Refused {
+			return s.Reason + " on " + s.Node
+		}
+	}
+	return ""
+}
--- a/demo.sh
+++ b/demo.sh
@@ -40,8 +40,12 @@
 
 orders=https://$(field service orders 3)
 drawings=https://$(field service drawings 3)
-nodes=$(awk '$1=="balancer" {print $3}' "$dir/layout")
-operator=(--cert "$dir/operator-operator.pem" --key "$dir/operator-operator.key" --ca "$dir/ca.pem")
+CACTUSTRAY_NODES=$(awk '$1=="balancer" {print $3; exit}' "$dir/layout")
+export CACTUSTRAY_NODES
+export CACTUSTRAY_CERT=$dir/operator-operator.pem
+export CACTUSTRAY_KEY=$dir/operator-operator.key
+export CACTUSTRAY_CA=$dir/ca.pem
+export CACTUSTRAY_PUBLISH=http://$platform/v1/kv/cactustray/tickets/{service}
 request() { bin/standin request --ca "$dir/ca.pem" "$@"; }
 
 echo "== 3 balancers, 2 services with 4 backend servers each, 4 failure domains"
@@ -55,12 +59,10 @@
 bin/standin feed --ca "$dir/ca.pem" --count 20 --lines 80 "$orders" &
 feeds=$!
 sleep 1
-sed 's/"number": 1,/"number": 2,/' "$dir/ticket-orders.json" >"$dir/ticket-2.json"
-publish tickets/orders "$dir/ticket-2.json"
-published=$(date +%s%N)
-until [ "$(bin/cactustray status "${operator[@]}" $nodes | grep -c 'orders *2 ')" = 3 ]; do sleep 0.02; done
-echo "ticket 2 in force on 3 balancers after $((($(date +%s%N) - published) / 1000000)) ms"
-bin/cactustray status "${operator[@]}" $nodes
+sed 's/"number": 1,/"number": 2,/; s/"slots": 4,/"slots": 3,/' "$dir/ticket-orders.json" >"$dir/ticket-2.json"
+bin/cactustray ticket submit "$dir/ticket-2.json"
+bin/cactustray status
+bin/cactustray flows
 kill -TERM "${pid_of[entry-1]}"
 kill -TERM "${pid_of[orders-1]}"
 echo "stopped balancer entry-1 and the agent of orders-1"
--- /dev/null
+++ b/standin/e2e/client_test.go
@@ -0,0 +1,110 @@
+package e2e
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"cactustray/standin/fleet"
+	"cactustray/standin/layout"
+	"cactustray/ticket"
+
+	"github.com/shoenig/test/must"
+)
+
+// The client's exit codes.
+const (
+	exitDone    = 0
+	exitRefused = 2
+	exitNotYet  = 3
+)
+
+// client runs the operators' client against one deployment.
+type client struct {
+	t      *testing.T
+	fleet  *fleet.Fleet
+	binary string
+}
+
+func newClient(t *testing.T, f *fleet.Fleet) *client {
+	binary := filepath.Join(t.TempDir(), "cactustray")
+	output, err := exec.Command("go", "build", "-o", binary, "cactustray/cmd/cactustray").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(output)))
+	return &client{t: t, fleet: f, binary: binary}
+}
+
+// run names one balancer only; the client finds the other nodes.
+func (c *client) run(args ...string) (output string, code int) {
+	command := exec.Command(c.binary, args...)
+	command.Env = append(os.Environ(),
+		"CACTUSTRAY_NODES="+c.fleet.Balancers[0].Control.String(),
+		"CACTUSTRAY_CERT="+c.fleet.Operator.Certificate,
+		"CACTUSTRAY_KEY="+c.fleet.Operator.Key,
+		"CACTUSTRAY_CA="+c.fleet.Operator.CA,
+		"CACTUSTRAY_PUBLISH=http://"+c.fleet.Deployment.Platform.String()+"/v1/kv/"+layout.Prefix+"tickets/{service}")
+	raw, _ := command.CombinedOutput()
+	return string(raw), command.ProcessState.ExitCode()
+}
+
+func (c *client) write(change func(*ticket.Ticket)) (file string) {
+	next := *c.fleet.Tickets["orders"]
+	change(&next)
+	raw, err := json.Marshal(next)
+	must.NoError(c.t, err)
+	file = filepath.Join(c.t.TempDir(), "ticket.json")
+	must.NoError(c.t, os.WriteFile(file, raw, 0o600))
+	return file
+}
+
+func TestClientSubmitsAndFollows(t *testing.T) {
+	f := fleet.Start(t, layout.Size{Balancers: 2, Services: []string{"orders"}, Backends: 2})
+	c := newClient(t, f)
+	second := c.write(func(tk *ticket.Ticket) {
+		tk.Number = 2
+		tk.Limits.Slots = 3
+	})
+	output, code := c.run("ticket", "check", second)
+	must.EqOp(t, exitDone, code, must.Sprint(output))
+	must.StrContains(t, output, "limits.slots  4 -> 3")
+	output, code = c.run("ticket", "submit", "--deadline", fleet.Patience.String(), second)
+	must.EqOp(t, exitDone, code, must.Sprint(output))
+	must.StrContains(t, output, "ticket 2 for service orders: in_force, accepted on 4 of 4 nodes")
+
+	rival := c.write(func(tk *ticket.Ticket) {
+		tk.Number = 2
+		tk.Limits.Slots = 5
+	})
+	output, code = c.run("ticket", "submit", rival)
+	must.EqOp(t, exitRefused, code, must.Sprint(output))
+	must.StrContains(t, output, "in force with other content")
+	older := c.write(func(*ticket.Ticket) {})
+	output, code = c.run("ticket", "submit", older)
+	must.EqOp(t, exitRefused, code, must.Sprint(output))
+
+	output, code = c.run("status")
+	must.EqOp(t, exitDone, code, must.Sprint(output))
+	must.StrContains(t, output, "nodes: 4, unreachable: 0, behind: 0")
+	output, code = c.run("flows")
+	must.EqOp(t, exitDone, code, must.Sprint(output))
+	must.StrContains(t, output, "orders-2")
+}
+
+func TestClientTellsWhoIsWaitedFor(t *testing.T) {
+	f := fleet.Start(t, layout.Size{Balancers: 2, Services: []string{"orders"}, Backends: 1})
+	c := newClient(t, f)
+	f.Signal("entry-2", syscall.SIGSTOP)
+	defer f.Signal("entry-2", syscall.SIGCONT)
+	second := c.write(func(tk *ticket.Ticket) { tk.Number = 2 })
+	output, code := c.run("ticket", "submit", "--timeout", "300ms", "--deadline", "1s", second)
+	must.EqOp(t, exitNotYet, code, must.Sprint(output))
+	must.StrContains(t, output, "entry-2: unreachable")
+	output, code = c.run("status", "--timeout", "300ms", "--json")
+	must.EqOp(t, exitDone, code, must.Sprint(output))
+	must.EqOp(t, 1, strings.Count(output, `"state": "unreachable"`))
+	output, code = c.run("ticket", "submit", "--timeout", "300ms", "--ignore-unreachable", "--deadline", fleet.Patience.String(), second)
+	must.EqOp(t, exitDone, code, must.Sprint(output))
+}
--- /dev/null
+++ b/status/fleet_test.go
@@ -0,0 +1,68 @@
+package status
+
+import (
+	"testing"
+
+	"cactustray/membership"
+	"cactustray/ticket"
+
+	"github.com/shoenig/test/must"
+)
+
+func answer(name, role string, tickets ...InForce) Answer {
+	return Answer{Address: name, Report: &Report{Node: name, Role: role, Tickets: tickets}}
+}
+
+func orders(number ticket.Number, content uint64, sealed bool) InForce {
+	return InForce{Service: "orders", Number: number, Content: content, Sealed: sealed}
+}
+
+var target = Target{Service: "orders", Number: 7, Content: 70}
+
+func TestFollow(t *testing.T) {
+	done := answer("done", membership.RoleBalancer, orders(7, 70, true))
+	refused := orders(6, 60, true)
+	refused.Refused = "no JSON"
+	drawings := InForce{Service: "drawings", Number: 1}
+	cases := []struct {
+		name    string
+		answers []Answer
+		want    Verdict
+		reason  string
+	}{
+		{"nobody", nil, NotYet, ""},
+		{"everywhere", []Answer{done, done}, Everywhere, ""},
+		{"not accepted", []Answer{done, answer("b", membership.RoleBalancer, orders(7, 70, false))}, NotYet, "in force, not yet accepted"},
+		{"behind", []Answer{done, answer("b", membership.RoleBalancer, orders(6, 60, true))}, NotYet, "behind"},
+		{"refused text", []Answer{done, answer("b", membership.RoleBalancer, refused)}, NotYet, "behind; last refusal: no JSON"},
+		{"empty", []Answer{done, answer("b", membership.RoleBalancer)}, NotYet, "no ticket"},
+		{"rival", []Answer{done, answer("b", membership.RoleBalancer, orders(7, 71, false))}, NotYet, "other content is in force under this number"},
+		{"accepted rival", []Answer{done, answer("b", membership.RoleBalancer, orders(7, 71, true))}, Refused, "other content is accepted under this number"},
+		{"newer", []Answer{done, answer("b", membership.RoleBalancer, orders(8, 80, false))}, Refused, "a newer ticket is in force"},
+		{"unreachable", []Answer{done, {Address: "b"}}, NotYet, "unreachable"},
+		{"leaving", []Answer{done, {Address: "b", Known: Known{Leaving: true}}}, Everywhere, ""},
+		{"other service's agent", []Answer{done, answer("b", membership.RoleAgent, drawings)}, Everywhere, ""},
+		{"own agent", []Answer{done, answer("b", membership.RoleAgent, orders(6, 60, true))}, NotYet, "behind"},
+	}
+	for _, c := range cases {
+		progress := Fleet{Answers: c.answers}.Follow(target)
+		must.EqOp(t, c.want, progress.Verdict, must.Sprint(c.name))
+		if c.reason != "" {
+			must.EqOp(t, c.reason, progress.Waiting()[0].Reason, must.Sprint(c.name))
+		}
+	}
+}
+
+func TestLinesMarkWhoDiffers(t *testing.T) {
+	fleet := Fleet{Answers: []Answer{
+		answer("b2", membership.RoleBalancer, orders(6, 60, true)),
+		answer("a1", membership.RoleAgent, orders(7, 71, false)),
+		answer("b1", membership.RoleBalancer, orders(7, 70, true)),
+		{Address: "192.0.2.1:1"},
+	}}
+	lines := fleet.Lines()
+	must.EqOp(t, "b1", lines[0].Answer.Name())
+	must.True(t, lines[1].Behind)
+	must.True(t, lines[2].Rival)
+	must.EqOp(t, Summary{Nodes: 4, Unreachable: 1, Behind: 1, Conflicts: 1}, Summarise(lines))
+}
