Place new flows at their home agent and reset flows whose owner ended

Cause: an agent took whatever named it: datagrams of an earlier process, more connections than its limit, and new flows whatever its queue. A balancer rebuilt the whole table on each change and kept endpoints that left for ever.

Change: steering.Residence.Receive decides what an agent does with a datagram (deliver, place, pass on, drop), placement.Placer where a new flow goes; both are pure. Load reports and notices that a node is behind travel as datagrams. steering.State makes tables by service, sharing what stands, and forgets endpoints that left after 24 h or beyond 16384. Rendezvous hashing is on integers, so nodes of any processor agree. The envelope is coded by protowire, PROXY headers are cached in a bounded cache. A send that fails at an agent is a lost datagram: the error would have ended the flow.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,6 +36,7 @@
 		return err
 	}
 	reports := make(chan report)
+	loads := make(chan loadReport)
 	reporter := &reporter{
 		node:      s.Node,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
@@ -50,8 +51,9 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
-	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports)) })
+	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports, loads)) })
 	group.Go(func() error { return reporter.run(running, reports) })
+	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
 	group.Go(func() error { return rpc.Serve(running, s.Control, id, controlHandler(loop)) })
 	group.Go(func() error { return callers.serve(running) })
 	group.Go(func() error {
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -39,6 +39,7 @@
 
 // callerServer ends callers' QUIC connections and serves HTTP/3 on them.
 type callerServer struct {
+	conn      *datagram.Conn
 	transport *quic.Transport
 	listener  *quic.EarlyListener
 	server    *http3.Server
@@ -54,11 +55,13 @@
 		return nil, &rpc.ListenError{Address: s.Datagram, Cause: err}
 	}
 	_ = socket.SetReadBuffer(socketBuffer)
-	service := ticket.ServiceKeyOf(s.Agent.Service)
+	p.residence.Steering.Store(&steering.Residence{Owner: owner, Service: ticket.ServiceKeyOf(s.Agent.Service)})
+	conn := datagram.NewConn(socket, sealer, &p.residence, loop.Offer)
 	transport := &quic.Transport{
-		Conn:                  datagram.NewConn(socket, service, owner.Endpoint, &p.routes, new(steering.Counters)),
+		Conn:                  conn,
 		ConnectionIDGenerator: &datagram.TokenIDs{Sealer: sealer, Owner: owner},
 		StatelessResetKey:     resetKey(s),
+		ConnContext:           limitConnections(&p.residence.Connections),
 	}
 	listener, err := transport.ListenEarly(id.CallerTLS(http3.NextProtoH3), quicConfig())
 	if err != nil {
@@ -71,7 +74,7 @@
 		Endpoint: s.Agent.Endpoint,
 		Client:   frontend.NewBackendClient(),
 	}
-	return &callerServer{transport: transport, listener: listener, server: &http3.Server{Handler: handler}}, nil
+	return &callerServer{conn: conn, transport: transport, listener: listener, server: &http3.Server{Handler: handler}}, nil
 }
 
 // quicConfig never accepts 0-RTT: an attacker could run a request twice by
--- a/agent/control.go
+++ b/agent/control.go
@@ -9,6 +9,7 @@
 	"cactustray/event"
 	"cactustray/liveness"
 	"cactustray/membership"
+	"cactustray/placement"
 	"cactustray/settings"
 	"cactustray/status"
 	"cactustray/steering"
@@ -18,8 +19,8 @@
 
 // published are the snapshots that traffic goroutines read.
 type published struct {
-	ticket atomic.Pointer[ticket.Ticket]
-	routes atomic.Pointer[datagram.Routes]
+	ticket    atomic.Pointer[ticket.Ticket]
+	residence datagram.Residence
 }
 
 // state is all control state of an agent. Only the control goroutine touches
@@ -34,13 +35,16 @@
 	tickets   *ticket.Register
 	admission *admission.State
 	replies   map[admission.RequestID]chan<- admission.Decision
+	placement *placement.State
 
 	published *published
 	// report asks the heartbeat goroutine to send the fact and the ticket.
 	report chan<- report
+	// loads asks the placement goroutine to send a load report.
+	loads chan<- loadReport
 }
 
-func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report) *state {
+func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport) *state {
 	return &state{
 		settings:  s,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
@@ -50,8 +54,10 @@
 		tickets:   ticket.NewRegister(),
 		admission: admission.NewState(admission.Limits{}),
 		replies:   make(map[admission.RequestID]chan<- admission.Decision),
+		placement: placement.NewState(owner.Endpoint),
 		published: p,
 		report:    reports,
+		loads:     loads,
 	}
 }
 
@@ -72,6 +78,10 @@
 	case admission.Gone:
 		s.decide(s.admission.Leave(now, m.ID))
 		delete(s.replies, m.ID)
+	case placement.Heard:
+		s.placement.Hear(now, m)
+	case steering.Behind:
+		s.behind(m)
 	case drain:
 		s.drain(m)
 	case status.Asked:
@@ -84,6 +94,7 @@
 	s.decide(s.admission.Tick(now))
 	s.tickets.Seal(now)
 	s.sendReport()
+	s.placeByLoad(now)
 }
 
 func (s *state) statusReport(now time.Time) status.Report {
--- a/agent/liveness.go
+++ b/agent/liveness.go
@@ -40,7 +40,7 @@
 		}
 	}
 	if len(routes.Balancers) > 0 {
-		s.published.routes.Store(&routes)
+		s.published.residence.Routes.Store(&routes)
 	}
 }
 
--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -22,6 +22,7 @@
 		return
 	}
 	s.published.ticket.Store(entry.Ticket)
+	s.steerBy(entry.Ticket)
 	limits := admission.Limits{
 		Slots:     int(entry.Ticket.Limits.Slots),
 		QueueTime: time.Duration(entry.Ticket.Limits.QueueMillis) * time.Millisecond,
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -38,11 +38,11 @@
 // Run runs a balancer until the context ends.
 func Run(ctx context.Context, s *settings.Settings, sealer *steering.Sealer, id *identity.Identity, log *event.Log) error {
 	table := new(atomic.Pointer[steering.Table])
-	forwarder, err := newForwarder(s, sealer, table)
+	loop := control.NewLoop(tickInterval)
+	forwarder, err := newForwarder(s, sealer, table, loop)
 	if err != nil {
 		return err
 	}
-	loop := control.NewLoop(tickInterval)
 	reader := platform.NewReader(s.Platform.URL, s.Platform.Prefix)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	log.Emit(EventBalancerStarted, event.Fields{"edge": s.Balancer.Edge})
@@ -69,7 +69,7 @@
 	return mux
 }
 
-func newForwarder(s *settings.Settings, sealer *steering.Sealer, table *atomic.Pointer[steering.Table]) (*datagram.Forwarder, error) {
+func newForwarder(s *settings.Settings, sealer *steering.Sealer, table *atomic.Pointer[steering.Table], loop *control.Loop) (*datagram.Forwarder, error) {
 	edge, err := listen(s.Balancer.Edge)
 	if err != nil {
 		return nil, err
@@ -85,6 +85,7 @@
 		Table:    table,
 		Sealer:   sealer,
 		Counters: new(steering.Counters),
+		Offer:    loop.Offer,
 	}, nil
 }
 
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -26,6 +26,7 @@
 	tickets  *ticket.Register
 	observer *liveness.Observer
 	members  *membership.State
+	steering *steering.State
 
 	table *atomic.Pointer[steering.Table]
 }
@@ -39,6 +40,7 @@
 		tickets:  ticket.NewRegister(),
 		observer: liveness.NewObserver(),
 		members:  membership.NewState(),
+		steering: steering.NewState(),
 		table:    table,
 	}
 }
@@ -56,6 +58,8 @@
 		s.log.Emit(EventPlatformUnavailable, event.Fields{"cause": m.Cause})
 	case heartbeat.Heard:
 		s.heard(now, m)
+	case steering.Behind:
+		s.behind(m)
 	case status.Asked:
 		m.Reply <- s.report(now)
 	}
@@ -67,10 +71,7 @@
 	if s.observer.Tick(now, gap) > 0 {
 		s.publish()
 	}
-}
-
-func (s *state) publish() {
-	s.table.Store(steering.BuildTable(s.tickets, s.observer, s.table.Load()))
+	s.forgetLeft(now)
 }
 
 func (s *state) report(now time.Time) status.Report {
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -14,4 +14,5 @@
 	EventTicketConflict      = event.Define(1102, logrus.WarnLevel, "two contents under one ticket number")
 	EventTicketRefused       = event.Define(1103, logrus.WarnLevel, "ticket refused")
 	EventPlatformUnavailable = event.Define(1104, logrus.WarnLevel, "platform unavailable")
+	EventBehind              = event.Define(1201, logrus.InfoLevel, "table behind an agent's ticket")
 )
--- a/balancer/liveness.go
+++ b/balancer/liveness.go
@@ -8,7 +8,7 @@
 
 func (s *state) heard(now time.Time, m heartbeat.Heard) {
 	if s.observer.Heard(now, m.Fact) {
-		s.publish()
+		s.publish(m.Service)
 	}
 	answer := heartbeat.Answer{Balancers: s.members.Balancers()}
 	if entry := s.tickets.Entry(m.Service); entry != nil {
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"cactustray/ticket"
+)
 
 // margin is how much less pressure an alternate must have before a flow is
 // handed on: reports are old by up to one interval, so a small difference says
@@ -27,6 +31,8 @@
 type Placement struct {
 	Verdict   Verdict
 	Alternate Peer
+	// Corrected tells that the alternate is the home by a newer ticket.
+	Corrected bool
 }
 
 // View is the snapshot that new flows are placed by. It is immutable.
@@ -47,14 +53,19 @@
 	return v
 }
 
-// Fit tells whether a peer may still take the flows handed on to it.
-func (v *View) Fit(now time.Time, peer Peer) bool {
+// find returns a peer that may take a new flow.
+func (v *View) find(now time.Time, key ticket.EndpointKey) (PeerLoad, bool) {
 	for _, p := range v.candidates(now) {
-		if p.Key == peer.Key {
-			return true
+		if p.Key == key {
+			return p, true
 		}
 	}
-	return false
+	return PeerLoad{}, false
+}
+
+func (v *View) fits(now time.Time, key ticket.EndpointKey) bool {
+	_, found := v.find(now, key)
+	return found
 }
 
 // Place decides on a new flow at its home: it stays, or goes once to the less
--- a/placement/load.go
+++ b/placement/load.go
@@ -114,3 +114,12 @@
 
 // nominalWeight is the weight at which pressure is the bare share in use.
 const nominalWeight = 100
+
+// RampAt returns the ramp of a backend server of the given age that is warm
+// after coldTime.
+func RampAt(age, coldTime time.Duration) uint32 {
+	if age >= coldTime {
+		return FullRamp
+	}
+	return uint32(max(age, 0) * FullRamp / coldTime)
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -131,7 +131,7 @@
 		got := v.Place(start, loads[1].Connections, rapid.Uint64().Draw(t, "random"))
 		switch got.Verdict {
 		case HandOn:
-			must.True(t, v.Fit(start, got.Alternate))
+			must.True(t, v.fits(start, got.Alternate.Key))
 			must.False(t, got.Alternate.Draining)
 			must.False(t, loads[got.Alternate.Key].Leaving)
 			must.False(t, loads[got.Alternate.Key].full())
--- a/steering/datagram/conn.go
+++ b/steering/datagram/conn.go
@@ -7,90 +7,115 @@
 	"sync/atomic"
 	"time"
 
+	"cactustray/control"
+	"cactustray/placement"
 	"cactustray/steering"
-	"cactustray/steering/steeringpb"
-	"cactustray/ticket"
 )
 
 // Routes are the balancers that replies are spread over. It is immutable.
 type Routes struct{ Balancers []netip.AddrPort }
 
+// Residence are the snapshots and counters by which an agent's datagrams are
+// steered and placed.
+type Residence struct {
+	// Routes, Steering and View are published by the control goroutine; View
+	// is nil until the first load is known.
+	Routes   atomic.Pointer[Routes]
+	Steering atomic.Pointer[steering.Residence]
+	View     atomic.Pointer[placement.View]
+	// Connections are counted by the transport.
+	Connections placement.Connections
+	Counters    steering.Counters
+}
+
 // Conn is the agent's packet connection: callers' datagrams arrive in
 // envelopes from any balancer, and replies leave spread over the live
 // balancers, so that none of them is a single point of failure. It holds its
-// socket apart, so that QUIC does not go around it.
+// socket apart, so that QUIC does not go around it. One goroutine reads.
 type Conn struct {
-	socket   *net.UDPConn
-	endpoint ticket.EndpointKey
-	service  ticket.ServiceKey
-	routes   *atomic.Pointer[Routes]
-	counters *steering.Counters
+	socket    *net.UDPConn
+	residence *Residence
+	offer     func(control.Message) bool
+	receiver  *receiver
 }
 
 // NewConn returns the packet connection of one endpoint on a bound socket.
-func NewConn(socket *net.UDPConn, service ticket.ServiceKey, endpoint ticket.EndpointKey, routes *atomic.Pointer[Routes], counters *steering.Counters) *Conn {
-	return &Conn{socket: socket, endpoint: endpoint, service: service, routes: routes, counters: counters}
+// offer takes messages to the control goroutine without waiting.
+func NewConn(socket *net.UDPConn, sealer *steering.Sealer, residence *Residence, offer func(control.Message) bool) *Conn {
+	c := &Conn{socket: socket, residence: residence, offer: offer}
+	c.receiver = newReceiver(c, sealer)
+	return c
 }
 
-// ReadFrom returns the next datagram of a caller. What is not for this service
-// is dropped and counted.
+// ReadFrom returns the next datagram for the flows of this endpoint. All else
+// is answered, passed on or dropped, and counted.
 func (c *Conn) ReadFrom(p []byte) (int, net.Addr, error) {
-	buffer := make([]byte, MaxDatagram)
-	envelope := new(steeringpb.Envelope)
 	for {
-		n, _, err := c.socket.ReadFromUDPAddrPort(buffer)
+		n, from, err := c.socket.ReadFromUDPAddrPort(c.receiver.buffer)
 		if err != nil {
 			return 0, nil, err
 		}
-		caller, reason := c.accept(buffer[:n], envelope)
-		c.counters.Count(reason)
-		if reason == steering.Forwarded {
-			return copy(p, envelope.Payload), net.UDPAddrFromAddrPort(caller), nil
+		if c.receiver.receive(time.Now(), c.receiver.buffer[:n], from) {
+			envelope := &c.receiver.envelope
+			return copy(p, envelope.Payload), net.UDPAddrFromAddrPort(envelope.Caller), nil
 		}
 	}
 }
 
-func (c *Conn) accept(raw []byte, envelope *steeringpb.Envelope) (netip.AddrPort, steering.Reason) {
-	if !Open(raw, envelope) {
-		return netip.AddrPort{}, steering.Malformed
-	}
-	if ticket.ServiceKey(envelope.Service) != c.service {
-		return netip.AddrPort{}, steering.UnknownService
-	}
-	if ticket.EndpointKey(envelope.Endpoint) != c.endpoint {
-		return netip.AddrPort{}, steering.ForeignOwner
-	}
-	caller, ok := DecodeCaller(envelope.Caller)
-	if !ok {
-		return netip.AddrPort{}, steering.Malformed
-	}
-	return caller, steering.Forwarded
-}
-
-// WriteTo sends a datagram to a caller through one of the live balancers.
+// WriteTo sends a datagram to a caller through one of the live balancers. A
+// datagram that can't be sent is lost, as on any network: an error would end
+// the flow.
 func (c *Conn) WriteTo(p []byte, to net.Addr) (int, error) {
-	routes := c.routes.Load()
-	if routes == nil || len(routes.Balancers) == 0 {
-		return 0, &NoBalancerError{}
+	routes := c.residence.Routes.Load()
+	caller, ok := to.(*net.UDPAddr)
+	if !ok || routes == nil || len(routes.Balancers) == 0 {
+		c.residence.Counters.Count(steering.NoBalancer)
+		return len(p), nil
 	}
-	caller := to.(*net.UDPAddr).AddrPort()
-	sealed, err := Seal(nil, &steeringpb.Envelope{
-		Service:  uint64(c.service),
-		Endpoint: uint64(c.endpoint),
-		Caller:   EncodeCaller(caller),
+	steer := c.residence.Steering.Load()
+	envelope := Envelope{
+		Service:  steer.Service,
+		Endpoint: steer.Owner.Endpoint,
+		Caller:   caller.AddrPort(),
 		Payload:  p,
-	})
-	if err != nil {
-		return 0, err
 	}
 	balancer := routes.Balancers[rand.IntN(len(routes.Balancers))]
-	if _, err := c.socket.WriteToUDPAddrPort(sealed, balancer); err != nil {
-		return 0, err
+	if err := c.send(&envelope, balancer); err != nil {
+		c.residence.Counters.Count(steering.NoBalancer)
+		return len(p), nil
 	}
-	c.counters.CountReply()
+	c.residence.Counters.CountReply()
 	return len(p), nil
 }
 
+// Report sends a load to peers of the service.
+func (c *Conn) Report(peers []placement.Peer, load placement.Load) {
+	steer := c.residence.Steering.Load()
+	envelope := Envelope{Service: steer.Service, Endpoint: steer.Owner.Endpoint, Load: load, IsLoad: true}
+	for _, peer := range peers {
+		_ = c.send(&envelope, peer.Datagram) // a lost report is followed by the next
+	}
+}
+
+// tellBehind tells a balancer that it routes by an older ticket.
+func (c *Conn) tellBehind(steer *steering.Residence, balancer netip.AddrPort) {
+	envelope := Envelope{
+		Service:  steer.Service,
+		Endpoint: steer.Owner.Endpoint,
+		Behind:   steer.Ticket(),
+		IsBehind: true,
+	}
+	_ = c.send(&envelope, balancer) // a lost notice is followed by the next
+}
+
+func (c *Conn) send(envelope *Envelope, to netip.AddrPort) error {
+	buffer := buffers.Get().(*[]byte)
+	defer buffers.Put(buffer)
+	*buffer = envelope.Append((*buffer)[:0])
+	_, err := c.socket.WriteToUDPAddrPort(*buffer, to)
+	return err
+}
+
 // Close closes the socket.
 func (c *Conn) Close() error { return c.socket.Close() }
 
--- a/steering/datagram/failure.go
+++ b/steering/datagram/failure.go
@@ -12,8 +12,3 @@
 
 // Unwrap returns the cause.
 func (e *SocketError) Unwrap() error { return e.Cause }
-
-// NoBalancerError reports that no balancer is known to take a reply.
-type NoBalancerError struct{}
-
-func (*NoBalancerError) Error() string { return "no live balancer is known" }
--- a/steering/datagram/forwarder.go
+++ b/steering/datagram/forwarder.go
@@ -6,8 +6,8 @@
 	"net/netip"
 	"sync/atomic"
 
+	"cactustray/control"
 	"cactustray/steering"
-	"cactustray/steering/steeringpb"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -27,6 +27,8 @@
 	Sealer *steering.Sealer
 	// Counters count what becomes of the datagrams.
 	Counters *steering.Counters
+	// Offer takes messages to the control goroutine without waiting.
+	Offer func(control.Message) bool
 }
 
 // Run forwards until the context ends, with the given number of goroutines in
@@ -39,8 +41,9 @@
 	})
 	defer stop()
 	for range workers {
-		group.Go(func() error { return untilClosed(ctx, f.Edge, f.inbound()) })
-		group.Go(func() error { return untilClosed(ctx, f.Agents, f.outbound()) })
+		in, out := f.newInbound(), f.newOutbound()
+		group.Go(func() error { return untilClosed(ctx, f.Edge, in.handle) })
+		group.Go(func() error { return untilClosed(ctx, f.Agents, out.handle) })
 	}
 	return group.Wait()
 }
@@ -60,94 +63,122 @@
 	}
 }
 
-// inbound returns the handler of datagrams from the fabric, with buffers of
-// its own.
-func (f *Forwarder) inbound() func([]byte, netip.AddrPort) {
-	var buffer []byte
-	envelope := new(steeringpb.Envelope)
-	return func(raw []byte, _ netip.AddrPort) {
-		verdict, edge, payload := f.steer(raw)
-		f.Counters.Count(verdict.Reason)
-		if verdict.Reason != steering.Forwarded {
-			return
-		}
-		envelope.Service = uint64(verdict.Service.Key)
-		envelope.Caller = EncodeCaller(edge.Source)
-		envelope.Ticket = uint64(verdict.Service.Ticket)
-		envelope.Endpoint = uint64(verdict.Endpoint.Key)
-		envelope.Payload = payload
-		sealed, err := Seal(buffer[:0], envelope)
-		if err != nil {
-			return
-		}
-		buffer = sealed
-		_, _ = f.Agents.WriteToUDPAddrPort(sealed, verdict.Endpoint.Datagram)
+// inbound handles datagrams from the fabric. One goroutine owns it.
+type inbound struct {
+	*Forwarder
+	opener   *steering.Opener
+	edges    edgeCache
+	envelope Envelope
+	buffer   []byte
+}
+
+func (f *Forwarder) newInbound() *inbound {
+	return &inbound{Forwarder: f, opener: f.Sealer.NewOpener()}
+}
+
+func (i *inbound) handle(raw []byte, _ netip.AddrPort) {
+	sealed, to, reason := i.forward(raw)
+	i.Counters.Count(reason)
+	if sealed != nil {
+		_, _ = i.Agents.WriteToUDPAddrPort(sealed, to)
 	}
 }
 
-func (f *Forwarder) steer(raw []byte) (steering.Verdict, Edge, []byte) {
-	table := f.Table.Load()
+// forward returns the datagram in its envelope and where it goes, or nil.
+func (i *inbound) forward(raw []byte) (sealed []byte, to netip.AddrPort, reason steering.Reason) {
+	verdict, edge, payload := i.steer(raw)
+	if verdict.Dropped() {
+		return nil, netip.AddrPort{}, verdict.Reason
+	}
+	i.envelope = Envelope{
+		Service:   verdict.Service.Key,
+		Caller:    edge.Source,
+		Ticket:    verdict.Service.Ticket,
+		Endpoint:  verdict.Endpoint.Key,
+		OwnerGone: verdict.Reason == steering.OwnerGone,
+		Payload:   payload,
+	}
+	i.buffer = i.envelope.Append(i.buffer[:0])
+	return i.buffer, verdict.Endpoint.Datagram, verdict.Reason
+}
+
+func (i *inbound) steer(raw []byte) (steering.Verdict, Edge, []byte) {
+	table := i.Table.Load()
 	if table == nil {
 		return steering.Verdict{Reason: steering.NoTable}, Edge{}, nil
 	}
-	edge, payload, ok := ParseEdge(raw)
+	edge, payload, ok := i.edges.parse(raw)
 	if !ok {
 		return steering.Verdict{Reason: steering.Malformed}, Edge{}, nil
 	}
-	packet, ok := Classify(payload, edge.Source, edge.Destination, f.Sealer)
+	packet, ok := Classify(payload, edge.Source, edge.Destination, i.opener)
 	if !ok {
 		return steering.Verdict{Reason: steering.Malformed}, edge, nil
 	}
 	return table.Decide(packet), edge, payload
 }
 
-// outbound returns the handler of datagrams from agents, with buffers of its
-// own.
-func (f *Forwarder) outbound() func([]byte, netip.AddrPort) {
-	var buffer []byte
-	envelope := new(steeringpb.Envelope)
-	return func(raw []byte, from netip.AddrPort) {
-		if !Open(raw, envelope) {
-			f.Counters.Count(steering.Malformed)
-			return
-		}
-		edge, reason := f.reply(envelope, from)
-		if reason != steering.Forwarded {
-			f.Counters.Count(reason)
-			return
-		}
-		header, err := FormatEdge(edge)
-		if err != nil {
-			f.Counters.Count(steering.Malformed)
-			return
-		}
-		buffer = append(append(buffer[:0], header...), envelope.Payload...)
-		_, _ = f.Edge.WriteToUDPAddrPort(buffer, f.Fabric)
-		f.Counters.CountReply()
+// outbound handles datagrams from agents. One goroutine owns it.
+type outbound struct {
+	*Forwarder
+	edges    edgeCache
+	envelope Envelope
+	buffer   []byte
+}
+
+func (f *Forwarder) newOutbound() *outbound { return &outbound{Forwarder: f} }
+
+func (o *outbound) handle(raw []byte, from netip.AddrPort) {
+	datagram, reason := o.forward(raw, from)
+	if reason != steering.Forwarded {
+		o.Counters.Count(reason)
+		return
 	}
+	_, _ = o.Edge.WriteToUDPAddrPort(datagram, o.Fabric)
+	o.Counters.CountReply()
 }
 
-// reply checks that the sender is the endpoint it says it is, so that a
+// forward returns the datagram for the fabric, or why there is none.
+func (o *outbound) forward(raw []byte, from netip.AddrPort) ([]byte, steering.Reason) {
+	if !o.envelope.Parse(raw) {
+		return nil, steering.Malformed
+	}
+	service, reason := o.sender(unmapped(from))
+	if reason != steering.Forwarded {
+		return nil, reason
+	}
+	if o.envelope.IsBehind {
+		o.Offer(steering.Behind{Service: service.Key, Ticket: o.envelope.Behind})
+		return nil, steering.Reported
+	}
+	if !o.envelope.Caller.IsValid() || len(o.envelope.Payload) == 0 {
+		return nil, steering.Malformed
+	}
+	header, err := o.edges.format(Edge{Source: service.Address, Destination: o.envelope.Caller})
+	if err != nil {
+		return nil, steering.Malformed
+	}
+	o.buffer = append(append(o.buffer[:0], header...), o.envelope.Payload...)
+	return o.buffer, steering.Forwarded
+}
+
+// sender checks that the sender is the endpoint it says it is, so that a
 // balancer never relays for strangers.
-func (f *Forwarder) reply(envelope *steeringpb.Envelope, from netip.AddrPort) (Edge, steering.Reason) {
-	table := f.Table.Load()
+func (o *outbound) sender(from netip.AddrPort) (*steering.Service, steering.Reason) {
+	table := o.Table.Load()
 	if table == nil {
-		return Edge{}, steering.NoTable
+		return nil, steering.NoTable
 	}
-	endpoint := table.EndpointOf(envelope.Endpoint)
+	endpoint := table.Endpoint(o.envelope.Endpoint)
 	if endpoint == nil || endpoint.Datagram != from {
-		return Edge{}, steering.UnknownOwner
+		return nil, steering.Stranger
 	}
-	if uint64(endpoint.Service) != envelope.Service {
-		return Edge{}, steering.ForeignOwner
+	if endpoint.Service != o.envelope.Service {
+		return nil, steering.ForeignOwner
 	}
 	service := table.Service(endpoint.Service)
 	if service == nil {
-		return Edge{}, steering.UnknownService
-	}
-	caller, ok := DecodeCaller(envelope.Caller)
-	if !ok {
-		return Edge{}, steering.Malformed
+		return nil, steering.UnknownService
 	}
-	return Edge{Source: service.Address, Destination: caller}, steering.Forwarded
+	return service, steering.Forwarded
 }
--- a/steering/datagram/quic.go
+++ b/steering/datagram/quic.go
@@ -21,14 +21,14 @@
 
 // Classify reads a caller's datagram as an abstract packet; ok is false when
 // it is no QUIC datagram.
-func Classify(payload []byte, caller, address netip.AddrPort, sealer *steering.Sealer) (p steering.Packet, ok bool) {
+func Classify(payload []byte, caller, address netip.AddrPort, opener *steering.Opener) (p steering.Packet, ok bool) {
 	id, opening := connectionID(payload)
 	if id == nil {
 		return steering.Packet{}, false
 	}
 	p.Address = address
 	p.Opening = opening
-	p.Owner, p.HasOwner = sealer.Open(id)
+	p.Owner, p.HasOwner = opener.Open(id)
 	if opening {
 		p.Flow = FlowKeyOf(id, caller)
 	}
--- a/steering/decide.go
+++ b/steering/decide.go
@@ -10,52 +10,28 @@
 	Flow FlowKey
 	// Opening tells that the datagram may begin a flow.
 	Opening bool
+	// Tokenless tells that the front end's flows never carry a token, so
+	// that every datagram of a flow has the same Flow.
+	Tokenless bool
 	// Owner is who holds the flow's state, when HasOwner is set.
 	Owner    Owner
 	HasOwner bool
 }
 
-// Reason says why a datagram was dropped.
-type Reason int
-
-const (
-	// Forwarded: the datagram has an endpoint.
-	Forwarded Reason = iota
-	// UnknownService: no service has the address.
-	UnknownService
-	// UnknownOwner: the token is forged or names an endpoint forgotten long
-	// ago.
-	UnknownOwner
-	// ForeignOwner: the token names an endpoint of another service.
-	ForeignOwner
-	// NoOwner: the datagram belongs to an open flow but carries no token.
-	NoOwner
-	// NoEndpoint: no endpoint of the service may be tried.
-	NoEndpoint
-	// Malformed: the front end could not read the datagram.
-	Malformed
-	// NoTable: no table has been received yet.
-	NoTable
-	// Reasons is the number of reasons.
-	Reasons
-)
-
-var reasonNames = [Reasons]string{
-	"forwarded", "unknown_service", "unknown_owner", "foreign_owner",
-	"no_owner", "no_endpoint", "malformed", "no_table",
-}
-
-func (r Reason) String() string { return reasonNames[r] }
-
-// Verdict is where a datagram goes; Endpoint is nil unless Reason is Forwarded.
+// Verdict is where a datagram goes; Endpoint is nil unless Reason is Forwarded
+// or OwnerGone. With OwnerGone the endpoint resets the flow.
 type Verdict struct {
 	Service  *Service
 	Endpoint *Endpoint
 	Reason   Reason
 }
 
+// Dropped tells whether the datagram goes nowhere.
+func (v Verdict) Dropped() bool { return v.Endpoint == nil }
+
 // Decide finds the endpoint for a packet. A packet with an owner goes to that
-// owner and nowhere else; one that opens a flow goes to the flow's home.
+// owner and nowhere else, unless the owner has ended; one that opens a flow
+// goes to the flow's home.
 func (t *Table) Decide(p Packet) Verdict {
 	service := t.ServiceAt(p.Address)
 	if service == nil {
@@ -64,30 +40,33 @@
 	if p.HasOwner {
 		return t.decideOwned(service, p)
 	}
-	if !p.Opening {
+	if !p.Opening && !p.Tokenless {
 		return Verdict{Service: service, Reason: NoOwner}
 	}
-	return decideOpening(service, p.Flow)
+	return decideHome(service, p.Flow, Forwarded)
 }
 
 func (t *Table) decideOwned(service *Service, p Packet) Verdict {
 	endpoint := t.Endpoint(p.Owner.Endpoint)
 	if endpoint == nil {
 		if p.Opening {
-			return decideOpening(service, p.Flow)
+			return decideHome(service, p.Flow, Forwarded)
 		}
 		return Verdict{Service: service, Reason: UnknownOwner}
 	}
 	if endpoint.Service != service.Key {
 		return Verdict{Service: service, Reason: ForeignOwner}
 	}
+	if p.Owner.Incarnation <= endpoint.GoneThrough && !p.Opening {
+		return decideHome(service, FlowKey(endpoint.Key), OwnerGone)
+	}
 	return Verdict{Service: service, Endpoint: endpoint}
 }
 
-func decideOpening(service *Service, flow FlowKey) Verdict {
-	endpoint := service.home(flow)
+func decideHome(service *Service, flow FlowKey, reason Reason) Verdict {
+	endpoint := service.Home(flow)
 	if endpoint == nil {
 		return Verdict{Service: service, Reason: NoEndpoint}
 	}
-	return Verdict{Service: service, Endpoint: endpoint}
+	return Verdict{Service: service, Endpoint: endpoint, Reason: reason}
 }
--- a/steering/table.go
+++ b/steering/table.go
@@ -4,13 +4,9 @@
 package steering
 
 import (
-	"encoding/binary"
-	"math"
 	"net/netip"
 
 	"cactustray/ticket"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Endpoint is one backend server as the traffic side sees it. It is immutable.
@@ -22,6 +18,10 @@
 	Weight   uint32
 	// TakesNew is false while the endpoint drains or is suspected.
 	TakesNew bool
+	// Left tells that no ticket in force names the endpoint any more.
+	Left bool
+	// GoneThrough is the last incarnation known to have ended, or 0.
+	GoneThrough Incarnation
 }
 
 // Service is one service as the traffic side sees it. It is immutable.
@@ -30,114 +30,122 @@
 	Name    string
 	Address netip.AddrPort
 	Ticket  ticket.Number
-	// Homes are the endpoints that take new flows.
-	Homes []*Endpoint
-}
 
-// Table is the snapshot that datagrams are steered by. It is immutable.
-type Table struct {
-	byAddress map[netip.AddrPort]*Service
-	services  map[ticket.ServiceKey]*Service
-	endpoints map[ticket.EndpointKey]*Endpoint
+	source     *ticket.Ticket
+	endpoints  []*Endpoint
+	candidates []candidate
+	uniform    bool
 }
 
+// Homes returns how many endpoints take new flows.
+func (s *Service) Homes() int { return len(s.candidates) }
+
+// Endpoints returns the endpoints that the ticket names; the caller must not
+// change the slice.
+func (s *Service) Endpoints() []*Endpoint { return s.endpoints }
+
 // View says how an endpoint stands now, apart from its ticket.
 type View interface {
 	// TakesNew is false for an endpoint that is leaving or suspected.
 	TakesNew(ticket.EndpointKey) bool
+	// GoneThrough returns the last incarnation of an endpoint that has said
+	// that it ended, or 0. Silence is no proof of an end.
+	GoneThrough(ticket.EndpointKey) Incarnation
 }
 
-// BuildTable makes the table of all tickets in force. Endpoints of previous
-// that no ticket names any more stay reachable for their open flows.
-func BuildTable(register *ticket.Register, view View, previous *Table) *Table {
-	t := &Table{
-		byAddress: make(map[netip.AddrPort]*Service),
-		services:  make(map[ticket.ServiceKey]*Service),
-		endpoints: make(map[ticket.EndpointKey]*Endpoint),
-	}
-	if previous != nil {
-		for key, endpoint := range previous.endpoints {
-			left := *endpoint
-			left.TakesNew = false
-			t.endpoints[key] = &left
-		}
-	}
-	register.Each(func(key ticket.ServiceKey, entry *ticket.Entry) {
-		t.addService(key, entry.Ticket, view)
-	})
-	return t
-}
-
-func (t *Table) addService(key ticket.ServiceKey, tk *ticket.Ticket, view View) {
-	if tk.Removed {
-		return
-	}
-	service := &Service{Key: key, Name: tk.Service, Address: tk.Address, Ticket: tk.Number}
-	var standby []*Endpoint
-	for _, e := range tk.Endpoints {
-		endpoint := t.addEndpoint(service, e, view)
+// NewService makes the snapshot of one service from its ticket.
+func NewService(t *ticket.Ticket, view View) *Service {
+	service := &Service{Key: t.Key(), Name: t.Service, Address: t.Address, Ticket: t.Number, source: t}
+	var trusted, standby []*Endpoint
+	for _, e := range t.Endpoints {
+		endpoint := newEndpoint(service, e, view)
+		service.endpoints = append(service.endpoints, endpoint)
 		if endpoint.TakesNew {
-			service.Homes = append(service.Homes, endpoint)
+			trusted = append(trusted, endpoint)
 		} else if !e.Draining {
 			standby = append(standby, endpoint)
 		}
 	}
 	// With no endpoint left to trust, doubt the observer and go on serving.
-	if len(service.Homes) == 0 {
-		service.Homes = standby
+	if len(trusted) == 0 {
+		trusted = standby
 	}
-	t.byAddress[tk.Address] = service
-	t.services[key] = service
+	service.setCandidates(trusted)
+	return service
 }
 
-func (t *Table) addEndpoint(service *Service, e ticket.Endpoint, view View) *Endpoint {
+func newEndpoint(service *Service, e ticket.Endpoint, view View) *Endpoint {
 	key := ticket.EndpointKeyOf(service.Name, e.Name)
-	endpoint := &Endpoint{
-		Key:      key,
-		Name:     e.Name,
-		Service:  service.Key,
-		Datagram: e.Datagram,
-		Weight:   e.Weight,
-		TakesNew: !e.Draining && view.TakesNew(key),
+	return &Endpoint{
+		Key:         key,
+		Name:        e.Name,
+		Service:     service.Key,
+		Datagram:    e.Datagram,
+		Weight:      e.Weight,
+		TakesNew:    !e.Draining && view.TakesNew(key),
+		GoneThrough: view.GoneThrough(key),
+	}
+}
+
+func (s *Service) setCandidates(endpoints []*Endpoint) {
+	s.uniform = true
+	for _, endpoint := range endpoints {
+		s.candidates = append(s.candidates, newCandidate(endpoint))
+		s.uniform = s.uniform && endpoint.Weight == endpoints[0].Weight
+	}
+}
+
+// stands tells whether a snapshot of the ticket made now would be the same.
+func (s *Service) stands(t *ticket.Ticket, view View) bool {
+	if s.source != t {
+		return false
+	}
+	for i, endpoint := range s.endpoints {
+		takesNew := !t.Endpoints[i].Draining && view.TakesNew(endpoint.Key)
+		if endpoint.TakesNew != takesNew || endpoint.GoneThrough != view.GoneThrough(endpoint.Key) {
+			return false
+		}
+	}
+	return true
+}
+
+// Table is the snapshot that datagrams are steered by. It is immutable; the
+// next table shares what did not change.
+type Table struct {
+	byAddress *index[netip.AddrPort, *Service]
+	services  *index[ticket.ServiceKey, *Service]
+	endpoints *index[ticket.EndpointKey, *Endpoint]
+}
+
+func emptyTable() *Table {
+	return &Table{
+		byAddress: newIndex[netip.AddrPort, *Service](addressHash),
+		services:  newIndex[ticket.ServiceKey, *Service](serviceHash),
+		endpoints: newIndex[ticket.EndpointKey, *Endpoint](endpointHash),
 	}
-	t.endpoints[key] = endpoint
-	return endpoint
 }
 
 // ServiceAt returns the service callers reach at an address, or nil.
-func (t *Table) ServiceAt(address netip.AddrPort) *Service { return t.byAddress[address] }
+func (t *Table) ServiceAt(address netip.AddrPort) *Service { return t.byAddress.get(address) }
 
 // Service returns the service with a key, or nil.
-func (t *Table) Service(key ticket.ServiceKey) *Service { return t.services[key] }
+func (t *Table) Service(key ticket.ServiceKey) *Service { return t.services.get(key) }
 
 // Endpoint returns the endpoint with a key, known now or lately, or nil.
-func (t *Table) Endpoint(key ticket.EndpointKey) *Endpoint { return t.endpoints[key] }
-
-// EndpointOf returns the endpoint with a key as it stands on the wire, or nil.
-func (t *Table) EndpointOf(key uint64) *Endpoint { return t.Endpoint(ticket.EndpointKey(key)) }
-
-// FlowKey is the hash of what a front end knows a flow by.
-type FlowKey uint64
-
-// home returns the endpoint for a new flow by weighted rendezvous hashing: a
-// change of the endpoints moves only the flows it must.
-func (s *Service) home(flow FlowKey) *Endpoint {
-	var best *Endpoint
-	lowest := math.Inf(1)
-	for _, endpoint := range s.Homes {
-		cost := rendezvousCost(flow, endpoint)
-		if cost < lowest {
-			best, lowest = endpoint, cost
-		}
-	}
-	return best
-}
+func (t *Table) Endpoint(key ticket.EndpointKey) *Endpoint { return t.endpoints.get(key) }
 
-func rendezvousCost(flow FlowKey, endpoint *Endpoint) float64 {
-	var pair [16]byte
-	binary.LittleEndian.PutUint64(pair[:], uint64(flow))
-	binary.LittleEndian.PutUint64(pair[8:], uint64(endpoint.Key))
-	const unit = 1 << 53
-	uniform := (float64(xxhash.Sum64(pair[:])>>11) + 0.5) / unit
-	return -math.Log(uniform) / float64(endpoint.Weight)
+// Services returns how many services the table has.
+func (t *Table) Services() int { return t.services.length }
+
+// Endpoints returns how many endpoints the table has, known now or lately.
+func (t *Table) Endpoints() int { return t.endpoints.length }
+
+func addressHash(address netip.AddrPort) uint8 {
+	ip := address.Addr().As16()
+	return ip[15] ^ ip[14]<<1 ^ ip[13] ^ uint8(address.Port())
 }
+
+// Keys are hashes, so any of their bytes spreads them.
+func serviceHash(key ticket.ServiceKey) uint8 { return uint8(key) }
+
+func endpointHash(key ticket.EndpointKey) uint8 { return uint8(key) }
--- a/steering/token.go
+++ b/steering/token.go
@@ -91,16 +91,29 @@
 // owner that does not exist, so the caller looks the endpoint up; ok is false
 // when there is no such key or the length is wrong.
 func (s *Sealer) Open(token []byte) (owner Owner, ok bool) {
+	return s.NewOpener().Open(token)
+}
+
+// Opener opens tokens without allocating. It is for one goroutine.
+type Opener struct {
+	sealer *Sealer
+	plain  [aes.BlockSize]byte
+}
+
+// NewOpener returns an opener for one goroutine.
+func (s *Sealer) NewOpener() *Opener { return &Opener{sealer: s} }
+
+// Open is Sealer.Open.
+func (o *Opener) Open(token []byte) (owner Owner, ok bool) {
 	if len(token) != TokenSize {
 		return Owner{}, false
 	}
-	block := s.blocks[token[0]]
+	block := o.sealer.blocks[token[0]]
 	if block == nil {
 		return Owner{}, false
 	}
-	var plain [aes.BlockSize]byte
-	block.Decrypt(plain[:], token[1:])
-	owner.Endpoint = ticket.EndpointKey(binary.BigEndian.Uint64(plain[:]))
-	owner.Incarnation = Incarnation(binary.BigEndian.Uint32(plain[8:]))
+	block.Decrypt(o.plain[:], token[1:])
+	owner.Endpoint = ticket.EndpointKey(binary.BigEndian.Uint64(o.plain[:]))
+	owner.Incarnation = Incarnation(binary.BigEndian.Uint32(o.plain[8:]))
 	return owner, true
 }
