--- a/steering/decide.go
+++ b/steering/decide.go
@@ -57,7 +57,7 @@
 	if endpoint.Service != service.Key {
 		return Verdict{Service: service, Reason: ForeignOwner}
 	}
-	if p.Owner.Incarnation <= endpoint.GoneThrough && !p.Opening {
+	if endpoint.ended(p.Owner) && !p.Opening {
 		return decideHome(service, FlowKey(endpoint.Key), OwnerGone)
 	}
 	return Verdict{Service: service, Endpoint: endpoint}
--- a/steering/table.go
+++ b/steering/table.go
@@ -24,6 +24,11 @@
 	GoneThrough Incarnation
 }
 
+// ended tells whether the owner's process is known to have ended.
+func (e *Endpoint) ended(owner Owner) bool {
+	return e.GoneThrough > 0 && owner.Incarnation <= e.GoneThrough
+}
+
 // Service is one service as the traffic side sees it. It is immutable.
 type Service struct {
 	Key     ticket.ServiceKey
