Refuse envelope fields with numbers beyond protobuf's

Cause: FuzzEnvelope found, in a second, bytes that Parse took and the protobuf library refuses: a field number above the largest valid one.

Change: Parse checks the number.

--- a/steering/datagram/envelope.go
+++ b/steering/datagram/envelope.go
@@ -137,7 +137,7 @@
 	*e = Envelope{}
 	for len(raw) > 0 {
 		field, kind, n := protowire.ConsumeTag(raw)
-		if n < 0 {
+		if n < 0 || field > protowire.MaxValidNumber {
 			return false
 		}
 		raw = raw[n:]
