--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,6 +37,7 @@
 	}
 	reports := make(chan report)
 	draining := newDraining()
+	loads := make(chan loadReport)
 	reporter := &reporter{
 		node:    s.Node,
 		service: ticket.ServiceKeyOf(s.Agent.Service),
@@ -49,8 +50,9 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
-	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports, draining)) })
+	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports, loads, draining)) })
 	group.Go(func() error { return reporter.run(running, reports) })
+	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
 	group.Go(func() error { return rpc.Serve(running, s.Control, id, controlHandler(loop)) })
 	group.Go(func() error { return callers.serve(running, draining.phases) })
 	group.Go(func() error {
--- a/agent/control.go
+++ b/agent/control.go
@@ -9,6 +9,7 @@
 	"cactustray/event"
 	"cactustray/liveness"
 	"cactustray/membership"
+	"cactustray/placement"
 	"cactustray/settings"
 	"cactustray/status"
 	"cactustray/steering"
@@ -18,8 +19,8 @@
 
 // published are the snapshots that traffic goroutines read.
 type published struct {
-	ticket atomic.Pointer[ticket.Ticket]
-	routes atomic.Pointer[datagram.Routes]
+	ticket    atomic.Pointer[ticket.Ticket]
+	residence datagram.Residence
 }
 
 // state is all control state of an agent. Only the control goroutine touches
@@ -35,13 +36,16 @@
 	tickets   *ticket.Register
 	admission *admission.State
 	replies   map[admission.RequestID]chan<- admission.Decision
+	placement *placement.State
 
 	published *published
 	// report asks the heartbeat goroutine to send the fact and the ticket.
 	report chan<- report
+	// loads asks the placement goroutine to send a load report.
+	loads chan<- loadReport
 }
 
-func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, d *draining) *state {
+func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport, d *draining) *state {
 	return &state{
 		settings:  s,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
@@ -52,8 +56,10 @@
 		tickets:   ticket.NewRegister(),
 		admission: admission.NewState(admission.Limits{}),
 		replies:   make(map[admission.RequestID]chan<- admission.Decision),
+		placement: placement.NewState(owner.Endpoint),
 		published: p,
 		report:    reports,
+		loads:     loads,
 	}
 }
 
@@ -76,8 +82,14 @@
 		delete(s.replies, m.ID)
 	case stopRequested:
 		s.requestStop(now, m)
+	case gone:
+		s.sayGone(now)
+	case placement.Heard:
+		s.placement.Hear(now, m)
+	case steering.Behind:
+		s.behind(m)
 	case status.Asked:
-		m.Reply <- s.statusReport(now)
+		m.Reply <- s.statusReport(now, m)
 	}
 }
 
@@ -87,16 +99,18 @@
 	s.tickets.Seal(now)
 	s.tickDrain(now)
 	s.tickReports(now, gap)
+	s.placeByLoad(now)
 }
 
-func (s *state) statusReport(now time.Time) status.Report {
+func (s *state) statusReport(now time.Time, asked status.Asked) status.Report {
 	return status.Report{
 		Node:    s.settings.Node,
 		Role:    membership.RoleAgent,
 		Zone:    s.settings.Zone,
 		State:   s.reporting.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
-		Tickets: status.InForceOf(now, s.tickets),
-		Flows:   int64(s.admission.Running()),
+		Tickets: asked.InForceOf(now, s.tickets),
+		Load:    status.Load{Requests: int64(s.admission.Running())},
+		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
--- a/agent/liveness.go
+++ b/agent/liveness.go
@@ -121,9 +121,9 @@
 // publishRoutes lets replies leave through the balancers that answer.
 func (s *state) publishRoutes(now time.Time) {
 	replies := s.reporting.paths.Replies(now)
-	known := s.published.routes.Load()
+	known := s.published.residence.Routes.Load()
 	if len(replies) == 0 || known != nil && slices.Equal(known.Balancers, replies) {
 		return
 	}
-	s.published.routes.Store(&datagram.Routes{Balancers: replies})
+	s.published.residence.Routes.Store(&datagram.Routes{Balancers: replies})
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -38,18 +38,18 @@
 // Run runs a balancer until the context ends.
 func Run(ctx context.Context, s *settings.Settings, sealer *steering.Sealer, id *identity.Identity, log *event.Log) error {
 	table := new(atomic.Pointer[steering.Table])
-	forwarder, err := newForwarder(s, sealer, table)
+	loop := control.NewLoop(tickInterval)
+	forwarder, err := newForwarder(s, sealer, table, loop)
 	if err != nil {
 		return err
 	}
-	loop := control.NewLoop(tickInterval)
 	reader := platform.NewReader(s.Platform.URL, s.Platform.Prefix)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	log.Emit(EventBalancerStarted, event.Fields{"edge": s.Balancer.Edge})
 	defer log.Emit(EventBalancerStopped, nil)
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	peers := newPeers(s.Node, table)
+	peers := newPeers(s.Node)
 	caller := &peerCaller{client: rpc.NewClient(id), loop: loop, log: log}
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return loop.Run(running, newState(s, log, table, peers)) })
@@ -79,7 +79,7 @@
 	return mux
 }
 
-func newForwarder(s *settings.Settings, sealer *steering.Sealer, table *atomic.Pointer[steering.Table]) (*datagram.Forwarder, error) {
+func newForwarder(s *settings.Settings, sealer *steering.Sealer, table *atomic.Pointer[steering.Table], loop *control.Loop) (*datagram.Forwarder, error) {
 	edge, err := listen(s.Balancer.Edge)
 	if err != nil {
 		return nil, err
@@ -95,6 +95,7 @@
 		Table:    table,
 		Sealer:   sealer,
 		Counters: new(steering.Counters),
+		Offer:    loop.Offer,
 	}, nil
 }
 
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -28,6 +28,7 @@
 	observer *liveness.Observer
 	members  *membership.State
 	peers    *peers
+	steering *steering.State
 
 	table *atomic.Pointer[steering.Table]
 }
@@ -42,6 +43,7 @@
 		observer: liveness.NewObserver(),
 		members:  membership.NewState(),
 		peers:    p,
+		steering: steering.NewState(),
 		table:    table,
 	}
 	st.members.SetSelf(selfNode(s))
@@ -67,8 +69,10 @@
 		s.called(now, m)
 	case leave:
 		s.leave(now, m)
+	case steering.Behind:
+		s.behind(m)
 	case status.Asked:
-		m.Reply <- s.report(now)
+		m.Reply <- s.report(now, m)
 	}
 }
 
@@ -76,20 +80,17 @@
 func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.tickets.Seal(now)
 	s.tickLiveness(now, gap)
+	s.forgetLeft(now)
 }
 
-func (s *state) publish() {
-	s.table.Store(steering.BuildTable(s.tickets, s.observer, s.table.Load()))
-}
-
-func (s *state) report(now time.Time) status.Report {
+func (s *state) report(now time.Time, asked status.Asked) status.Report {
 	return status.Report{
 		Node:    s.node,
 		Role:    membership.RoleBalancer,
 		Zone:    s.zone,
 		State:   s.peers.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
-		Tickets: status.InForceOf(now, s.tickets),
-		Nodes:   s.members.Nodes(),
+		Tickets: asked.InForceOf(now, s.tickets),
+		Nodes:   asked.KnownOf(s.members.Nodes(), s.tickets),
 	}
 }
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -20,4 +20,5 @@
 	EventPaused              = event.Define(1404, logrus.WarnLevel, "process was paused")
 	EventBalancerLeaving     = event.Define(1405, logrus.InfoLevel, "balancer leaving")
 	EventListRefused         = event.Define(1601, logrus.WarnLevel, "list of VMs refused")
+	EventBehind              = event.Define(1201, logrus.InfoLevel, "table behind an agent's ticket")
 )
