--- a/agent/control.go
+++ b/agent/control.go
@@ -110,7 +110,16 @@
 		State:   s.reporting.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
 		Tickets: asked.InForceOf(now, s.tickets),
-		Load:    status.Load{Requests: int64(s.admission.Running())},
+		Load:    s.statusLoad(),
 		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
+
+func (s *state) statusLoad() status.Load {
+	_, queued := s.admission.Jobs()
+	return status.Load{
+		Flows:    int64(s.published.residence.Connections.Open()),
+		Requests: int64(s.admission.Running()),
+		Queued:   int64(queued),
+	}
+}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -78,9 +79,14 @@
 
 // records lists how often each confirmation was recorded.
 func (s *Server) records(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(s.Records())
+}
+
+// Records returns how often each confirmation was recorded.
+func (s *Server) Records() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(s.recorded)
+	return maps.Clone(s.recorded)
 }
 
 func (s *Server) drain(http.ResponseWriter, *http.Request) {
--- /dev/null
+++ b/standin/e2e/failure_test.go
@@ -0,0 +1,162 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"cactustray/standin/fabric"
+	"cactustray/standin/fleet"
+	"cactustray/standin/layout"
+	"cactustray/standin/platform"
+
+	"github.com/quic-go/quic-go"
+	"github.com/shoenig/test/must"
+)
+
+// Killed and frozen processes break no feed but those of the agent that died,
+// and callers are told the truth of every confirmation.
+func TestKilledAndFrozen(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, layout.Size{Balancers: 3, Services: []string{"orders"}, Backends: 4})
+	open := openFeeds(t, f, "orders", 24)
+	sent := startConfirmations(f, "orders", "failures")
+	t.Run("a balancer is killed and started anew", func(t *testing.T) {
+		f.Signal("entry-1", syscall.SIGKILL)
+		f.AwaitExit("entry-1")
+		open.mustFlow(t, f)
+		sent.awaitMore(f, 100)
+		f.Run("entry-1")
+		f.AwaitTicket("orders", 1)
+		open.mustFlow(t, f)
+	})
+	t.Run("a balancer is frozen across a ticket", func(t *testing.T) {
+		f.Signal("entry-2", syscall.SIGSTOP)
+		open.mustFlow(t, f)
+		f.Publish(draining(f.Tickets["orders"], 2, ""))
+		f.Await(func() bool { return f.InForce(f.Balancers[2].Control, "orders") == 2 })
+		sent.awaitMore(f, 100)
+		f.Signal("entry-2", syscall.SIGCONT)
+		f.AwaitTicket("orders", 2)
+		open.mustFlow(t, f)
+	})
+	t.Run("an agent is frozen for a while", func(t *testing.T) {
+		frozen := f.Backends[3].Name
+		_, other := open.split(frozen)
+		f.Signal(frozen, syscall.SIGSTOP)
+		other.mustFlow(t, f)
+		f.Signal(frozen, syscall.SIGCONT)
+		open.mustFlow(t, f)
+	})
+	t.Run("an agent is killed and started anew", func(t *testing.T) {
+		killed := f.Backends[0].Name
+		on, other := open.split(killed)
+		f.Signal(killed, syscall.SIGKILL)
+		f.AwaitExit(killed)
+		other.mustFlow(t, f)
+		sent.awaitMore(f, 100)
+		f.Run(killed)
+		for _, fd := range on {
+			<-fd.done
+			must.False(t, errors.Is(fd.broken, &quic.IdleTimeoutError{}), must.Sprint(fd.broken))
+		}
+		other.mustFlow(t, f)
+		open = other
+	})
+	counts := sent.finish(t, f)
+	must.Positive(t, counts[confirmed])
+	t.Logf("confirmations: %d confirmed, %d not run, %d unknown", counts[confirmed], counts[notRun], counts[unknown])
+	open.stop()
+}
+
+// Work that was queued when its agent froze, and whose deadline passed
+// meanwhile, never runs.
+func TestFrozenAcrossADeadline(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, layout.Size{Balancers: 2, Services: []string{"orders"}, Backends: 1})
+	agent := f.Backends[0].Name
+	const busyWork, busyTimeout, timeout = 1500, 60_000, 1000
+	busy := make(chan outcome, layout.Slots)
+	for i := range layout.Slots {
+		key := string(rune('a' + i))
+		go func() { busy <- confirm(context.Background(), f, "orders", key, busyWork, busyTimeout) }()
+		f.Await(func() bool { return f.Servers[agent].Records()[key] == 1 })
+	}
+	queued := make(chan outcome, 1)
+	go func() { queued <- confirm(context.Background(), f, "orders", "late", 1, timeout) }()
+	f.Await(func() bool { return f.Queued(f.Backends[0].Settings.Control) == 1 })
+	f.Signal(agent, syscall.SIGSTOP)
+	time.Sleep(2 * busyWork * time.Millisecond) // the length of the fault
+	f.Signal(agent, syscall.SIGCONT)
+	must.EqOp(t, notRun, <-queued)
+	must.EqOp(t, 0, f.Servers[agent].Records()["late"])
+	for range layout.Slots {
+		must.EqOp(t, confirmed, <-busy)
+	}
+}
+
+// Ways between the fabric and balancers are cut, and datagrams are lost,
+// doubled and overtaken: feeds and confirmations go on.
+func TestCutsAndNoise(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, layout.Size{Balancers: 3, Services: []string{"orders"}, Backends: 2})
+	open := openFeeds(t, f, "orders", 8)
+	sent := startConfirmations(f, "orders", "cuts")
+	faults := f.Fabric.Faults()
+	edge := f.Balancers[0].Balancer.Edge
+	cut := func(ways ...fabric.Direction) func(bool) {
+		return func(on bool) {
+			for _, way := range ways {
+				faults.Cut(way, edge, on)
+			}
+		}
+	}
+	noise := func(n fabric.Noise) func(bool) {
+		return func(on bool) {
+			if !on {
+				n = fabric.Noise{}
+			}
+			faults.SetNoise(n)
+		}
+	}
+	for name, set := range map[string]func(bool){
+		"cut towards a balancer": cut(fabric.To),
+		"cut from a balancer":    cut(fabric.From),
+		"cut both ways":          cut(fabric.To, fabric.From),
+		"lost":                   noise(fabric.Noise{Lost: 0.05}),
+		"doubled":                noise(fabric.Noise{Doubled: 0.3}),
+		"delayed and reordered":  noise(fabric.Noise{Delayed: 0.3, Delay: 20 * time.Millisecond}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			set(true)
+			open.mustFlow(t, f)
+			sent.awaitMore(f, 20)
+			set(false)
+			open.mustFlow(t, f)
+		})
+	}
+	counts := sent.finish(t, f)
+	t.Logf("confirmations: %d confirmed, %d not run, %d unknown", counts[confirmed], counts[notRun], counts[unknown])
+	open.stop()
+}
+
+// With the platform down, traffic goes on, and a balancer that starts takes
+// the tickets from its peers.
+func TestPlatformDown(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, layout.Size{Balancers: 3, Services: []string{"orders"}, Backends: 2})
+	open := openFeeds(t, f, "orders", 8)
+	f.Platform.SetMode(platform.Down)
+	f.Signal("entry-2", syscall.SIGKILL)
+	f.AwaitExit("entry-2")
+	f.Run("entry-2")
+	open.mustFlow(t, f)
+	f.Await(func() bool { return f.InForce(f.Balancers[1].Control, "orders") == 1 })
+	response := get(t, f, context.Background(), f.URL("orders", "/drawing?work=1"))
+	must.EqOp(t, http.StatusOK, response.StatusCode)
+	f.Platform.SetMode(platform.Healthy)
+	open.mustFlow(t, f)
+}
--- /dev/null
+++ b/standin/e2e/load_test.go
@@ -0,0 +1,238 @@
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"cactustray/admission/frontend"
+	"cactustray/standin/backend"
+	"cactustray/standin/fleet"
+
+	"github.com/shoenig/test/must"
+)
+
+// feed is one feed that is read until it is stopped.
+type feed struct {
+	endpoint string
+	lines    atomic.Int64
+	stopped  atomic.Bool
+	stop     context.CancelFunc
+	done     chan struct{}
+	// broken is why the feed ended before it was stopped. Read it after done.
+	broken error
+}
+
+// lineError reports a line of a feed that is not the next one.
+type lineError struct{ Want, Got string }
+
+func (e *lineError) Error() string { return "line " + e.Got + " in place of " + e.Want }
+
+// openFeed opens a feed from a caller of its own and waits for its first line.
+func openFeed(t *testing.T, f *fleet.Fleet, service string) *feed {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	fd := &feed{stop: cancel, done: make(chan struct{})}
+	response := get(t, f, ctx, f.URL(service, "/feed?lines=1000000&interval=20"))
+	fd.endpoint = response.Header.Get(frontend.EndpointHeader)
+	go fd.read(response.Body)
+	f.Await(func() bool { return fd.lines.Load() > 0 || fd.ended() })
+	return fd
+}
+
+// get repeats a request, from a new caller each time, until it is answered.
+func get(t *testing.T, f *fleet.Fleet, ctx context.Context, url string) *http.Response {
+	t.Helper()
+	var response *http.Response
+	f.Await(func() bool {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		must.NoError(t, err)
+		response, err = f.Caller().Do(request)
+		return err == nil && response.StatusCode == http.StatusOK
+	})
+	return response
+}
+
+func (fd *feed) read(body io.ReadCloser) {
+	defer close(fd.done)
+	defer body.Close()
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		want := strconv.FormatInt(fd.lines.Load(), 10)
+		if scanner.Text() != want {
+			fd.broken = &lineError{Want: want, Got: scanner.Text()}
+			return
+		}
+		fd.lines.Add(1)
+	}
+	if fd.stopped.Load() {
+		return
+	}
+	fd.broken = scanner.Err()
+	if fd.broken == nil {
+		fd.broken = io.ErrUnexpectedEOF
+	}
+}
+
+func (fd *feed) ended() bool {
+	select {
+	case <-fd.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// feeds are several feeds.
+type feeds []*feed
+
+func openFeeds(t *testing.T, f *fleet.Fleet, service string, count int) feeds {
+	t.Helper()
+	all := make(feeds, count)
+	var group sync.WaitGroup
+	for i := range all {
+		group.Go(func() { all[i] = openFeed(t, f, service) })
+	}
+	group.Wait()
+	return all
+}
+
+// onOther returns the feeds of all endpoints but one, and on the feeds of it.
+func (all feeds) split(endpoint string) (on, other feeds) {
+	for _, fd := range all {
+		if fd.endpoint == endpoint {
+			on = append(on, fd)
+		} else {
+			other = append(other, fd)
+		}
+	}
+	return on, other
+}
+
+// mustFlow waits until every feed has delivered more than it had.
+func (all feeds) mustFlow(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	const more = 5
+	before := make([]int64, len(all))
+	for i, fd := range all {
+		before[i] = fd.lines.Load()
+	}
+	for i, fd := range all {
+		f.Await(func() bool { return fd.lines.Load() >= before[i]+more || fd.ended() })
+		if fd.ended() {
+			t.Fatalf("feed on %s broke after %d lines: %v", fd.endpoint, fd.lines.Load(), fd.broken)
+		}
+	}
+}
+
+func (all feeds) stop() {
+	for _, fd := range all {
+		fd.stopped.Store(true)
+		fd.stop()
+		<-fd.done
+	}
+}
+
+// outcome is what a caller was told of one confirmation.
+type outcome int
+
+const (
+	confirmed outcome = iota
+	notRun
+	unknown
+)
+
+// confirm sends one confirmation, once, and returns what the caller learns.
+func confirm(ctx context.Context, f *fleet.Fleet, service, key string, work, timeout int) outcome {
+	url := f.URL(service, fmt.Sprintf("/confirm?work=%d", work))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return unknown
+	}
+	request.Header.Set(backend.IdempotencyHeader, key)
+	request.Header.Set(frontend.TimeoutHeader, strconv.Itoa(timeout))
+	response, err := f.Caller().Do(request)
+	if err != nil {
+		return unknown
+	}
+	defer response.Body.Close()
+	if response.Header.Get(frontend.OutcomeHeader) == frontend.OutcomeNotRun {
+		return notRun
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK || string(body) != "confirmed "+key+"\n" {
+		return unknown
+	}
+	return confirmed
+}
+
+// confirmations are sent all through a failure.
+type confirmations struct {
+	mu       sync.Mutex
+	outcomes map[string]outcome
+	stop     context.CancelFunc
+	group    sync.WaitGroup
+	settled  atomic.Int64
+}
+
+// startConfirmations sends confirmations, several at once, until finish.
+func startConfirmations(f *fleet.Fleet, service string, name string) *confirmations {
+	const senders, work, timeout = 4, 5, 5000
+	running, stop := context.WithCancel(context.Background())
+	c := &confirmations{outcomes: make(map[string]outcome), stop: stop}
+	for s := range senders {
+		c.group.Go(func() {
+			for i := 0; running.Err() == nil; i++ {
+				key := fmt.Sprintf("%s-%d-%d", name, s, i)
+				c.settle(key, confirm(context.Background(), f, service, key, work, timeout))
+			}
+		})
+	}
+	return c
+}
+
+func (c *confirmations) settle(key string, o outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes[key] = o
+	c.settled.Add(1)
+}
+
+// awaitMore waits until more confirmations were settled.
+func (c *confirmations) awaitMore(f *fleet.Fleet, more int64) {
+	limit := c.settled.Load() + more
+	f.Await(func() bool { return c.settled.Load() >= limit })
+}
+
+// finish stops sending and compares what callers were told with what the
+// backend servers recorded. It returns how many had each outcome.
+func (c *confirmations) finish(t *testing.T, f *fleet.Fleet) map[outcome]int {
+	t.Helper()
+	c.stop()
+	c.group.Wait()
+	recorded := make(map[string]int)
+	for _, server := range f.Servers {
+		for key, times := range server.Records() {
+			recorded[key] += times
+		}
+	}
+	counts := make(map[outcome]int)
+	for key, o := range c.outcomes {
+		counts[o]++
+		must.LessEq(t, 1, recorded[key], must.Sprintf("%s was recorded more than once", key))
+		switch o {
+		case confirmed:
+			must.EqOp(t, 1, recorded[key], must.Sprintf("%s was confirmed", key))
+		case notRun:
+			must.EqOp(t, 0, recorded[key], must.Sprintf("%s was said not to have run", key))
+		}
+	}
+	return counts
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -220,6 +220,15 @@
 	return 0
 }
 
+// Queued returns how many requests wait on an agent.
+func (f *Fleet) Queued(control netip.AddrPort) int64 {
+	response, err := f.Status(control)
+	if err != nil {
+		return 0
+	}
+	return response.GetQueued()
+}
+
 // Await waits until a condition holds.
 func (f *Fleet) Await(condition func() bool) {
 	f.t.Helper()
