--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -23,6 +23,7 @@
 	}
 	s.published.ticket.Store(entry.Ticket)
 	s.steerBy(entry.Ticket)
+	s.followTicket(now, entry.Ticket)
 	limits := admission.Limits{
 		Slots:     int(entry.Ticket.Limits.Slots),
 		QueueTime: time.Duration(entry.Ticket.Limits.QueueMillis) * time.Millisecond,
