Reset listeners' flows of a restarted agent; keep watches when heartbeats go out

Cause 1: a caller that only listens sends datagrams of 38 bytes, and the QUIC library answers none below 43 with a stateless reset: flows of an agent that was killed and started anew ended by their idle timeout of 30 s only. Change 1: datagrams delivered only to be reset are padded to 43 bytes. Cause 2: the goodbye to former watchers was written into the report that the heartbeats under way read, so every heartbeat ended the watch it should keep, and a killed agent was never suspected. Change 2: the goodbye is a report of its own; the test waits for the suspicion.

--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -46,9 +46,10 @@
 	for _, balancer := range next.targets {
 		group.Go(func() error { return r.reportTo(ctx, balancer, next) })
 	}
-	next.Last = true
+	farewell := next.Report
+	farewell.Last = true
 	for _, balancer := range next.last {
-		group.Go(func() error { return r.takeLeave(ctx, balancer, next) })
+		group.Go(func() error { return r.takeLeave(ctx, balancer, farewell) })
 	}
 }
 
@@ -71,9 +72,9 @@
 
 // takeLeave tells a balancer that others watch this agent from now on. One
 // that cannot be told suspects the agent, which then refutes it.
-func (r *reporter) takeLeave(ctx context.Context, balancer netip.AddrPort, next report) error {
+func (r *reporter) takeLeave(ctx context.Context, balancer netip.AddrPort, farewell heartbeat.Report) error {
 	limited, cancel := context.WithTimeout(ctx, rpc.CallTimeout)
 	defer cancel()
-	_, _ = heartbeat.NewClient(r.client, rpc.Base(balancer.String())).Send(limited, next.Report)
+	_, _ = heartbeat.NewClient(r.client, rpc.Base(balancer.String())).Send(limited, farewell)
 	return nil
 }
--- a/standin/e2e/failure_test.go
+++ b/standin/e2e/failure_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cactustray/balancer"
 	"cactustray/standin/fabric"
 	"cactustray/standin/fleet"
 	"cactustray/standin/layout"
@@ -56,8 +57,6 @@
 		on, other := open.split(killed)
 		f.Signal(killed, syscall.SIGKILL)
 		f.AwaitExit(killed)
-		other.mustFlow(t, f)
-		sent.awaitMore(f, 100)
 		f.Run(killed)
 		for _, fd := range on {
 			<-fd.done
@@ -66,6 +65,19 @@
 		other.mustFlow(t, f)
 		open = other
 	})
+	t.Run("an agent is killed for good", func(t *testing.T) {
+		killed := f.Backends[1].Name
+		_, other := open.split(killed)
+		f.Signal(killed, syscall.SIGKILL)
+		f.AwaitExit(killed)
+		other.mustFlow(t, f)
+		for _, b := range f.Balancers {
+			f.Await(func() bool { return f.Logged(b.Node, balancer.EventEndpointSuspected) })
+		}
+		sent.awaitMore(f, 100)
+		other.mustFlow(t, f)
+		open = other
+	})
 	counts := sent.finish(t, f)
 	must.Positive(t, counts[confirmed])
 	t.Logf("confirmations: %d confirmed, %d not run, %d unknown", counts[confirmed], counts[notRun], counts[unknown])
--- a/standin/e2e/load_test.go
+++ b/standin/e2e/load_test.go
@@ -158,7 +158,9 @@
 	}
 	request.Header.Set(backend.IdempotencyHeader, key)
 	request.Header.Set(frontend.TimeoutHeader, strconv.Itoa(timeout))
-	response, err := f.Caller().Do(request)
+	from := f.Caller()
+	defer from.Close()
+	response, err := from.Do(request)
 	if err != nil {
 		return unknown
 	}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -5,16 +5,19 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"cactustray/control/rpc"
+	"cactustray/event"
 	"cactustray/identity"
 	"cactustray/standin/backend"
 	"cactustray/standin/caller"
@@ -220,6 +223,13 @@
 	return 0
 }
 
+// Logged tells whether a daemon has logged an event.
+func (f *Fleet) Logged(name string, e event.Event) bool {
+	raw, err := os.ReadFile(filepath.Join(f.Dir, name+".log"))
+	must.NoError(f.t, err)
+	return strings.Contains(string(raw), fmt.Sprintf(`"event":%d,`, e.Number))
+}
+
 // Queued returns how many requests wait on an agent.
 func (f *Fleet) Queued(control netip.AddrPort) int64 {
 	response, err := f.Status(control)
--- a/steering/datagram/conn.go
+++ b/steering/datagram/conn.go
@@ -57,7 +57,11 @@
 		}
 		if c.receiver.receive(time.Now(), c.receiver.buffer[:n], from) {
 			envelope := &c.receiver.envelope
-			return copy(p, envelope.Payload), net.UDPAddrFromAddrPort(envelope.Caller), nil
+			n := copy(p, envelope.Payload)
+			if c.receiver.reset {
+				n = padForReset(p, n)
+			}
+			return n, net.UDPAddrFromAddrPort(envelope.Caller), nil
 		}
 	}
 }
--- a/steering/datagram/receiver.go
+++ b/steering/datagram/receiver.go
@@ -32,8 +32,10 @@
 	placer   *placement.Placer
 	buffer   []byte
 	envelope Envelope
-	told     time.Time
-	noticed  time.Time
+	// reset tells that the datagram received last is to be reset.
+	reset   bool
+	told    time.Time
+	noticed time.Time
 }
 
 func newReceiver(conn *Conn, sealer *steering.Sealer) *receiver {
@@ -50,6 +52,7 @@
 func (r *receiver) receive(now time.Time, raw []byte, from netip.AddrPort) (deliver bool) {
 	deliver, reason := r.decide(now, raw, from)
 	r.conn.residence.Counters.Count(reason)
+	r.reset = isReset(reason)
 	return deliver
 }
 
