Follow identity files aloud, and show metrics over HTTP

A failed reload was silent, a reload was done inside a handshake under a lock, a file replaced by an older one went unseen, an authority file without a certificate was taken, and an operator's certificate could answer in a node's place. Metrics: a small package over go-metrics; the traffic side's counters are read by gauges. status and flows show open connections and the queue.

Measured: go test -race ./identity ./metrics ./cmd/... ./standin/e2e passes. With the role check taken out 'operator's own server' fails, with the empty-authority check taken out TestAuthorityFileWithoutCertificate fails (both tried, put back).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -56,6 +56,7 @@
 	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
 	group.Go(func() error { return rpc.Serve(running, s.Control, id, controlHandler(loop)) })
 	group.Go(func() error { return callers.serve(running) })
+	observe(running, group, s, id, callers, snapshots, log)
 	group.Go(func() error {
 		defer stop()
 		return stopAsPlanned(ctx, running, loop, callers, log)
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -39,6 +39,7 @@
 
 // callerServer ends callers' QUIC connections and serves HTTP/3 on them.
 type callerServer struct {
+	identity  *identity.Identity
 	conn      *datagram.Conn
 	transport *quic.Transport
 	listener  *quic.EarlyListener
@@ -74,7 +75,7 @@
 		Endpoint: s.Agent.Endpoint,
 		Client:   frontend.NewBackendClient(),
 	}
-	return &callerServer{conn: conn, transport: transport, listener: listener, server: &http3.Server{Handler: handler}}, nil
+	return &callerServer{identity: id, conn: conn, transport: transport, listener: listener, server: &http3.Server{Handler: handler}}, nil
 }
 
 // quicConfig never accepts 0-RTT: an attacker could run a request twice by
--- a/agent/control.go
+++ b/agent/control.go
@@ -105,7 +105,7 @@
 		State:   "ready",
 		Uptime:  now.Sub(s.started),
 		Tickets: asked.InForceOf(now, s.tickets),
-		Load:    status.Load{Requests: int64(s.admission.Running())},
+		Load:    s.work(),
 		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
--- /dev/null
+++ b/agent/observe.go
@@ -0,0 +1,34 @@
+package agent
+
+import (
+	"context"
+
+	"cactustray/event"
+	"cactustray/identity"
+	"cactustray/metrics"
+	"cactustray/settings"
+	"cactustray/status"
+	"cactustray/steering/datagram"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// observe shows the agent's metrics and follows its identities' files.
+func observe(ctx context.Context, group *errgroup.Group, s *settings.Settings, id *identity.Identity, callers *callerServer, p *published, log *event.Log) {
+	registry := metrics.New()
+	datagram.RegisterCounters(registry, &p.residence.Counters)
+	registry.Gauge("flows.open", func() int64 { return int64(p.residence.Connections.Open()) })
+	group.Go(func() error { return id.Watch(ctx, log) })
+	group.Go(func() error { return callers.identity.Watch(ctx, log) })
+	group.Go(func() error { return registry.Serve(ctx, s.Metrics) })
+}
+
+// work is what operators see of the agent's work.
+func (s *state) work() status.Load {
+	_, queued := s.admission.Jobs()
+	return status.Load{
+		Flows:    int64(s.published.residence.Connections.Open()),
+		Requests: int64(s.admission.Running()),
+		Queued:   int64(queued),
+	}
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -52,6 +52,7 @@
 	group.Go(func() error { return forwarder.Run(ctx, workers) })
 	group.Go(func() error { return platform.Watch(ctx, reader, loop, random) })
 	group.Go(func() error { return rpc.Serve(ctx, s.Control, id, handler(loop)) })
+	observe(ctx, group, s, id, forwarder, log)
 	return group.Wait()
 }
 
--- a/identity/identity.go
+++ b/identity/identity.go
@@ -4,23 +4,16 @@
 package identity
 
 import (
-	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
-	"net/http"
 	"net/url"
 	"os"
-	"sync"
-	"time"
+	"sync/atomic"
 )
 
-const (
-	// Scheme is the scheme of the URI in a node's certificate.
-	Scheme = "cactustray"
-	// reloadInterval is how often files are looked at for a change.
-	reloadInterval = time.Second
-)
+// Scheme is the scheme of the URI in a node's certificate.
+const Scheme = "cactustray"
 
 // Role is what a certificate lets its holder do.
 type Role string
@@ -64,174 +57,58 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Cause }
 
-// PeerError reports a certificate that names no node.
+// NoAuthorityError reports an authority file without a certificate.
+type NoAuthorityError struct{}
+
+func (*NoAuthorityError) Error() string { return "no certificate in it" }
+
+// PeerError reports a certificate that names no node, or one whose role may
+// not do what was asked.
 type PeerError struct{ Subject string }
 
 func (e *PeerError) Error() string {
 	return fmt.Sprintf("certificate %q names no node of the system", e.Subject)
 }
 
-// Identity is a certificate that follows its files. It is safe for concurrent
-// use.
+// loaded is what the files held when they were read; it is immutable.
+type loaded struct {
+	cert *tls.Certificate
+	pool *x509.CertPool
+}
+
+// Identity is a certificate and its authorities. Watch follows the files;
+// handshakes read the snapshot it publishes. It is safe for concurrent use.
 type Identity struct {
 	files Files
-
-	mu      sync.Mutex
-	checked time.Time
-	changed time.Time
-	cert    *tls.Certificate
-	pool    *x509.CertPool
+	now   atomic.Pointer[loaded]
 }
 
 // Load reads an identity. It fails with *FileError.
 func Load(files Files) (*Identity, error) {
-	i := &Identity{files: files}
-	if err := i.read(); err != nil {
+	read, err := files.read()
+	if err != nil {
 		return nil, err
 	}
+	i := &Identity{files: files}
+	i.now.Store(read)
 	return i, nil
 }
 
-func (i *Identity) read() error {
-	cert, err := tls.LoadX509KeyPair(i.files.Certificate, i.files.Key)
+func (f Files) read() (*loaded, error) {
+	cert, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
 	if err != nil {
-		return &FileError{File: i.files.Certificate, Cause: err}
+		return nil, &FileError{File: f.Certificate, Cause: err}
 	}
 	pool := x509.NewCertPool()
-	if i.files.CA != "" {
-		pem, err := os.ReadFile(i.files.CA)
-		if err != nil {
-			return &FileError{File: i.files.CA, Cause: err}
-		}
-		pool.AppendCertsFromPEM(pem)
+	if f.CA == "" {
+		return &loaded{cert: &cert, pool: pool}, nil
 	}
-	i.cert, i.pool = &cert, pool
-	i.changed = i.modified()
-	i.checked = time.Now()
-	return nil
-}
-
-func (i *Identity) modified() time.Time {
-	var latest time.Time
-	for _, file := range []string{i.files.Certificate, i.files.Key, i.files.CA} {
-		if info, err := os.Stat(file); err == nil && info.ModTime().After(latest) {
-			latest = info.ModTime()
-		}
-	}
-	return latest
-}
-
-// current returns the certificate and the authorities, read anew when the
-// files have changed; files that cannot be read leave the old ones in use.
-func (i *Identity) current() (*tls.Certificate, *x509.CertPool) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if time.Since(i.checked) > reloadInterval {
-		i.checked = time.Now()
-		if i.modified().After(i.changed) {
-			_ = i.read()
-		}
-	}
-	return i.cert, i.pool
-}
-
-// CallerTLS returns the configuration towards callers, who show no
-// certificate.
-func (i *Identity) CallerTLS(protocol string) *tls.Config {
-	return &tls.Config{
-		MinVersion: tls.VersionTLS13,
-		NextProtos: []string{protocol},
-		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-			cert, _ := i.current()
-			return cert, nil
-		},
-	}
-}
-
-// ServerTLS returns the configuration for calls from the system's processes.
-func (i *Identity) ServerTLS() *tls.Config {
-	base := &tls.Config{MinVersion: tls.VersionTLS13}
-	base.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
-		cert, pool := i.current()
-		return &tls.Config{
-			MinVersion:   tls.VersionTLS13,
-			NextProtos:   []string{"h2"},
-			Certificates: []tls.Certificate{*cert},
-			ClientAuth:   tls.RequireAndVerifyClientCert,
-			ClientCAs:    pool,
-			VerifyConnection: func(state tls.ConnectionState) error {
-				_, err := peerOf(state.PeerCertificates[0])
-				return err
-			},
-		}, nil
-	}
-	return base
-}
-
-// ClientTLS returns the configuration for calls to the system's processes.
-// Nodes are reached by IP number, so the certificate's URI stands in for a
-// host name.
-func (i *Identity) ClientTLS() *tls.Config {
-	return &tls.Config{
-		MinVersion:         tls.VersionTLS13,
-		NextProtos:         []string{"h2"},
-		InsecureSkipVerify: true, // VerifyConnection checks chain and name.
-		VerifyConnection:   i.verifyServer,
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			cert, _ := i.current()
-			return cert, nil
-		},
-	}
-}
-
-func (i *Identity) verifyServer(state tls.ConnectionState) error {
-	_, pool := i.current()
-	intermediates := x509.NewCertPool()
-	for _, cert := range state.PeerCertificates[1:] {
-		intermediates.AddCert(cert)
-	}
-	leaf := state.PeerCertificates[0]
-	if _, err := leaf.Verify(x509.VerifyOptions{Roots: pool, Intermediates: intermediates}); err != nil {
-		return err
-	}
-	_, err := peerOf(leaf)
-	return err
-}
-
-func peerOf(cert *x509.Certificate) (Peer, error) {
-	for _, uri := range cert.URIs {
-		if uri.Scheme == Scheme && len(uri.Path) > 1 {
-			return Peer{Role: Role(uri.Host), Name: uri.Path[1:]}, nil
-		}
+	pem, err := os.ReadFile(f.CA)
+	if err != nil {
+		return nil, &FileError{File: f.CA, Cause: err}
 	}
-	return Peer{}, &PeerError{Subject: cert.Subject.String()}
-}
-
-type peerKey struct{}
-
-// PeerFrom returns who made the call; ok is false outside of Require.
-func PeerFrom(ctx context.Context) (Peer, bool) {
-	peer, ok := ctx.Value(peerKey{}).(Peer)
-	return peer, ok
-}
-
-// Require lets only holders of the given roles through to next.
-func Require(next http.Handler, roles ...Role) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		peer, err := peerOf(r.TLS.PeerCertificates[0])
-		if err != nil || !allowed(peer.Role, roles) {
-			http.Error(w, "role not allowed", http.StatusForbidden)
-			return
-		}
-		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), peerKey{}, peer)))
-	})
-}
-
-func allowed(role Role, roles []Role) bool {
-	for _, r := range roles {
-		if r == role {
-			return true
-		}
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, &FileError{File: f.CA, Cause: &NoAuthorityError{}}
 	}
-	return false
+	return &loaded{cert: &cert, pool: pool}, nil
 }
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,83 @@
+// Package metrics lets slices register typed instruments and shows them over
+// HTTP. What a slice counts already is read through a gauge, not counted twice.
+package metrics
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"cactustray/control/rpc"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+const (
+	// Path is where the metrics are read.
+	Path            = "/metrics"
+	headerTimeout   = 5 * time.Second
+	writeTimeout    = 10 * time.Second
+	contentTypeJSON = "application/json"
+)
+
+// Counter counts events. It is safe for concurrent use.
+type Counter struct{ counter gometrics.Counter }
+
+// Add counts n events.
+func (c *Counter) Add(n int64) { c.counter.Inc(n) }
+
+// Count returns how many events were counted.
+func (c *Counter) Count() int64 { return c.counter.Count() }
+
+// Registry holds a process's instruments by name. It is safe for concurrent
+// use.
+type Registry struct{ registry gometrics.Registry }
+
+// New returns an empty registry.
+func New() *Registry { return &Registry{registry: gometrics.NewRegistry()} }
+
+// Counter returns the counter of a name, made when it is new.
+func (r *Registry) Counter(name string) *Counter {
+	return &Counter{counter: gometrics.GetOrRegisterCounter(name, r.registry)}
+}
+
+// Gauge shows a value that read returns; read must be safe for concurrent use.
+func (r *Registry) Gauge(name string, read func() int64) {
+	_ = r.registry.Register(name, gometrics.NewFunctionalGauge(read))
+}
+
+// Float shows a value that read returns; read must be safe for concurrent use.
+func (r *Registry) Float(name string, read func() float64) {
+	_ = r.registry.Register(name, gometrics.NewFunctionalGaugeFloat64(read))
+}
+
+// ServeHTTP writes every instrument as JSON.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", contentTypeJSON)
+	gometrics.WriteJSONOnce(r.registry, w)
+}
+
+// Serve shows the registry on an address until the context ends; without a
+// valid address it returns at once. It fails with *rpc.ListenError, or with
+// the server's error.
+func (r *Registry) Serve(ctx context.Context, address netip.AddrPort) error {
+	if !address.IsValid() {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return &rpc.ListenError{Address: address, Cause: err}
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+Path, r)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err = server.Serve(listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/steering/datagram/metrics.go
@@ -0,0 +1,15 @@
+package datagram
+
+import (
+	"cactustray/metrics"
+	"cactustray/steering"
+)
+
+// RegisterCounters shows counters as steering.packets.REASON and
+// steering.replies.
+func RegisterCounters(r *metrics.Registry, counters *steering.Counters) {
+	for reason := range steering.Reasons {
+		r.Gauge("steering.packets."+reason.String(), func() int64 { return counters.Of(reason) })
+	}
+	r.Gauge("steering.replies", counters.Replies)
+}
