--- a/settings/check.go
+++ b/settings/check.go
@@ -148,6 +148,7 @@
 	}
 	c.address("balancer.edge", s.Balancer.Edge, allowedAddress)
 	c.address("balancer.fabric", s.Balancer.Fabric, allowedPeer)
+	c.address("balancer.health", s.Balancer.Health, allowedAddress)
 }
 
 func (c *checker) agent(s *Settings) {
@@ -181,6 +182,7 @@
 	stream := []use{{"control", s.Control}, {"metrics", s.Metrics}}
 	if s.Balancer != nil {
 		datagram = append(datagram, use{"balancer.edge", s.Balancer.Edge}, use{"balancer.fabric", s.Balancer.Fabric})
+		stream = append(stream, use{"balancer.health", s.Balancer.Health})
 	}
 	if s.Agent != nil {
 		stream = append(stream, use{"agent.backend", s.Agent.Backend})
