Report the daemon's end with type and stack

Settings problems are lines for the operator; other failures cross into main wrapped by eris, and one log line carries the stack.

--- a/cmd/cactustrayd/main.go
+++ b/cmd/cactustrayd/main.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,6 +18,7 @@
 	"cactustray/steering"
 
 	"github.com/alecthomas/kong"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
 
@@ -28,33 +31,48 @@
 
 func main() {
 	var o options
-	kong.Parse(&o, kong.Name("cactustrayd"), kong.Description("Layer-4 load balancer daemon."))
+	kong.Parse(&o, kong.Name("cactustrayd"), kong.Description(description), kong.UsageOnError())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := run(ctx, o.Settings); err != nil {
-		logrus.Error(err)
+		report(err)
 		os.Exit(exitFailed)
 	}
 }
 
+const description = `Layer-4 load balancer daemon. Its settings say whether it is a balancer or an agent.
+SIGTERM stops it as planned. docs/OPERATIONS.md tells how to run it.`
+
+// report writes why the daemon ended: plain lines for settings that an
+// operator mends, else a log line with the stack of the failure.
+func report(err error) {
+	var check *settings.CheckError
+	if errors.As(err, &check) {
+		fmt.Fprintln(os.Stderr, check)
+		return
+	}
+	logger := newLogger("")
+	logger.WithField("stack", eris.ToJSON(err, true)).Error(eris.Cause(err))
+}
+
 func run(ctx context.Context, file string) error {
 	s, err := settings.Load(file)
 	if err != nil {
-		return err
+		return eris.Wrap(err, "settings")
 	}
 	id, err := identity.Load(identity.Files(s.TLS))
 	if err != nil {
-		return err
+		return eris.Wrap(err, "identity")
 	}
 	sealer, err := newSealer(s.Keys)
 	if err != nil {
-		return err
+		return eris.Wrap(err, "keys")
 	}
 	log := event.NewLog(newLogger(s.LogLevel), s.Node)
 	if s.Role == settings.Agent {
-		return agent.Run(ctx, s, sealer, id, log)
+		return eris.Wrap(agent.Run(ctx, s, sealer, id, log), "agent")
 	}
-	return balancer.Run(ctx, s, sealer, id, log)
+	return eris.Wrap(balancer.Run(ctx, s, sealer, id, log), "balancer")
 }
 
 func newSealer(keys []settings.Key) (*steering.Sealer, error) {
