Trace sampled flows with a span for each hop

A balancer spans the datagram that opens a sampled flow, an agent the hand-on, the flow and each request; the request's span goes to the backend server in traceparent. The trace id is made of the flow's key, so balancers agree on it without a message, and the envelope carries it. Spans go in batches to a file or by OTLP over HTTP; what the exporter is too slow for is dropped. Hooks in the datagram code look at opening datagrams only.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -31,6 +31,9 @@
 	}
 	loop := control.NewLoop(tickInterval)
 	snapshots := new(published)
+	if err := snapshots.trace(ctx, s, log); err != nil {
+		return err
+	}
 	callers, err := newCallerServer(s, sealer, owner, loop, snapshots)
 	if err != nil {
 		return err
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -55,7 +55,7 @@
 		Conn:                  conn,
 		ConnectionIDGenerator: &datagram.TokenIDs{Sealer: sealer, Owner: owner},
 		StatelessResetKey:     resetKey(s),
-		ConnContext:           limitConnections(&p.residence.Connections),
+		ConnContext:           limitConnections(&p.residence.Connections, p.tracer),
 	}
 	listener, err := transport.ListenEarly(id.CallerTLS(http3.NextProtoH3), quicConfig())
 	if err != nil {
@@ -68,7 +68,7 @@
 		Endpoint: s.Agent.Endpoint,
 		Client:   frontend.NewBackendClient(),
 	}
-	return &callerServer{identity: id, conn: conn, transport: transport, listener: listener, handler: handler}, nil
+	return &callerServer{identity: id, conn: conn, transport: transport, listener: listener, handler: p.tracer.Requests(handler)}, nil
 }
 
 // quicConfig never accepts 0-RTT: an attacker could run a request twice by
--- a/agent/control.go
+++ b/agent/control.go
@@ -15,12 +15,15 @@
 	"cactustray/steering"
 	"cactustray/steering/datagram"
 	"cactustray/ticket"
+	"cactustray/trace"
 )
 
 // published are the snapshots that traffic goroutines read.
 type published struct {
 	ticket    atomic.Pointer[ticket.Ticket]
 	residence datagram.Residence
+	// tracer is set before traffic begins; nil means none.
+	tracer *trace.Tracer
 }
 
 // state is all control state of an agent. Only the control goroutine touches
--- a/agent/observe.go
+++ b/agent/observe.go
@@ -9,6 +9,7 @@
 	"cactustray/settings"
 	"cactustray/status"
 	"cactustray/steering/datagram"
+	"cactustray/trace"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -20,6 +21,7 @@
 	registry.Gauge("flows.open", func() int64 { return int64(p.residence.Connections.Open()) })
 	group.Go(func() error { return id.Watch(ctx, log) })
 	group.Go(func() error { return callers.identity.Watch(ctx, log) })
+	group.Go(func() error { return p.tracer.Run(ctx) })
 	group.Go(func() error { return registry.Serve(ctx, s.Metrics) })
 }
 
@@ -32,3 +34,15 @@
 		Queued:   int64(queued),
 	}
 }
+
+// trace makes the tracer, before traffic begins. It fails with
+// *trace.ExporterError.
+func (p *published) trace(ctx context.Context, s *settings.Settings, log *event.Log) error {
+	tracer, err := trace.New(ctx, trace.OptionsOf(s), log)
+	if err != nil {
+		return err
+	}
+	p.tracer = tracer
+	p.residence.Tracer = tracer
+	return nil
+}
--- a/agent/placement.go
+++ b/agent/placement.go
@@ -10,6 +10,7 @@
 	"cactustray/steering"
 	"cactustray/steering/datagram"
 	"cactustray/ticket"
+	"cactustray/trace"
 
 	"github.com/quic-go/quic-go"
 )
@@ -102,12 +103,12 @@
 
 // limitConnections counts connections from their first datagram to their end,
 // and refuses those beyond the limit, which tells the caller at once.
-func limitConnections(connections *placement.Connections) func(context.Context, *quic.ClientInfo) (context.Context, error) {
+func limitConnections(connections *placement.Connections, tracer *trace.Tracer) func(context.Context, *quic.ClientInfo) (context.Context, error) {
 	return func(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
 		if !connections.Acquire() {
 			return nil, &ConnectionLimitError{Caller: info.RemoteAddr}
 		}
 		context.AfterFunc(ctx, connections.Release)
-		return ctx, nil
+		return tracer.Flow(ctx, info.RemoteAddr), nil
 	}
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -22,6 +22,7 @@
 	"cactustray/steering/datagram"
 	"cactustray/ticket/exchange"
 	"cactustray/ticket/platform"
+	"cactustray/trace"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -43,6 +44,11 @@
 	if err != nil {
 		return err
 	}
+	tracer, err := trace.New(ctx, trace.OptionsOf(s), log)
+	if err != nil {
+		return err
+	}
+	forwarder.Tracer = tracer
 	reader := platform.NewReader(s.Platform.URL, s.Platform.Prefix)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	log.Emit(EventBalancerStarted, event.Fields{"edge": s.Balancer.Edge})
@@ -58,6 +64,7 @@
 	group.Go(func() error { return rpc.Serve(running, s.Control, id, handler(loop)) })
 	group.Go(func() error { return caller.run(running, peers.calls) })
 	group.Go(func() error { return serveHealth(running, s.Balancer.Health, &peers.healthy) })
+	group.Go(func() error { return tracer.Run(running) })
 	observe(running, group, s, id, forwarder, log)
 	group.Go(func() error {
 		defer stop()
--- a/steering/datagram/conn.go
+++ b/steering/datagram/conn.go
@@ -26,6 +26,8 @@
 	// Connections are counted by the transport.
 	Connections placement.Connections
 	Counters    steering.Counters
+	// Tracer is set before the first datagram; nil means none.
+	Tracer Tracer
 }
 
 // Conn is the agent's packet connection: callers' datagrams arrive in
--- a/steering/datagram/forwarder.go
+++ b/steering/datagram/forwarder.go
@@ -27,6 +27,8 @@
 	Sealer *steering.Sealer
 	// Counters count what becomes of the datagrams.
 	Counters *steering.Counters
+	// Tracer is told of flows that open; nil means none.
+	Tracer Tracer
 	// Offer takes messages to the control goroutine without waiting.
 	Offer func(control.Message) bool
 }
@@ -69,6 +71,7 @@
 	opener   *steering.Opener
 	edges    edgeCache
 	envelope Envelope
+	packet   steering.Packet
 	buffer   []byte
 }
 
@@ -97,6 +100,7 @@
 		Endpoint:  verdict.Endpoint.Key,
 		OwnerGone: verdict.Reason == steering.OwnerGone,
 		Payload:   payload,
+		Trace:     i.trace(verdict.Endpoint.Key),
 	}
 	i.buffer = i.envelope.Append(i.buffer[:0])
 	return i.buffer, verdict.Endpoint.Datagram, verdict.Reason
@@ -115,6 +119,7 @@
 	if !ok {
 		return steering.Verdict{Reason: steering.Malformed}, edge, nil
 	}
+	i.packet = packet
 	return table.Decide(packet), edge, payload
 }
 
--- a/steering/datagram/receiver.go
+++ b/steering/datagram/receiver.go
@@ -50,6 +50,9 @@
 func (r *receiver) receive(now time.Time, raw []byte, from netip.AddrPort) (deliver bool) {
 	deliver, reason := r.decide(now, raw, from)
 	r.conn.residence.Counters.Count(reason)
+	if deliver {
+		r.traceDelivery()
+	}
 	return deliver
 }
 
@@ -143,6 +146,7 @@
 	envelope := r.envelope
 	envelope.Endpoint = endpoint
 	envelope.HandedOn++
+	envelope.Trace = r.traceHandOn(endpoint)
 	envelope.Ticket = max(a.Ticket, r.conn.residence.Steering.Load().Ticket())
 	_ = r.conn.send(&envelope, to) // lost as on any network; callers repeat
 }
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,81 @@
+package trace
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"cactustray/steering"
+
+	"github.com/shoenig/test/must"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+)
+
+func recorded(share float64) (*Tracer, *tracetest.SpanRecorder) {
+	recorder := tracetest.NewSpanRecorder()
+	return newTracer(sdktrace.WithSpanProcessor(recorder), nil, Options{Node: "n", Share: share}), recorder
+}
+
+func TestSpansOfOneFlowAreOneTrace(t *testing.T) {
+	tracer, recorder := recorded(1)
+	caller := netip.MustParseAddrPort("192.0.2.1:5000")
+	one := tracer.Forward(7, 1)
+	other := tracer.Forward(7, 1) // as another balancer would
+	must.Eq(t, one[:16], other[:16])
+	tracer.Deliver(caller, tracer.HandOn(one, 2))
+	ctx, cancel := context.WithCancel(context.Background())
+	flow := tracer.Flow(ctx, net.UDPAddrFromAddrPort(caller))
+	var header string
+	backend := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		header = r.Header.Get("traceparent")
+		_, queue := Start(r.Context(), "agent.queue")
+		queue.End()
+	})
+	request := httptest.NewRequest(http.MethodGet, "/status", nil).WithContext(flow)
+	tracer.Requests(tracer.HandedOver(backend)).ServeHTTP(httptest.NewRecorder(), request)
+	must.StrContains(t, header, recorder.Ended()[0].SpanContext().TraceID().String())
+	cancel()
+	must.NoError(t, tracer.provider.ForceFlush(context.Background()))
+	names := make(map[string]string)
+	for _, span := range recorder.Started() {
+		must.EqOp(t, recorder.Started()[0].SpanContext().TraceID(), span.SpanContext().TraceID())
+		names[span.Name()] = span.Parent().SpanID().String()
+	}
+	must.MapLen(t, 6, names)
+	must.MapContainsKeys(t, names, []string{"balancer.forward", "agent.hand_on", "agent.flow", "agent.request", "agent.handed_over", "agent.queue"})
+}
+
+func TestShare(t *testing.T) {
+	for share, want := range map[float64]bool{0: false, 0.5: true, 1: true} {
+		tracer, _ := recorded(share)
+		must.EqOp(t, want, tracer.Forward(steering.FlowKey(1<<62), 1) != nil)
+	}
+	tracer, _ := recorded(0.5)
+	must.Nil(t, tracer.Forward(1<<63|1, 1))
+}
+
+func TestUnsampledFlowsAndNoTracer(t *testing.T) {
+	var none *Tracer
+	must.Nil(t, none.Forward(1, 1))
+	must.NoError(t, none.Run(context.Background()))
+	tracer, recorder := recorded(1)
+	tracer.Deliver(netip.MustParseAddrPort("192.0.2.1:5000"), []byte("short"))
+	ctx := tracer.Flow(context.Background(), &net.UDPAddr{IP: net.IPv4(192, 0, 2, 1), Port: 5000})
+	request := httptest.NewRequest(http.MethodGet, "/", nil).WithContext(ctx)
+	tracer.Requests(http.NotFoundHandler()).ServeHTTP(httptest.NewRecorder(), request)
+	must.SliceEmpty(t, recorder.Started())
+}
+
+// Flows that never open do not fill the memory.
+func TestArrivalsAreBounded(t *testing.T) {
+	tracer, _ := recorded(1)
+	received := tracer.Forward(1, 1)
+	for port := range 3 * maxArrivals {
+		tracer.Deliver(netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), uint16(port)), received)
+	}
+	must.LessEq(t, maxArrivals, len(tracer.arrivals.byCaller))
+}
