--- a/settings/check.go
+++ b/settings/check.go
@@ -149,6 +149,7 @@
 	c.address("balancer.edge", s.Balancer.Edge, allowedAddress)
 	c.address("balancer.fabric", s.Balancer.Fabric, allowedPeer)
 	c.address("balancer.health", s.Balancer.Health, allowedAddress)
+	c.address("balancer.health", s.Balancer.Health, allowedAddress)
 }
 
 func (c *checker) agent(s *Settings) {
