--- a/agent/control.go
+++ b/agent/control.go
@@ -15,12 +15,15 @@
 	"cactustray/steering"
 	"cactustray/steering/datagram"
 	"cactustray/ticket"
+	"cactustray/trace"
 )
 
 // published are the snapshots that traffic goroutines read.
 type published struct {
 	ticket    atomic.Pointer[ticket.Ticket]
 	residence datagram.Residence
+	// tracer is set before traffic begins; nil means none.
+	tracer *trace.Tracer
 }
 
 // state is all control state of an agent. Only the control goroutine touches
@@ -110,16 +113,7 @@
 		State:   s.reporting.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
 		Tickets: asked.InForceOf(now, s.tickets),
-		Load:    s.statusLoad(),
+		Load:    s.work(),
 		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
-
-func (s *state) statusLoad() status.Load {
-	_, queued := s.admission.Jobs()
-	return status.Load{
-		Flows:    int64(s.published.residence.Connections.Open()),
-		Requests: int64(s.admission.Running()),
-		Queued:   int64(queued),
-	}
-}
--- a/steering/datagram/receiver.go
+++ b/steering/datagram/receiver.go
@@ -53,6 +53,9 @@
 	deliver, reason := r.decide(now, raw, from)
 	r.conn.residence.Counters.Count(reason)
 	r.reset = isReset(reason)
+	if deliver {
+		r.traceDelivery()
+	}
 	return deliver
 }
 
@@ -146,6 +149,7 @@
 	envelope := r.envelope
 	envelope.Endpoint = endpoint
 	envelope.HandedOn++
+	envelope.Trace = r.traceHandOn(endpoint)
 	envelope.Ticket = max(a.Ticket, r.conn.residence.Steering.Load().Ticket())
 	_ = r.conn.send(&envelope, to) // lost as on any network; callers repeat
 }
