Fit heartbeats and spread into 7 KB/s a node; measure their cost

Cause: a heartbeat costs 206 B of TLS both ways, about 414 B with TCP and IP; 22.5 watched agents a balancer each 2 s are 4.7 KB/s before anything else. Change: heartbeats and pings each 3 s, suspicion after 7.5 s, 1,500 B/s of spread.

--- /dev/null
+++ b/liveness/cost_test.go
@@ -0,0 +1,91 @@
+package liveness
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"cactustray/membership"
+	"cactustray/ticket"
+
+	"github.com/shoenig/test/must"
+)
+
+// atSize returns an observer of the size to design for: 24,000 endpoints in
+// 2,100 services, and 3,200 balancers.
+func atSize() (*Observer, []membership.Node) {
+	const services, endpoints, balancers = 2100, 24_000, 3200
+	o := NewObserver()
+	keys := make([]ticket.EndpointKey, endpoints)
+	for i := range keys {
+		keys[i] = ticket.EndpointKeyOf("service", string(rune(i)))
+	}
+	for s := range services {
+		o.SetService(start, ticket.ServiceKey(s+1), keys[s*endpoints/services:(s+1)*endpoints/services])
+	}
+	var nodes []membership.Node
+	for i := range balancers {
+		nodes = append(nodes, membership.Node{Name: fmt.Sprintf("entry-%d", i), Zone: fmt.Sprint(i % 10)})
+	}
+	o.SetBalancers(start, nodes)
+	return o, nodes
+}
+
+func BenchmarkHeard(b *testing.B) {
+	o, _ := atSize()
+	now := start
+	for i := range b.N {
+		now = now.Add(time.Millisecond)
+		o.Heard(now, Fact{Subject: Subject(i % 23), Incarnation: 1, State: Ready})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	o, _ := atSize()
+	for i := range 23 {
+		o.Heard(start, Fact{Subject: Subject(i), Incarnation: 1, State: Ready})
+	}
+	b.ResetTimer()
+	for range b.N {
+		o.Tick(start, time.Second)
+	}
+}
+
+// BenchmarkMemory reports what an observer holds when it knows a fact of every
+// endpoint.
+func BenchmarkMemory(b *testing.B) {
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		o, _ := atSize()
+		for _, subjects := range o.services {
+			for _, subject := range subjects {
+				o.Learn(start, Fact{Subject: subject, Incarnation: 1, State: Leaving})
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/24_000, "B/endpoint")
+		must.Positive(b, o.Len())
+	}
+}
+
+// BenchmarkLive measures what a change of the live balancers costs.
+func BenchmarkLive(b *testing.B) {
+	o, nodes := atSize()
+	for range b.N {
+		live := o.Live(nodes)
+		membership.Successors("entry-1", live, Rings)
+	}
+}
+
+// BenchmarkChoose measures what one agent's list costs.
+func BenchmarkChoose(b *testing.B) {
+	_, nodes := atSize()
+	b.ResetTimer()
+	for range b.N {
+		membership.Choose("orders-1", nodes, MaxPaths)
+	}
+}
--- a/liveness/observer.go
+++ b/liveness/observer.go
@@ -9,9 +9,9 @@
 
 const (
 	// HeartbeatInterval is how often an agent reports to each of its watchers.
-	HeartbeatInterval = 2 * time.Second
+	HeartbeatInterval = 3 * time.Second
 	// SuspectAfter is how long a watched process may be silent.
-	SuspectAfter = 3 * HeartbeatInterval
+	SuspectAfter = 5 * HeartbeatInterval / 2
 	// PauseLimit is the gap between two ticks that shows that the process
 	// was paused, so that silence says nothing of the others.
 	PauseLimit = 2 * time.Second
--- a/liveness/spread.go
+++ b/liveness/spread.go
@@ -14,10 +14,10 @@
 	// SpreadInterval is the least time between two calls to one neighbour.
 	SpreadInterval = 250 * time.Millisecond
 	// PingInterval is the longest time between two calls to one neighbour.
-	PingInterval = 2 * time.Second
+	PingInterval = 3 * time.Second
 	// SpreadRate is what a balancer sends to all neighbours, in bytes a
 	// second.
-	SpreadRate = 2000
+	SpreadRate = 1500
 	// callBytes and factBytes are what a call and a fact in it cost, in bytes.
 	callBytes = 150
 	factBytes = 13
