--- a/steering/rendezvous.go
+++ b/steering/rendezvous.go
@@ -18,20 +18,26 @@
 	restBits = 32
 )
 
-// candidate is one endpoint in the contest for a flow.
-type candidate struct {
-	seed uint64
-	// inverse is 1/weight, scaled to 64 bits.
-	inverse  uint64
-	endpoint *Endpoint
+// contest is what the endpoints that take new flows compete with. What each
+// flow reads lies close together.
+type contest struct {
+	seeds []uint64
+	// inverses are 1/weight, scaled to 64 bits; nil when all weights are equal.
+	inverses  []uint64
+	endpoints []*Endpoint
 }
 
-func newCandidate(endpoint *Endpoint) candidate {
-	return candidate{
-		seed:     uint64(endpoint.Key),
-		inverse:  ^uint64(0) / uint64(max(endpoint.Weight, 1)),
-		endpoint: endpoint,
+func newContest(endpoints []*Endpoint) contest {
+	c := contest{seeds: make([]uint64, len(endpoints)), endpoints: endpoints}
+	inverses := make([]uint64, len(endpoints))
+	for i, endpoint := range endpoints {
+		c.seeds[i] = uint64(endpoint.Key)
+		inverses[i] = ^uint64(0) / uint64(max(endpoint.Weight, 1))
+		if inverses[i] != inverses[0] {
+			c.inverses = inverses
+		}
 	}
+	return c
 }
 
 // Home returns the endpoint for a new flow, or nil, by weighted rendezvous
@@ -39,34 +45,39 @@
 // endpoint. A change of the endpoints moves only flows to or from those that
 // changed. All arithmetic is on integers, so nodes of any processor agree.
 func (s *Service) Home(flow FlowKey) *Endpoint {
-	if s.uniform {
-		return s.uniformHome(flow)
+	if len(s.contest.seeds) == 0 {
+		return nil
+	}
+	if s.contest.inverses == nil {
+		return s.contest.uniformHome(flow)
 	}
-	var best *Endpoint
+	return s.contest.weightedHome(flow)
+}
+
+func (c *contest) weightedHome(flow FlowKey) *Endpoint {
+	best := 0
 	lowest, highest := ^uint64(0), uint64(0)
-	for i := range s.candidates {
-		c := &s.candidates[i]
-		hash := mix(uint64(flow) ^ c.seed)
-		cost, _ := bits.Mul64(negativeLog2(hash), c.inverse)
-		if best == nil || cost < lowest || cost == lowest && hash > highest {
-			best, lowest, highest = c.endpoint, cost, hash
+	for i, seed := range c.seeds {
+		hash := mix(uint64(flow) ^ seed)
+		cost, _ := bits.Mul64(negativeLog2(hash), c.inverses[i])
+		if cost < lowest || cost == lowest && hash > highest {
+			best, lowest, highest = i, cost, hash
 		}
 	}
-	return best
+	return c.endpoints[best]
 }
 
-// uniformHome is Home where all weights are equal: the highest hash has the
-// lowest logarithm.
-func (s *Service) uniformHome(flow FlowKey) *Endpoint {
-	var best *Endpoint
+// uniformHome is weightedHome where all weights are equal: the highest hash has
+// the lowest logarithm.
+func (c *contest) uniformHome(flow FlowKey) *Endpoint {
+	best := 0
 	highest := uint64(0)
-	for i := range s.candidates {
-		c := &s.candidates[i]
-		if hash := mix(uint64(flow) ^ c.seed); best == nil || hash > highest {
-			best, highest = c.endpoint, hash
+	for i, seed := range c.seeds {
+		if hash := mix(uint64(flow) ^ seed); hash > highest {
+			best, highest = i, hash
 		}
 	}
-	return best
+	return c.endpoints[best]
 }
 
 // mix is the finalizer of MurmurHash3: a bijection that spreads every bit.
--- a/steering/table.go
+++ b/steering/table.go
@@ -36,14 +36,13 @@
 	Address netip.AddrPort
 	Ticket  ticket.Number
 
-	source     *ticket.Ticket
-	endpoints  []*Endpoint
-	candidates []candidate
-	uniform    bool
+	source    *ticket.Ticket
+	endpoints []*Endpoint
+	contest   contest
 }
 
 // Homes returns how many endpoints take new flows.
-func (s *Service) Homes() int { return len(s.candidates) }
+func (s *Service) Homes() int { return len(s.contest.seeds) }
 
 // Endpoints returns the endpoints that the ticket names; the caller must not
 // change the slice.
@@ -75,7 +74,7 @@
 	if len(trusted) == 0 {
 		trusted = standby
 	}
-	service.setCandidates(trusted)
+	service.contest = newContest(trusted)
 	return service
 }
 
@@ -92,14 +91,6 @@
 	}
 }
 
-func (s *Service) setCandidates(endpoints []*Endpoint) {
-	s.uniform = true
-	for _, endpoint := range endpoints {
-		s.candidates = append(s.candidates, newCandidate(endpoint))
-		s.uniform = s.uniform && endpoint.Weight == endpoints[0].Weight
-	}
-}
-
 // stands tells whether a snapshot of the ticket made now would be the same.
 func (s *Service) stands(t *ticket.Ticket, view View) bool {
 	if s.source != t {
@@ -117,21 +108,23 @@
 // Table is the snapshot that datagrams are steered by. It is immutable; the
 // next table shares what did not change.
 type Table struct {
-	byAddress *index[netip.AddrPort, *Service]
+	byAddress *index[addressKey, *Service]
 	services  *index[ticket.ServiceKey, *Service]
 	endpoints *index[ticket.EndpointKey, *Endpoint]
 }
 
 func emptyTable() *Table {
 	return &Table{
-		byAddress: newIndex[netip.AddrPort, *Service](addressHash),
+		byAddress: newIndex[addressKey, *Service](addressHash),
 		services:  newIndex[ticket.ServiceKey, *Service](serviceHash),
 		endpoints: newIndex[ticket.EndpointKey, *Endpoint](endpointHash),
 	}
 }
 
 // ServiceAt returns the service callers reach at an address, or nil.
-func (t *Table) ServiceAt(address netip.AddrPort) *Service { return t.byAddress.get(address) }
+func (t *Table) ServiceAt(address netip.AddrPort) *Service {
+	return t.byAddress.get(addressKeyOf(address))
+}
 
 // Service returns the service with a key, or nil.
 func (t *Table) Service(key ticket.ServiceKey) *Service { return t.services.get(key) }
@@ -145,11 +138,19 @@
 // Endpoints returns how many endpoints the table has, known now or lately.
 func (t *Table) Endpoints() int { return t.endpoints.length }
 
-func addressHash(address netip.AddrPort) uint8 {
+// addressKey is an address in a form that hashes fast: 16 address bytes, then
+// the port.
+type addressKey [18]byte
+
+func addressKeyOf(address netip.AddrPort) (key addressKey) {
 	ip := address.Addr().As16()
-	return ip[15] ^ ip[14]<<1 ^ ip[13] ^ uint8(address.Port())
+	copy(key[:], ip[:])
+	key[16], key[17] = byte(address.Port()>>8), byte(address.Port())
+	return key
 }
 
+func addressHash(key addressKey) uint8 { return key[15] ^ key[14]<<1 ^ key[13] ^ key[17] }
+
 // Keys are hashes, so any of their bytes spreads them.
 func serviceHash(key ticket.ServiceKey) uint8 { return uint8(key) }
 
--- a/steering/update.go
+++ b/steering/update.go
@@ -1,7 +1,6 @@
 package steering
 
 import (
-	"net/netip"
 	"time"
 
 	"cactustray/ticket"
@@ -11,7 +10,7 @@
 type update struct {
 	state     *State
 	now       time.Time
-	byAddress *editor[netip.AddrPort, *Service]
+	byAddress *editor[addressKey, *Service]
 	services  *editor[ticket.ServiceKey, *Service]
 	endpoints *editor[ticket.EndpointKey, *Endpoint]
 }
@@ -52,9 +51,9 @@
 
 func (u *update) add(service *Service) {
 	u.services.set(service.Key, service)
-	holder := u.byAddress.next.get(service.Address)
+	holder := u.byAddress.next.get(addressKeyOf(service.Address))
 	if holder == nil || holder.Key >= service.Key {
-		u.byAddress.set(service.Address, service)
+		u.byAddress.set(addressKeyOf(service.Address), service)
 	}
 	for _, endpoint := range service.endpoints {
 		u.endpoints.set(endpoint.Key, endpoint)
@@ -65,8 +64,8 @@
 // release takes out what only the service before had. Its endpoints stay for
 // their open flows.
 func (u *update) release(before, service *Service) {
-	if before.Address != service.Address && u.byAddress.next.get(before.Address) == before {
-		u.byAddress.remove(before.Address)
+	if before.Address != service.Address && u.byAddress.next.get(addressKeyOf(before.Address)) == before {
+		u.byAddress.remove(addressKeyOf(before.Address))
 	}
 	for _, endpoint := range before.endpoints {
 		if u.endpoints.next.get(endpoint.Key) != endpoint {
