--- a/agent/control.go
+++ b/agent/control.go
@@ -31,7 +31,8 @@
 	started  time.Time
 	log      *event.Log
 
-	fact      liveness.Fact
+	reporting *reporting
+	draining  *draining
 	tickets   *ticket.Register
 	admission *admission.State
 	replies   map[admission.RequestID]chan<- admission.Decision
@@ -44,13 +45,14 @@
 	loads chan<- loadReport
 }
 
-func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport) *state {
+func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport, d *draining) *state {
 	return &state{
 		settings:  s,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
 		started:   time.Now(),
 		log:       log,
-		fact:      liveness.Fact{Endpoint: owner.Endpoint, Incarnation: owner.Incarnation, State: liveness.Ready},
+		reporting: newReporting(liveness.NewSelf(liveness.EndpointSubject(owner.Endpoint), owner.Incarnation), s.Agent.Balancers),
+		draining:  d,
 		tickets:   ticket.NewRegister(),
 		admission: admission.NewState(admission.Limits{}),
 		replies:   make(map[admission.RequestID]chan<- admission.Decision),
@@ -69,7 +71,7 @@
 	case ticket.Compared:
 		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
 	case answered:
-		s.learnBalancers(m.answer)
+		s.answered(now, m)
 	case admission.Arrived:
 		s.replies[m.ID] = m.Reply
 		s.decide(s.admission.Arrive(now, m.Request))
@@ -82,29 +84,31 @@
 		s.placement.Hear(now, m)
 	case steering.Behind:
 		s.behind(m)
-	case drain:
-		s.drain(m)
+	case stopRequested:
+		s.requestStop(now, m)
 	case status.Asked:
-		m.Reply <- s.statusReport(now)
+		m.Reply <- s.statusReport(now, m)
 	}
 }
 
 // Tick refuses what waited too long and reports to the balancers.
-func (s *state) Tick(now time.Time, _ time.Duration) {
+func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.decide(s.admission.Tick(now))
 	s.tickets.Seal(now)
-	s.sendReport()
 	s.placeByLoad(now)
+	s.tickDrain(now)
+	s.tickReports(now, gap)
 }
 
-func (s *state) statusReport(now time.Time) status.Report {
+func (s *state) statusReport(now time.Time, asked status.Asked) status.Report {
 	return status.Report{
 		Node:    s.settings.Node,
 		Role:    membership.RoleAgent,
 		Zone:    s.settings.Zone,
-		State:   "ready",
+		State:   s.reporting.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
-		Tickets: status.InForceOf(now, s.tickets),
-		Flows:   int64(s.admission.Running()),
+		Tickets: asked.InForceOf(now, s.tickets),
+		Load:    status.Load{Requests: int64(s.admission.Running())},
+		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
--- a/agent/placement.go
+++ b/agent/placement.go
@@ -6,7 +6,6 @@
 	"net"
 	"time"
 
-	"cactustray/liveness"
 	"cactustray/placement"
 	"cactustray/steering"
 	"cactustray/steering/datagram"
@@ -57,12 +56,12 @@
 func (s *state) load(now time.Time) placement.Load {
 	running, queued := s.admission.Jobs()
 	load := placement.Load{
-		Incarnation: s.fact.Incarnation,
+		Incarnation: s.reporting.self.Fact().Incarnation,
 		Running:     uint32(running),
 		Queued:      uint32(queued),
 		Connections: s.published.residence.Connections.Open(),
 		Ramp:        placement.RampAt(now.Sub(s.started), coldTime),
-		Leaving:     s.fact.State == liveness.Leaving,
+		Leaving:     s.draining.drain.Leaving(),
 	}
 	if t := s.published.ticket.Load(); t != nil {
 		load.Slots = t.Limits.Slots
@@ -78,7 +77,7 @@
 	if entry != nil && entry.Ticket.Number >= m.Ticket {
 		return
 	}
-	s.sendReport()
+	s.reporting.dirty = true
 }
 
 // sendLoads sends load reports until the context ends.
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -9,6 +9,7 @@
 	"cactustray/liveness"
 	"cactustray/liveness/heartbeat"
 	"cactustray/membership"
+	"cactustray/settings"
 	"cactustray/status"
 	"cactustray/steering"
 	"cactustray/ticket"
@@ -27,22 +28,26 @@
 	observer *liveness.Observer
 	members  *membership.State
 	steering *steering.State
+	peers    *peers
 
 	table *atomic.Pointer[steering.Table]
 }
 
-func newState(node, zone string, log *event.Log, table *atomic.Pointer[steering.Table]) *state {
-	return &state{
-		node:     node,
-		zone:     zone,
+func newState(s *settings.Settings, log *event.Log, table *atomic.Pointer[steering.Table], p *peers) *state {
+	st := &state{
+		node:     s.Node,
+		zone:     s.Zone,
 		started:  time.Now(),
 		log:      log,
 		tickets:  ticket.NewRegister(),
 		observer: liveness.NewObserver(),
 		members:  membership.NewState(),
 		steering: steering.NewState(),
+		peers:    p,
 		table:    table,
 	}
+	st.members.SetSelf(selfNode(s))
+	return st
 }
 
 // Handle applies one message of any slice.
@@ -53,35 +58,39 @@
 	case ticket.Compared:
 		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
 	case membership.Listed:
-		s.members.Learn(m)
+		s.listed(now, m)
 	case platform.Failed:
 		s.log.Emit(EventPlatformUnavailable, event.Fields{"cause": m.Cause})
 	case heartbeat.Heard:
 		s.heard(now, m)
 	case steering.Behind:
 		s.behind(m)
+	case heartbeat.Passed:
+		s.passed(now, m)
+	case called:
+		s.called(now, m)
+	case leave:
+		s.leave(now, m)
 	case status.Asked:
-		m.Reply <- s.report(now)
+		m.Reply <- s.report(now, m)
 	}
 }
 
 // Tick seals tickets and suspects endpoints that have gone silent.
 func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.tickets.Seal(now)
-	if s.observer.Tick(now, gap) > 0 {
-		s.publish()
-	}
+	s.tickLiveness(now, gap)
 	s.forgetLeft(now)
 }
 
-func (s *state) report(now time.Time) status.Report {
+func (s *state) report(now time.Time, asked status.Asked) status.Report {
 	return status.Report{
 		Node:    s.node,
 		Role:    membership.RoleBalancer,
 		Zone:    s.zone,
-		State:   "ready",
+		State:   s.peers.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
-		Tickets: status.InForceOf(now, s.tickets),
-		Nodes:   s.members.Nodes(),
+		Tickets: asked.InForceOf(now, s.tickets),
+		Nodes:   asked.KnownOf(s.members.Nodes(), s.tickets),
 	}
 }
