Say that a process has ended, so that its flows are reset

Cause: no agent ever said Gone, and a fact that changes from leaving to gone changes who takes new work for nobody, so no table learned of it: a caller that missed the close of its connection stayed silent until its idle timeout.

Change: an agent's last report says Gone, after its last connection; a balancer makes the table of just that service anew. A balancer publishes the services that changed rather than looking at all. Connections are refused beyond the limit by the transport. A notice of being behind is logged once per 500 ms.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -50,7 +50,8 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
-	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports, loads, draining)) })
+	state := newState(s, owner, log, snapshots, reports, loads, draining)
+	group.Go(func() error { return loop.Run(running, state) })
 	group.Go(func() error { return reporter.run(running, reports) })
 	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
 	group.Go(func() error { return rpc.Serve(running, s.Control, id, controlHandler(loop)) })
@@ -60,7 +61,9 @@
 		stopAsPlanned(ctx, running, loop)
 		return nil
 	})
-	return group.Wait()
+	err = group.Wait()
+	reporter.sayGone(state)
+	return err
 }
 
 func controlHandler(loop *control.Loop) http.Handler {
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -54,7 +54,7 @@
 		Conn:                  conn,
 		ConnectionIDGenerator: &datagram.TokenIDs{Sealer: sealer, Owner: owner},
 		StatelessResetKey:     resetKey(s),
-		ConnContext:           limitConnections(&p.residence.Connections),
+		ConnContext:           datagram.LimitConnections(&p.residence.Connections),
 	}
 	listener, err := transport.ListenEarly(id.CallerTLS(http3.NextProtoH3), quicConfig())
 	if err != nil {
--- a/agent/placement.go
+++ b/agent/placement.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"time"
 
 	"cactustray/placement"
 	"cactustray/steering"
 	"cactustray/steering/datagram"
 	"cactustray/ticket"
-
-	"github.com/quic-go/quic-go"
 )
 
 // coldTime is how long a backend server takes to warm up: its share of new
@@ -91,23 +87,3 @@
 		}
 	}
 }
-
-// ConnectionLimitError reports a connection that was refused: too many are
-// open, or the endpoint is leaving.
-type ConnectionLimitError struct{ Caller net.Addr }
-
-func (e *ConnectionLimitError) Error() string {
-	return fmt.Sprintf("connection of %s refused: no more may open", e.Caller)
-}
-
-// limitConnections counts connections from their first datagram to their end,
-// and refuses those beyond the limit, which tells the caller at once.
-func limitConnections(connections *placement.Connections) func(context.Context, *quic.ClientInfo) (context.Context, error) {
-	return func(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
-		if !connections.Acquire() {
-			return nil, &ConnectionLimitError{Caller: info.RemoteAddr}
-		}
-		context.AfterFunc(ctx, connections.Release)
-		return ctx, nil
-	}
-}
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -64,7 +64,7 @@
 	case heartbeat.Heard:
 		s.heard(now, m)
 	case steering.Behind:
-		s.behind(m)
+		s.behind(now, m)
 	case heartbeat.Passed:
 		s.passed(now, m)
 	case called:
--- a/balancer/liveness.go
+++ b/balancer/liveness.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -39,7 +40,10 @@
 	listedAt   time.Time
 	refreshBy  time.Time
 	refreshing bool
-	dirty      bool
+	// dirty asks for a look at all services at the next tick, changed for one
+	// at those that it names.
+	dirty   bool
+	changed map[ticket.ServiceKey]bool
 
 	calls   chan liveness.Batch
 	table   *atomic.Pointer[steering.Table]
@@ -57,6 +61,7 @@
 		self:     liveness.NewSelf(liveness.BalancerSubject(node), incarnation),
 		spreader: liveness.NewSpreader(),
 		paths:    make(map[string]pathList),
+		changed:  make(map[ticket.ServiceKey]bool),
 		calls:    make(chan liveness.Batch, maxCalls),
 		table:    table,
 	}
@@ -162,9 +167,13 @@
 	if change.News {
 		s.peers.spreader.Add(subject, from)
 	}
-	if change.Service != 0 || change.Fleet {
+	if change.Service != 0 {
+		s.peers.changed[change.Service] = true
+	}
+	if change.Fleet {
 		s.peers.dirty = true
 	}
+	s.learnEnd(subject)
 	if change.Fleet {
 		s.log.Emit(EventFleetDoubted, nil)
 	}
@@ -231,11 +240,20 @@
 	if s.peers.refreshing && now.After(s.peers.refreshBy) {
 		s.refreshed()
 	}
-	if s.peers.dirty {
-		s.peers.dirty = false
+	s.publishChanged()
+	s.peers.healthy.Store(s.serving())
+}
+
+// publishChanged publishes what changed since the last tick.
+func (s *state) publishChanged() {
+	switch {
+	case s.peers.dirty:
 		s.publish()
+	case len(s.peers.changed) > 0:
+		s.publish(slices.Collect(maps.Keys(s.peers.changed))...)
 	}
-	s.peers.healthy.Store(s.serving())
+	s.peers.dirty = false
+	clear(s.peers.changed)
 }
 
 func (s *state) callPeers(now time.Time) {
--- a/balancer/steering.go
+++ b/balancer/steering.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cactustray/event"
+	"cactustray/liveness"
 	"cactustray/steering"
 	"cactustray/ticket"
 )
@@ -22,11 +23,22 @@
 }
 
 // behind learns that an agent holds a newer ticket than the one datagrams were
-// routed by. One that has come into force since is old news.
-func (s *state) behind(m steering.Behind) {
-	entry := s.tickets.Entry(m.Service)
-	if entry != nil && entry.Ticket.Number >= m.Ticket {
+// routed by.
+func (s *state) behind(now time.Time, m steering.Behind) {
+	if s.steering.IsBehind(now, m) {
+		s.log.Emit(EventBehind, event.Fields{"service": uint64(m.Service), "ticket": m.Ticket})
+	}
+}
+
+// learnEnd marks the service of an endpoint that has said that it ended, so
+// that the next table resets the flows of that process.
+func (s *state) learnEnd(subject liveness.Subject) {
+	fact, ok := s.observer.Fact(subject)
+	if !ok || fact.State != liveness.Gone {
 		return
 	}
-	s.log.Emit(EventBehind, event.Fields{"service": uint64(m.Service), "ticket": m.Ticket})
+	endpoint := s.steering.Table().Endpoint(ticket.EndpointKey(subject))
+	if endpoint != nil && endpoint.GoneThrough != fact.Incarnation {
+		s.peers.changed[endpoint.Service] = true
+	}
 }
--- /dev/null
+++ b/balancer/steering_test.go
@@ -0,0 +1,52 @@
+package balancer
+
+import (
+	"io"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cactustray/event"
+	"cactustray/liveness"
+	"cactustray/liveness/heartbeat"
+	"cactustray/settings"
+	"cactustray/steering"
+	"cactustray/ticket"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+)
+
+// A process that says that it ended is gone in the next table, whether a
+// ticket still names its endpoint or not; its successor is not.
+func TestEndReachesTheTable(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	table := new(atomic.Pointer[steering.Table])
+	s := newState(&settings.Settings{Node: "entry-1"}, event.NewLog(logger, "entry-1"), table, newPeers("entry-1", table))
+	now := time.Now()
+	key := ticket.EndpointKeyOf("orders", "vm-1")
+	goneThrough := func(message any) steering.Incarnation {
+		s.Handle(now, message)
+		s.Tick(now, tickInterval)
+		return table.Load().Endpoint(key).GoneThrough
+	}
+	first := liveness.NewSelf(liveness.EndpointSubject(key), 1)
+	second := liveness.NewSelf(liveness.EndpointSubject(key), 2)
+	say := func(self *liveness.Self, state liveness.State) heartbeat.Heard {
+		self.SetState(state)
+		return heartbeat.Heard{Report: heartbeat.Report{Fact: self.Fact()}, Node: "vm-1", Reply: make(chan heartbeat.Answer, 1)}
+	}
+	named := ticket.Endpoint{Name: "vm-1", Datagram: netip.MustParseAddrPort("192.0.2.1:1"), Weight: 100}
+	other := ticket.Endpoint{Name: "vm-2", Datagram: netip.MustParseAddrPort("192.0.2.2:1"), Weight: 100}
+	offer := func(number ticket.Number, endpoints ...ticket.Endpoint) ticket.Offered {
+		return ticket.Offered{Held: []ticket.Held{{Content: uint64(number), Ticket: &ticket.Ticket{Number: number, Service: "orders", Endpoints: endpoints}}}}
+	}
+	must.EqOp(t, 0, goneThrough(offer(1, named, other)))
+	must.EqOp(t, 0, goneThrough(say(first, liveness.Leaving)))
+	must.EqOp(t, 1, goneThrough(say(first, liveness.Gone)))
+	must.EqOp(t, 0, goneThrough(say(second, liveness.Ready)))
+	must.EqOp(t, 0, goneThrough(offer(2, other)))
+	must.EqOp(t, 2, goneThrough(say(second, liveness.Gone)))
+}
--- a/placement/connections.go
+++ b/placement/connections.go
@@ -7,22 +7,14 @@
 type Connections struct {
 	open  atomic.Int64
 	limit atomic.Int64
-	// stopped tells that no more may open.
-	stopped atomic.Bool
 }
 
 // SetLimit sets how many may be open; 0 means no limit. Open ones stay.
 func (c *Connections) SetLimit(limit uint32) { c.limit.Store(int64(limit)) }
 
-// Stop lets no more connections open; open ones stay.
-func (c *Connections) Stop() { c.stopped.Store(true) }
-
 // Acquire counts one more connection and tells whether it may open; each that
 // may is given back by Release.
 func (c *Connections) Acquire() bool {
-	if c.stopped.Load() {
-		return false
-	}
 	limit := c.limit.Load()
 	if open := c.open.Add(1); limit > 0 && open > limit {
 		c.open.Add(-1)
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -19,7 +19,9 @@
 	Accept Verdict = iota
 	// HandOn: the flow goes to an alternate.
 	HandOn
-	// Refuse: the flow may not stay and there is no alternate.
+	// Refuse: the flow should not stay, but there is no alternate. An endpoint
+	// that is full refuses the connection; one that leaves takes it and says
+	// to each request that it was not run.
 	Refuse
 )
 
--- a/steering/datagram/generator.go
+++ b/steering/datagram/generator.go
@@ -1,8 +1,10 @@
 package datagram
 
 import (
+	"context"
 	"sync/atomic"
 
+	"cactustray/placement"
 	"cactustray/steering"
 
 	"github.com/quic-go/quic-go"
@@ -25,3 +27,16 @@
 
 // ConnectionIDLen returns the length of every token.
 func (g *TokenIDs) ConnectionIDLen() int { return steering.TokenSize }
+
+// LimitConnections returns a transport's ConnContext that counts connections
+// from their first datagram to their end, and refuses those beyond the limit,
+// which tells the caller at once.
+func LimitConnections(connections *placement.Connections) func(context.Context, *quic.ClientInfo) (context.Context, error) {
+	return func(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
+		if !connections.Acquire() {
+			return nil, &ConnectionLimitError{Caller: info.RemoteAddr}
+		}
+		context.AfterFunc(ctx, connections.Release)
+		return ctx, nil
+	}
+}
--- a/steering/datagram/quic_test.go
+++ b/steering/datagram/quic_test.go
@@ -115,6 +115,7 @@
 		Conn:                  conn,
 		ConnectionIDGenerator: &TokenIDs{Sealer: r.sealer, Owner: ownerOf(i, incarnation)},
 		StatelessResetKey:     &quic.StatelessResetKey{1},
+		ConnContext:           LimitConnections(&conn.residence.Connections),
 	}
 	listener, err := transport.Listen(r.tls, &quic.Config{DisablePathMTUDiscovery: true})
 	must.NoError(r.t, err)
@@ -198,11 +199,11 @@
 	second, _ := r.agent(1, 1)
 	flows := make(map[*Conn]*quic.Conn)
 	for len(flows) < 2 {
-		before := first.residence.Counters.Of(steering.Forwarded)
+		before := first.residence.Connections.Open()
 		c, err := r.dial()
 		must.NoError(t, err)
 		owner := second
-		if first.residence.Counters.Of(steering.Forwarded) > before {
+		if first.residence.Connections.Open() > before {
 			owner = first
 		}
 		flows[owner] = c
@@ -241,3 +242,23 @@
 	}
 	must.EqOp(t, 0, conns[0].residence.Counters.Of(steering.Forwarded))
 }
+
+// A connection beyond the limit is refused at once; when one has ended, the
+// next may open.
+func TestConnectionLimit(t *testing.T) {
+	r := newRig(t, 1)
+	conn, _ := r.agent(0, 1)
+	conn.residence.Connections.SetLimit(1)
+	first, err := r.dial()
+	must.NoError(t, err)
+	_, err = r.dial()
+	var refused *quic.TransportError
+	must.True(t, errors.As(err, &refused))
+	must.EqOp(t, quic.ConnectionRefused, refused.ErrorCode)
+	must.EqOp(t, 1, conn.residence.Connections.Open())
+	must.NoError(t, first.CloseWithError(0, ""))
+	for err != nil {
+		_, err = r.dial()
+	}
+	must.EqOp(t, 1, conn.residence.Connections.Open())
+}
--- a/steering/datagram/receiver.go
+++ b/steering/datagram/receiver.go
@@ -107,8 +107,8 @@
 	}
 }
 
-// place decides whether a new flow stays. One that is refused is delivered:
-// the transport, which counts the connections, tells the caller at once.
+// place decides whether a new flow stays. One that should not, but has nowhere
+// to go, is delivered too, so that its caller gets an answer.
 func (r *receiver) place(now time.Time, a steering.Arrival, reception steering.Reception) (bool, steering.Reason) {
 	view := r.conn.residence.View.Load()
 	if view == nil {
--- a/steering/state.go
+++ b/steering/state.go
@@ -22,6 +22,15 @@
 	Ticket  ticket.Number
 }
 
+// behindRetry is how long a balancer that is behind waits for the newer ticket
+// before it asks for it again.
+const behindRetry = 500 * time.Millisecond
+
+type noticed struct {
+	number ticket.Number
+	at     time.Time
+}
+
 type departure struct {
 	service  ticket.ServiceKey
 	endpoint ticket.EndpointKey
@@ -36,6 +45,7 @@
 	left   []departure
 	leftAt map[ticket.ServiceKey]map[ticket.EndpointKey]time.Time
 	kept   int
+	behind map[ticket.ServiceKey]noticed
 }
 
 // NewState returns a state with an empty table.
@@ -43,6 +53,7 @@
 	return &State{
 		table:  emptyTable(),
 		leftAt: make(map[ticket.ServiceKey]map[ticket.EndpointKey]time.Time),
+		behind: make(map[ticket.ServiceKey]noticed),
 	}
 }
 
@@ -70,6 +81,22 @@
 	return s.table
 }
 
+// IsBehind takes a notice in and tells whether the named ticket should be asked
+// for now: it is newer than the one routed by, and nobody has asked lately.
+func (s *State) IsBehind(now time.Time, m Behind) bool {
+	service := s.table.Service(m.Service)
+	if service == nil || service.Ticket >= m.Ticket {
+		delete(s.behind, m.Service)
+		return false
+	}
+	last, ok := s.behind[m.Service]
+	if ok && last.number >= m.Ticket && now.Sub(last.at) < behindRetry {
+		return false
+	}
+	s.behind[m.Service] = noticed{number: m.Ticket, at: now}
+	return true
+}
+
 // Tick forgets endpoints that left long ago and tells whether the table
 // changed.
 func (s *State) Tick(now time.Time) bool {
