--- /dev/null
+++ b/placement/policy_test.go
@@ -0,0 +1,176 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"cactustray/ticket"
+)
+
+// Scenario of BenchmarkPolicy: the association's drawings service, grown to 11
+// endpoints. Each flow opens, runs a few jobs one after another, and closes.
+const (
+	simEndpoints = 11
+	simSlots     = 2
+	simStep      = time.Millisecond
+	simTime      = 120 * time.Second
+	simJob       = 50 * time.Millisecond
+	simJobs      = 4
+	simLoad      = 0.7
+	// simStraggler and simStretch: 2% of the jobs run 50 times longer.
+	simStraggler = 0.02
+	simStretch   = 50
+)
+
+// policy decides at home whether a flow goes to another endpoint: its number,
+// or -1.
+type policy func(v *View, now time.Time, random *rand.Rand) int
+
+type simFlow struct{ left int }
+
+type simServer struct {
+	state   *State
+	view    *View
+	running []time.Duration
+	flows   []*simFlow
+	queue   []simWait
+	// busy is the time of all jobs run here.
+	busy time.Duration
+}
+
+type simWait struct {
+	flow  *simFlow
+	since time.Duration
+	work  time.Duration
+}
+
+// BenchmarkPolicy compares ways to place new flows by how long jobs wait and how
+// unevenly the servers are busy.
+func BenchmarkPolicy(b *testing.B) {
+	place := func(margin float64) policy {
+		return func(v *View, now time.Time, random *rand.Rand) int {
+			own := v.own.pressure()
+			if alternate, ok := v.alternate(now, random.Uint64()); ok && alternate.pressure()+margin < own {
+				return int(alternate.Key) - 1
+			}
+			return -1
+		}
+	}
+	policies := []struct {
+		name   string
+		decide policy
+	}{
+		{"home only", func(*View, time.Time, *rand.Rand) int { return -1 }},
+		{"two choices, margin 0", place(0)},
+		{"two choices, margin 0.25", place(0.25)},
+		{"two choices, margin 0.5", place(0.5)},
+		{"two choices, margin 1", place(1)},
+		{"least of all", func(v *View, now time.Time, _ *rand.Rand) int {
+			least, found := v.own, -1
+			for _, p := range v.candidates(now) {
+				if p.pressure() < least.pressure() {
+					least, found = p, int(p.Key)-1
+				}
+			}
+			return found
+		}},
+	}
+	for _, p := range policies {
+		b.Run(p.name, func(b *testing.B) {
+			for range b.N {
+				simulate(b, p.decide)
+			}
+		})
+	}
+}
+
+func simulate(b *testing.B, decide policy) {
+	random := rand.New(rand.NewPCG(1, 2))
+	servers := make([]*simServer, simEndpoints)
+	for i := range servers {
+		s := NewState(ticket.EndpointKey(i + 1))
+		s.SetPeers(peers(simEndpoints))
+		servers[i] = &simServer{state: s, view: s.View(start)}
+	}
+	mean := float64(simJob) * (1 + simStraggler*(simStretch-1))
+	perStep := simLoad * simEndpoints * simSlots * float64(simStep) / mean / simJobs
+	var waits []time.Duration
+	handed, flows := 0, 0
+	for at := time.Duration(0); at < simTime; at += simStep {
+		now := start.Add(at)
+		for ; random.Float64() < perStep; flows++ {
+			home := random.IntN(simEndpoints)
+			if to := decide(servers[home].view, now, random); to >= 0 {
+				home = to
+				handed++
+			}
+			servers[home].arrive(&simFlow{left: simJobs}, at, random)
+		}
+		for _, s := range servers {
+			waits = append(waits, s.step(at, random)...)
+		}
+		if at%(50*time.Millisecond) == 0 {
+			exchangeLoads(servers, now)
+		}
+	}
+	slices.Sort(waits)
+	quantile := func(q float64) float64 {
+		return float64(waits[int(q*float64(len(waits)-1))].Milliseconds())
+	}
+	b.ReportMetric(quantile(0.5), "p50-ms")
+	b.ReportMetric(quantile(0.99), "p99-ms")
+	most, total := time.Duration(0), time.Duration(0)
+	for _, s := range servers {
+		most, total = max(most, s.busy), total+s.busy
+	}
+	b.ReportMetric(float64(most*simEndpoints)/float64(total), "max/mean")
+	b.ReportMetric(float64(handed)/float64(flows), "handed-on")
+}
+
+func exchangeLoads(servers []*simServer, now time.Time) {
+	for _, s := range servers {
+		s.state.SetOwn(Load{Slots: simSlots, Running: uint32(len(s.running)), Queued: uint32(len(s.queue)), Ramp: FullRamp})
+		targets, load := s.state.Report(now)
+		for _, target := range targets {
+			servers[target.Key-1].state.Hear(now, Heard{Load: load})
+		}
+	}
+	for _, s := range servers {
+		s.view = s.state.View(now)
+	}
+}
+
+func (s *simServer) arrive(flow *simFlow, at time.Duration, random *rand.Rand) {
+	work := time.Duration(random.ExpFloat64() * float64(simJob))
+	if random.Float64() < simStraggler {
+		work *= simStretch
+	}
+	s.queue = append(s.queue, simWait{flow: flow, since: at, work: work})
+}
+
+// step ends what is done, starts what may run, and returns how long each job
+// that started had waited.
+func (s *simServer) step(at time.Duration, random *rand.Rand) (waits []time.Duration) {
+	for i := len(s.running) - 1; i >= 0; i-- {
+		if s.running[i] > at {
+			continue
+		}
+		flow := s.flows[i]
+		s.running = slices.Delete(s.running, i, i+1)
+		s.flows = slices.Delete(s.flows, i, i+1)
+		if flow.left--; flow.left > 0 {
+			s.arrive(flow, at, random)
+		}
+	}
+	for len(s.queue) > 0 && len(s.running) < simSlots {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		s.running = append(s.running, at+next.work)
+		s.flows = append(s.flows, next.flow)
+		s.busy += next.work
+		waits = append(waits, at-next.since)
+	}
+	return waits
+}
