--- a/agent/observe.go
+++ b/agent/observe.go
@@ -11,6 +11,7 @@
 	"cactustray/steering/datagram"
 	"cactustray/trace"
 
+	"github.com/quic-go/quic-go"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -46,3 +47,17 @@
 	p.residence.Tracer = tracer
 	return nil
 }
+
+// connContext makes the context of a new connection, or refuses it.
+type connContext = func(context.Context, *quic.ClientInfo) (context.Context, error)
+
+// traceFlows begins the span of each sampled connection that admit accepts.
+func traceFlows(tracer *trace.Tracer, admit connContext) connContext {
+	return func(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
+		admitted, err := admit(ctx, info)
+		if err != nil {
+			return nil, err
+		}
+		return tracer.Flow(admitted, info.RemoteAddr), nil
+	}
+}
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -70,7 +70,7 @@
 	case leave:
 		s.leave(now, m)
 	case steering.Behind:
-		s.behind(m)
+		s.behind(now, m)
 	case status.Asked:
 		m.Reply <- s.report(now, m)
 	}
--- a/balancer/liveness.go
+++ b/balancer/liveness.go
@@ -168,6 +168,7 @@
 	if change.Service != 0 {
 		s.peers.stale[change.Service] = true
 	}
+	s.learnEnd(subject)
 	if change.Fleet {
 		s.peers.allStale = true
 		s.log.Emit(EventFleetDoubted, nil)
