--- a/standin/e2e/load_test.go
+++ b/standin/e2e/load_test.go
@@ -40,15 +40,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	fd := &feed{stop: cancel, done: make(chan struct{})}
-	response := get(t, f, ctx, f.URL(service, "/feed?lines=1000000&interval=20"))
+	response := askUntilAnswered(t, f, ctx, f.URL(service, "/feed?lines=1000000&interval=20"))
 	fd.endpoint = response.Header.Get(frontend.EndpointHeader)
 	go fd.read(response.Body)
 	f.Await(func() bool { return fd.lines.Load() > 0 || fd.ended() })
 	return fd
 }
 
-// get repeats a request, from a new caller each time, until it is answered.
-func get(t *testing.T, f *fleet.Fleet, ctx context.Context, url string) *http.Response {
+// askUntilAnswered repeats a request, from a new caller each time, until it is answered.
+func askUntilAnswered(t *testing.T, f *fleet.Fleet, ctx context.Context, url string) *http.Response {
 	t.Helper()
 	var response *http.Response
 	f.Await(func() bool {
@@ -158,7 +158,9 @@
 	}
 	request.Header.Set(backend.IdempotencyHeader, key)
 	request.Header.Set(frontend.TimeoutHeader, strconv.Itoa(timeout))
-	response, err := f.Caller().Do(request)
+	from := f.Caller()
+	defer from.Close()
+	response, err := from.Do(request)
 	if err != nil {
 		return unknown
 	}
