--- a/agent/control.go
+++ b/agent/control.go
@@ -83,12 +83,14 @@
 	case admission.Gone:
 		s.decide(s.admission.Leave(now, m.ID))
 		delete(s.replies, m.ID)
+	case stopRequested:
+		s.requestStop(now, m)
+	case gone:
+		s.sayGone(now)
 	case placement.Heard:
 		s.placement.Hear(now, m)
 	case steering.Behind:
 		s.behind(m)
-	case stopRequested:
-		s.requestStop(now, m)
 	case status.Asked:
 		m.Reply <- s.statusReport(now, m)
 	}
@@ -98,9 +100,9 @@
 func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.decide(s.admission.Tick(now))
 	s.tickets.Seal(now)
-	s.placeByLoad(now)
 	s.tickDrain(now)
 	s.tickReports(now, gap)
+	s.placeByLoad(now)
 }
 
 func (s *state) statusReport(now time.Time, asked status.Asked) status.Report {
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -27,8 +27,8 @@
 	tickets  *ticket.Register
 	observer *liveness.Observer
 	members  *membership.State
-	steering *steering.State
 	peers    *peers
+	steering *steering.State
 
 	table *atomic.Pointer[steering.Table]
 }
@@ -42,8 +42,8 @@
 		tickets:  ticket.NewRegister(),
 		observer: liveness.NewObserver(),
 		members:  membership.NewState(),
-		steering: steering.NewState(),
 		peers:    p,
+		steering: steering.NewState(),
 		table:    table,
 	}
 	st.members.SetSelf(selfNode(s))
@@ -63,14 +63,14 @@
 		s.log.Emit(EventPlatformUnavailable, event.Fields{"cause": m.Cause})
 	case heartbeat.Heard:
 		s.heard(now, m)
-	case steering.Behind:
-		s.behind(m)
 	case heartbeat.Passed:
 		s.passed(now, m)
 	case called:
 		s.called(now, m)
 	case leave:
 		s.leave(now, m)
+	case steering.Behind:
+		s.behind(m)
 	case status.Asked:
 		m.Reply <- s.report(now, m)
 	}
