--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,7 +12,7 @@
 	"cactustray/event"
 	"cactustray/identity"
 	"cactustray/settings"
-	"cactustray/status"
+	"cactustray/status/query"
 	"cactustray/steering"
 	"cactustray/ticket"
 
@@ -69,7 +69,7 @@
 
 func controlHandler(loop *control.Loop) http.Handler {
 	mux := http.NewServeMux()
-	path, h := status.NewServer(loop).Handler()
+	path, h := query.NewServer(loop).Handler()
 	mux.Handle(path, identity.Require(h, identity.Balancer, identity.Agent, identity.Operator))
 	return mux
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -17,7 +17,7 @@
 	"cactustray/identity"
 	"cactustray/liveness/heartbeat"
 	"cactustray/settings"
-	"cactustray/status"
+	"cactustray/status/query"
 	"cactustray/steering"
 	"cactustray/steering/datagram"
 	"cactustray/ticket/exchange"
@@ -82,7 +82,7 @@
 	mount(path, h, identity.Balancer, identity.Agent)
 	path, h = heartbeat.NewServer(loop).Handler()
 	mount(path, h, identity.Balancer, identity.Agent)
-	path, h = status.NewServer(loop).Handler()
+	path, h = query.NewServer(loop).Handler()
 	mount(path, h, identity.Balancer, identity.Agent, identity.Operator)
 	return mux
 }
--- a/demo.sh
+++ b/demo.sh
@@ -63,9 +63,10 @@
 bin/cactustray ticket submit "$dir/ticket-2.json"
 bin/cactustray status
 bin/cactustray flows
+busiest=$(bin/cactustray flows --service orders | awk '$3=="orders" && $4>most {most=$4; name=$1} END {print name, most}')
 kill -TERM "${pid_of[entry-1]}"
-kill -TERM "${pid_of[orders-1]}"
-echo "stopped balancer entry-1 and the agent of orders-1"
+kill -TERM "${pid_of[${busiest% *}]}"
+echo "stopping balancer entry-1, and the agent of ${busiest% *} with ${busiest#* } feeds open"
 wait "$feeds"
 echo "== requests after the stops"
 answered=0
--- a/standin/e2e/observe_test.go
+++ b/standin/e2e/observe_test.go
@@ -62,7 +62,7 @@
 	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
-func get(client interface {
+func fetch(client interface {
 	Do(*http.Request) (*http.Response, error)
 }, url string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), fleet.Patience)
@@ -89,7 +89,7 @@
 		f.Run(name)
 	}
 	f.AwaitTicket("orders", 1)
-	body, err := get(f.Caller(), f.URL("orders", "/drawing?work=1"))
+	body, err := fetch(f.Caller(), f.URL("orders", "/drawing?work=1"))
 	must.NoError(t, err)
 	must.EqOp(t, "orders-1\n", body)
 
@@ -110,7 +110,7 @@
 		}
 		return false
 	})
-	shown, err := get(http.DefaultClient, "http://"+f.Balancers[0].Metrics.String()+"/metrics")
+	shown, err := fetch(http.DefaultClient, "http://"+f.Balancers[0].Metrics.String()+"/metrics")
 	must.NoError(t, err)
 	var instruments map[string]map[string]float64
 	must.NoError(t, json.Unmarshal([]byte(shown), &instruments))
--- a/status/client.go
+++ b/status/query/client.go
@@ -1,10 +1,11 @@
-package status
+package query
 
 import (
 	"context"
 	"net/http"
 	"time"
 
+	"cactustray/status"
 	"cactustray/status/statuspb"
 	"cactustray/status/statuspb/statuspbconnect"
 	"cactustray/ticket"
@@ -29,7 +30,7 @@
 }
 
 // Report asks the node how it stands.
-func (c *Client) Report(ctx context.Context, q Query) (*Report, error) {
+func (c *Client) Report(ctx context.Context, q Query) (*status.Report, error) {
 	response, err := c.remote.Status(ctx, &statuspb.StatusRequest{Services: q.Services, OmitNodes: q.OmitNodes})
 	if err != nil {
 		return nil, err
@@ -46,28 +47,28 @@
 	return response.Document, nil
 }
 
-func decode(r *statuspb.StatusResponse) *Report {
-	report := &Report{
+func decode(r *statuspb.StatusResponse) *status.Report {
+	report := &status.Report{
 		Node:   r.Node,
 		Role:   r.Role,
 		Zone:   r.Zone,
 		State:  r.State,
 		Uptime: time.Duration(r.UptimeMillis) * time.Millisecond,
-		Load:   Load{Flows: r.Flows, Requests: r.Requests, Queued: r.Queued},
-		Cost:   Cost{BytesPerSecond: r.ControlBytesPerSecond, CoreShare: r.ControlCoreShare},
+		Load:   status.Load{Flows: r.Flows, Requests: r.Requests, Queued: r.Queued},
+		Cost:   status.Cost{BytesPerSecond: r.ControlBytesPerSecond, CoreShare: r.ControlCoreShare},
 	}
 	for _, t := range r.Tickets {
 		report.Tickets = append(report.Tickets, decodeInForce(t))
 	}
 	for _, n := range r.Nodes {
-		known := Known{Name: n.Name, Role: n.Role, Control: n.Control, Service: n.Service, Leaving: n.State == stateLeaving}
+		known := status.Known{Name: n.Name, Role: n.Role, Control: n.Control, Service: n.Service, Leaving: n.State == stateLeaving}
 		report.Nodes = append(report.Nodes, known)
 	}
 	return report
 }
 
-func decodeInForce(t *statuspb.InForce) InForce {
-	return InForce{
+func decodeInForce(t *statuspb.InForce) status.InForce {
+	return status.InForce{
 		Service:   t.Service,
 		Number:    ticket.Number(t.Number),
 		Content:   t.Content,
--- a/status/server.go
+++ b/status/query/server.go
@@ -1,10 +1,13 @@
-package status
+// Package query is the wire side of the status slice: it carries reports from
+// nodes to operators.
+package query
 
 import (
 	"context"
 	"net/http"
 
 	"cactustray/control"
+	"cactustray/status"
 	"cactustray/status/statuspb"
 	"cactustray/status/statuspb/statuspbconnect"
 	"cactustray/ticket"
@@ -34,8 +37,8 @@
 	for i, name := range r.Services {
 		services[i] = ticket.ServiceKeyOf(name)
 	}
-	report, err := control.Ask(ctx, s.loop, func(reply chan<- Report) control.Message {
-		return Asked{Services: services, OmitNodes: r.OmitNodes, Reply: reply}
+	report, err := control.Ask(ctx, s.loop, func(reply chan<- status.Report) control.Message {
+		return status.Asked{Services: services, OmitNodes: r.OmitNodes, Reply: reply}
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
@@ -59,7 +62,7 @@
 	return response, nil
 }
 
-func encode(r Report) *statuspb.StatusResponse {
+func encode(r status.Report) *statuspb.StatusResponse {
 	response := &statuspb.StatusResponse{
 		Node:                  r.Node,
 		Role:                  r.Role,
@@ -81,7 +84,7 @@
 	return response
 }
 
-func encodeInForce(t InForce) *statuspb.InForce {
+func encodeInForce(t status.InForce) *statuspb.InForce {
 	return &statuspb.InForce{
 		Service:   t.Service,
 		Number:    uint64(t.Number),
@@ -93,7 +96,7 @@
 	}
 }
 
-func encodeKnown(n Known) *statuspb.KnownNode {
+func encodeKnown(n status.Known) *statuspb.KnownNode {
 	state := stateLive
 	if n.Leaving {
 		state = stateLeaving
--- a/status/survey/survey.go
+++ b/status/survey/survey.go
@@ -9,6 +9,7 @@
 
 	"cactustray/control/rpc"
 	"cactustray/status"
+	"cactustray/status/query"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -43,14 +44,14 @@
 	for _, address := range scope.Seeds {
 		seeds = append(seeds, status.Known{Control: address})
 	}
-	query := status.Query{Services: scope.Services, OmitNodes: scope.SeedsOnly}
-	answers := s.askAll(ctx, seeds, query)
+	q := query.Query{Services: scope.Services, OmitNodes: scope.SeedsOnly}
+	answers := s.askAll(ctx, seeds, q)
 	if scope.SeedsOnly {
 		return status.Fleet{Answers: answers}
 	}
 	others := discovered(answers, scope.Known)
-	query.OmitNodes = true
-	return status.Fleet{Answers: append(answers, s.askAll(ctx, others, query)...)}
+	q.OmitNodes = true
+	return status.Fleet{Answers: append(answers, s.askAll(ctx, others, q)...)}
 }
 
 // discovered returns the nodes that the answers name and that were not asked,
@@ -86,13 +87,13 @@
 	return others
 }
 
-func (s *Surveyor) askAll(ctx context.Context, nodes []status.Known, query status.Query) []status.Answer {
+func (s *Surveyor) askAll(ctx context.Context, nodes []status.Known, q query.Query) []status.Answer {
 	answers := make([]status.Answer, len(nodes))
 	var group errgroup.Group
 	group.SetLimit(maxCalls)
 	for i, node := range nodes {
 		group.Go(func() error {
-			answers[i] = s.ask(ctx, node, query)
+			answers[i] = s.ask(ctx, node, q)
 			return nil
 		})
 	}
@@ -100,10 +101,10 @@
 	return answers
 }
 
-func (s *Surveyor) ask(ctx context.Context, node status.Known, query status.Query) status.Answer {
+func (s *Surveyor) ask(ctx context.Context, node status.Known, q query.Query) status.Answer {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
-	report, err := status.NewClient(s.Client, rpc.Base(node.Control)).Report(ctx, query)
+	report, err := query.NewClient(s.Client, rpc.Base(node.Control)).Report(ctx, q)
 	return status.Answer{Address: node.Control, Known: node, Report: report, Failure: err}
 }
 
@@ -143,5 +144,5 @@
 func (s *Surveyor) ticketOf(ctx context.Context, node, service string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
-	return status.NewClient(s.Client, rpc.Base(node)).Ticket(ctx, service)
+	return query.NewClient(s.Client, rpc.Base(node)).Ticket(ctx, service)
 }
