Spread tickets between balancers by pushes and comparisons

Cause: every balancer watched the platform, which at 3,200 balancers is 3,200 waiting reads, and a restarted balancer took the platform's word alone.

Change: the register keeps sums of 64 buckets; ticket.Spread decides whom to push digests to, whom to compare summaries with, and who reads the platform (2 a failure domain by rendezvous hashing). A balancer publishes its first table only after a peer confirmed its tickets or no peer can. A ticket is accepted only after a comparison with a peer. Rivals are counted once each; published documents that are not in force are listed with the reason; clashes of addresses are settled by the register. Agents no longer seal: one that did could hold a rival that the fleet had settled against. Control bytes and the control goroutine's busy time are metered.

Measured: go test -race ./ticket/... ./control/... ./standin/e2e/ passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/control/rpc"
 	"cactustray/event"
 	"cactustray/identity"
@@ -31,6 +32,7 @@
 	}
 	loop := control.NewLoop(tickInterval)
 	snapshots := new(published)
+	traffic := new(meter.Meter)
 	callers, err := newCallerServer(s, sealer, owner, loop, snapshots)
 	if err != nil {
 		return err
@@ -40,7 +42,7 @@
 		node:      s.Node,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
 		balancers: s.Agent.Balancers,
-		client:    rpc.NewClient(id),
+		client:    rpc.NewMeteredClient(id, traffic),
 		loop:      loop,
 		log:       log,
 	}
@@ -50,9 +52,11 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
-	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports)) })
+	group.Go(func() error {
+		return loop.Run(running, newState(s, owner, log, snapshots, reports, meter.NewUsage(traffic, loop.Busy)))
+	})
 	group.Go(func() error { return reporter.run(running, reports) })
-	group.Go(func() error { return rpc.Serve(running, s.Control, id, controlHandler(loop)) })
+	group.Go(func() error { return rpc.Serve(running, s.Control, id, traffic, controlHandler(loop)) })
 	group.Go(func() error { return callers.serve(running) })
 	group.Go(func() error {
 		defer stop()
--- a/agent/control.go
+++ b/agent/control.go
@@ -6,6 +6,7 @@
 
 	"cactustray/admission"
 	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/event"
 	"cactustray/liveness"
 	"cactustray/membership"
@@ -38,9 +39,10 @@
 	published *published
 	// report asks the heartbeat goroutine to send the fact and the ticket.
 	report chan<- report
+	usage  *meter.Usage
 }
 
-func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report) *state {
+func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, usage *meter.Usage) *state {
 	return &state{
 		settings:  s,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
@@ -52,6 +54,7 @@
 		replies:   make(map[admission.RequestID]chan<- admission.Decision),
 		published: p,
 		report:    reports,
+		usage:     usage,
 	}
 }
 
@@ -60,8 +63,6 @@
 	switch m := message.(type) {
 	case ticket.Offered:
 		s.offered(now, m)
-	case ticket.Compared:
-		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
 	case answered:
 		s.learnBalancers(m.answer)
 	case admission.Arrived:
@@ -82,8 +83,8 @@
 // Tick refuses what waited too long and reports to the balancers.
 func (s *state) Tick(now time.Time, _ time.Duration) {
 	s.decide(s.admission.Tick(now))
-	s.tickets.Seal(now)
 	s.sendReport()
+	s.usage.Sample(now)
 }
 
 func (s *state) statusReport(now time.Time) status.Report {
@@ -95,5 +96,6 @@
 		Uptime:  now.Sub(s.started),
 		Tickets: status.InForceOf(now, s.tickets),
 		Flows:   int64(s.admission.Running()),
+		Control: s.usage.Rates(now),
 	}
 }
--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -13,7 +13,7 @@
 		if h.Ticket.Key() != s.service {
 			continue
 		}
-		if s.tickets.Join(now, h) == ticket.InForce {
+		if s.tickets.Join(now, h).Changed() {
 			s.log.Emit(EventTicketInForce, event.Fields{"service": h.Ticket.Service, "ticket": h.Ticket.Number})
 		}
 	}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/control/rpc"
 	"cactustray/event"
 	"cactustray/identity"
@@ -43,18 +44,23 @@
 		return err
 	}
 	loop := control.NewLoop(tickInterval)
-	reader := platform.NewReader(s.Platform.URL, s.Platform.Prefix)
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	traffic := new(meter.Meter)
+	watcher := platform.NewWatcher(platform.NewReader(s.Platform.URL, s.Platform.Prefix, traffic), loop, newRandom())
+	caller := exchange.NewCaller(rpc.NewMeteredClient(id, traffic), loop)
+	out := outside{caller: caller, watcher: watcher, usage: meter.NewUsage(traffic, loop.Busy)}
 	log.Emit(EventBalancerStarted, event.Fields{"edge": s.Balancer.Edge})
 	defer log.Emit(EventBalancerStopped, nil)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return loop.Run(ctx, newState(s.Node, s.Zone, log, table)) })
+	group.Go(func() error { return loop.Run(ctx, newState(s, log, table, out, newRandom())) })
 	group.Go(func() error { return forwarder.Run(ctx, workers) })
-	group.Go(func() error { return platform.Watch(ctx, reader, loop, random) })
-	group.Go(func() error { return rpc.Serve(ctx, s.Control, id, handler(loop)) })
+	group.Go(func() error { return watcher.Run(ctx) })
+	group.Go(func() error { return caller.Run(ctx) })
+	group.Go(func() error { return rpc.Serve(ctx, s.Control, id, traffic, handler(loop)) })
 	return group.Wait()
 }
 
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 func handler(loop *control.Loop) http.Handler {
 	mux := http.NewServeMux()
 	mount := func(path string, h http.Handler, roles ...identity.Role) {
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +10,7 @@
 	"cactustray/liveness"
 	"cactustray/liveness/heartbeat"
 	"cactustray/membership"
+	"cactustray/settings"
 	"cactustray/status"
 	"cactustray/steering"
 	"cactustray/ticket"
@@ -24,22 +26,27 @@
 	log     *event.Log
 
 	tickets  *ticket.Register
+	spread   *ticket.Spread
 	observer *liveness.Observer
 	members  *membership.State
 
 	table *atomic.Pointer[steering.Table]
+	outside
 }
 
-func newState(node, zone string, log *event.Log, table *atomic.Pointer[steering.Table]) *state {
+func newState(s *settings.Settings, log *event.Log, table *atomic.Pointer[steering.Table], out outside, random *rand.Rand) *state {
+	now := time.Now()
 	return &state{
-		node:     node,
-		zone:     zone,
-		started:  time.Now(),
+		node:     s.Node,
+		zone:     s.Zone,
+		started:  now,
 		log:      log,
 		tickets:  ticket.NewRegister(),
+		spread:   newSpread(now, s, random),
 		observer: liveness.NewObserver(),
 		members:  membership.NewState(),
 		table:    table,
+		outside:  out,
 	}
 }
 
@@ -48,10 +55,13 @@
 	switch m := message.(type) {
 	case ticket.Offered:
 		s.offered(now, m)
-	case ticket.Compared:
-		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
+	case ticket.Asked:
+		m.Reply <- s.asked(now, m.Request)
+	case ticket.Answered:
+		s.answered(now, m)
 	case membership.Listed:
 		s.members.Learn(m)
+		s.listed()
 	case platform.Failed:
 		s.log.Emit(EventPlatformUnavailable, event.Fields{"cause": m.Cause})
 	case heartbeat.Heard:
@@ -63,13 +73,17 @@
 
 // Tick seals tickets and suspects endpoints that have gone silent.
 func (s *state) Tick(now time.Time, gap time.Duration) {
-	s.tickets.Seal(now)
+	s.spreadTick(now)
 	if s.observer.Tick(now, gap) > 0 {
 		s.publish()
 	}
 }
 
+// publish makes the table anew, once the node may take traffic.
 func (s *state) publish() {
+	if !s.spread.Started() {
+		return
+	}
 	s.table.Store(steering.BuildTable(s.tickets, s.observer, s.table.Load()))
 }
 
@@ -78,9 +92,10 @@
 		Node:    s.node,
 		Role:    membership.RoleBalancer,
 		Zone:    s.zone,
-		State:   "ready",
+		State:   s.stateName(),
 		Uptime:  now.Sub(s.started),
 		Tickets: status.InForceOf(now, s.tickets),
 		Nodes:   s.members.Nodes(),
+		Control: s.usage.Rates(now),
 	}
 }
--- a/control/loop.go
+++ b/control/loop.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,6 +30,7 @@
 type Loop struct {
 	inbox    chan Message
 	interval time.Duration
+	busy     atomic.Int64
 }
 
 // NewLoop returns a loop that ticks at the given interval.
@@ -58,6 +60,9 @@
 	}
 }
 
+// Busy returns how long the handler has been at work so far.
+func (l *Loop) Busy() time.Duration { return time.Duration(l.busy.Load()) }
+
 // Run applies messages and ticks until the context ends.
 func (l *Loop) Run(ctx context.Context, handler Handler) error {
 	ticker := time.NewTicker(l.interval)
@@ -68,11 +73,14 @@
 		case <-ctx.Done():
 			return nil
 		case message := <-l.inbox:
-			handler.Handle(time.Now(), message)
+			now := time.Now()
+			handler.Handle(now, message)
+			l.busy.Add(int64(time.Since(now)))
 		case <-ticker.C:
 			now := time.Now()
 			handler.Tick(now, now.Sub(last))
 			last = now
+			l.busy.Add(int64(time.Since(now)))
 		}
 	}
 }
--- a/control/rpc/rpc.go
+++ b/control/rpc/rpc.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"time"
 
+	"cactustray/control/meter"
 	"cactustray/identity"
 )
 
@@ -39,7 +40,14 @@
 // NewClient returns a client for calls to the system's processes. A peer that
 // has gone silent is noticed by pings.
 func NewClient(id *identity.Identity) *http.Client {
+	return NewMeteredClient(id, new(meter.Meter))
+}
+
+// NewMeteredClient returns a client as NewClient does, whose traffic the meter
+// counts.
+func NewMeteredClient(id *identity.Identity, m *meter.Meter) *http.Client {
 	transport := &http.Transport{
+		DialContext:       m.Dialer(),
 		TLSClientConfig:   id.ClientTLS(),
 		ForceAttemptHTTP2: true,
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: idlePing, PingTimeout: pingTimeout},
@@ -50,8 +58,9 @@
 // Base returns the base URL of the process at an address.
 func Base(address string) string { return "https://" + address }
 
-// Serve answers calls on an address until the context ends.
-func Serve(ctx context.Context, address netip.AddrPort, id *identity.Identity, handler http.Handler) error {
+// Serve answers calls on an address until the context ends; the meter counts
+// their traffic.
+func Serve(ctx context.Context, address netip.AddrPort, id *identity.Identity, m *meter.Meter, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return &ListenError{Address: address, Cause: err}
@@ -64,7 +73,7 @@
 	})
 	defer stop()
 	server.TLSConfig.NextProtos = []string{"h2"}
-	err = server.Serve(tls.NewListener(listener, server.TLSConfig))
+	err = server.Serve(tls.NewListener(m.Listener(listener), server.TLSConfig))
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -90,6 +90,9 @@
 	}
 	c.address("balancer.edge", s.Balancer.Edge)
 	c.address("balancer.fabric", s.Balancer.Fabric)
+	for i, peer := range s.Balancer.Peers {
+		c.address(fmt.Sprintf("balancer.peers[%d]", i), peer)
+	}
 }
 
 func (c *checker) agent(s *Settings) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,6 +66,9 @@
 	Edge netip.AddrPort `json:"edge"`
 	// Fabric is where datagrams for callers are handed to the fabric.
 	Fabric netip.AddrPort `json:"fabric"`
+	// Peers are control addresses of balancers asked while the list of VMs
+	// is not known.
+	Peers []netip.AddrPort `json:"peers,omitempty"`
 }
 
 // AgentSettings are the agent's own.
--- a/standin/layout/layout.go
+++ b/standin/layout/layout.go
@@ -86,6 +86,9 @@
 			return nil, err
 		}
 	}
+	if err := d.introduceBalancers(); err != nil {
+		return nil, err
+	}
 	if err := d.writeTickets(); err != nil {
 		return nil, err
 	}
@@ -103,7 +106,22 @@
 	s.Balancer = &settings.BalancerSettings{Edge: freeUDP(), Fabric: d.Fabric.Return}
 	d.Balancers = append(d.Balancers, s)
 	d.Fabric.Balancers = append(d.Fabric.Balancers, s.Balancer.Edge)
-	return d.writeJSON(name+".json", s)
+	return nil
+}
+
+// introduceBalancers tells every balancer the others' control addresses.
+func (d *Deployment) introduceBalancers() error {
+	for _, s := range d.Balancers {
+		for _, other := range d.Balancers {
+			if other != s {
+				s.Balancer.Peers = append(s.Balancer.Peers, other.Control)
+			}
+		}
+		if err := d.writeJSON(s.Node+".json", s); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (d *Deployment) addService(service string, backends int) error {
--- a/status/status.go
+++ b/status/status.go
@@ -4,9 +4,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/membership"
 	"cactustray/status/statuspb"
 	"cactustray/status/statuspb/statuspbconnect"
@@ -26,7 +29,8 @@
 	Sealed    bool
 	Age       time.Duration
 	Conflicts int
-	Refused   string
+	// Refused is why the published document is not in force, or empty.
+	Refused string
 }
 
 // Report is how a node stands.
@@ -39,10 +43,17 @@
 	Tickets []InForce
 	Flows   int64
 	Nodes   []membership.Node
+	// Control is what the node spends on control.
+	Control meter.Rates
 }
 
-// InForceOf lists what a register has in force.
+// InForceOf lists what a register has in force, and services whose published
+// document was refused while they have no ticket: their number is 0.
 func InForceOf(now time.Time, register *ticket.Register) []InForce {
+	refused := make(map[string]string)
+	for _, r := range register.Refusals() {
+		refused[r.Service] = r.Cause.Error()
+	}
 	var list []InForce
 	register.Each(func(_ ticket.ServiceKey, e *ticket.Entry) {
 		list = append(list, InForce{
@@ -51,10 +62,15 @@
 			Content:   e.Content,
 			Sealed:    e.Sealed,
 			Age:       now.Sub(e.Since),
-			Conflicts: e.Conflicts,
-			Refused:   e.Refused,
+			Conflicts: e.Conflicts(),
+			Refused:   refused[e.Ticket.Service],
 		})
+		delete(refused, e.Ticket.Service)
 	})
+	for service, cause := range refused {
+		list = append(list, InForce{Service: service, Refused: cause})
+	}
+	slices.SortFunc(list, func(a, b InForce) int { return strings.Compare(a.Service, b.Service) })
 	return list
 }
 
@@ -86,6 +102,9 @@
 		State:        r.State,
 		UptimeMillis: r.Uptime.Milliseconds(),
 		Flows:        r.Flows,
+
+		ControlBytesPerSecond: r.Control.BytesPerSecond,
+		ControlCoreShare:      r.Control.CoreShare,
 	}
 	for _, t := range r.Tickets {
 		response.Tickets = append(response.Tickets, &statuspb.InForce{
--- a/steering/table.go
+++ b/steering/table.go
@@ -65,6 +65,10 @@
 	register.Each(func(key ticket.ServiceKey, entry *ticket.Entry) {
 		t.addService(key, entry.Ticket, view)
 	})
+	owners, _ := register.Addresses()
+	for address, key := range owners {
+		t.byAddress[address] = t.services[key]
+	}
 	return t
 }
 
@@ -86,7 +90,6 @@
 	if len(service.Homes) == 0 {
 		service.Homes = standby
 	}
-	t.byAddress[tk.Address] = service
 	t.services[key] = service
 }
 
--- /dev/null
+++ b/ticket/digest.go
@@ -0,0 +1,65 @@
+package ticket
+
+import (
+	"cmp"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Digest names a ticket without its document.
+type Digest struct {
+	Service ServiceKey
+	Number  Number
+	Index   uint64
+	Sealed  bool
+	Content uint64
+}
+
+// DigestOf returns the digest of a ticket.
+func DigestOf(h Held) Digest {
+	return Digest{Service: h.Ticket.Key(), Number: h.Ticket.Number, Index: h.Index, Sealed: h.Sealed, Content: h.Content}
+}
+
+// Compare orders digests as the tickets they name.
+func (d Digest) Compare(other Digest) int {
+	return cmp.Or(
+		cmp.Compare(d.Number, other.Number),
+		compareBool(d.Sealed, other.Sealed),
+		cmp.Compare(other.Index, d.Index),
+		cmp.Compare(d.Content, other.Content),
+	)
+}
+
+// SameTicket tells whether both name one document under one number. Their
+// place in the order may still differ.
+func (d Digest) SameTicket(other Digest) bool {
+	return d.Number == other.Number && d.Content == other.Content
+}
+
+// IsRival tells whether both have one number with different documents.
+func (d Digest) IsRival(other Digest) bool {
+	return d.Number == other.Number && d.Content != other.Content
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// sum is the digest's part of a register's summary. Sealed is left out: every
+// node seals by itself at its own time.
+func (d Digest) sum() uint64 {
+	var raw [32]byte
+	binary.LittleEndian.PutUint64(raw[:], uint64(d.Service))
+	binary.LittleEndian.PutUint64(raw[8:], uint64(d.Number))
+	binary.LittleEndian.PutUint64(raw[16:], d.Index)
+	binary.LittleEndian.PutUint64(raw[24:], d.Content)
+	return xxhash.Sum64(raw[:])
+}
--- /dev/null
+++ b/ticket/exchange/codec.go
@@ -0,0 +1,147 @@
+package exchange
+
+import (
+	"time"
+
+	"cactustray/ticket"
+	"cactustray/ticket/ticketpb"
+)
+
+// EncodeRequest returns the message of a request.
+func EncodeRequest(r ticket.Request) *ticketpb.ExchangeRequest {
+	encoded := &ticketpb.ExchangeRequest{
+		Sender:        r.Sender,
+		Held:          encodeHeld(r.Held),
+		Digests:       encodeDigests(r.Digests),
+		Services:      encodeKeys(r.Services),
+		ReadAgeMillis: r.ReadAge.Milliseconds(),
+	}
+	if r.Summarized {
+		encoded.Summary = &r.Summary
+	}
+	for _, b := range r.Buckets {
+		encoded.Buckets = append(encoded.Buckets, uint32(b))
+	}
+	return encoded
+}
+
+// DecodeRequest returns the request of a message, and the tickets in it that
+// are not valid.
+func DecodeRequest(encoded *ticketpb.ExchangeRequest) (ticket.Request, []ticket.Refused) {
+	held, refused := decodeHeld(encoded.Held)
+	r := ticket.Request{
+		Sender:     encoded.Sender,
+		Summary:    encoded.GetSummary(),
+		Summarized: encoded.Summary != nil,
+		Services:   decodeKeys(encoded.Services),
+		Digests:    decodeDigests(encoded.Digests),
+		Held:       held,
+		ReadAge:    decodeAge(encoded.ReadAgeMillis),
+	}
+	for _, b := range encoded.Buckets {
+		r.Buckets = append(r.Buckets, ticket.Bucket(b%ticket.Buckets))
+	}
+	return r, refused
+}
+
+// EncodeResponse returns the message of a response.
+func EncodeResponse(r ticket.Response) *ticketpb.ExchangeResponse {
+	encoded := &ticketpb.ExchangeResponse{
+		Held:          encodeHeld(r.Held),
+		Wanted:        encodeKeys(r.Wanted),
+		Summary:       r.Summary,
+		Digests:       encodeDigests(r.Better),
+		More:          r.More,
+		Starting:      r.Starting,
+		ReadAgeMillis: r.ReadAge.Milliseconds(),
+	}
+	if r.Sums != nil {
+		encoded.Sums = r.Sums[:]
+	}
+	return encoded
+}
+
+// DecodeResponse returns the response of a message, and the tickets in it that
+// are not valid.
+func DecodeResponse(encoded *ticketpb.ExchangeResponse) (ticket.Response, []ticket.Refused) {
+	held, refused := decodeHeld(encoded.Held)
+	r := ticket.Response{
+		Held:     held,
+		Wanted:   decodeKeys(encoded.Wanted),
+		Summary:  encoded.Summary,
+		Better:   decodeDigests(encoded.Digests),
+		More:     encoded.More,
+		Starting: encoded.Starting,
+		ReadAge:  decodeAge(encoded.ReadAgeMillis),
+	}
+	if len(encoded.Sums) == ticket.Buckets {
+		r.Sums = (*ticket.Sums)(encoded.Sums)
+	}
+	return r, refused
+}
+
+func decodeAge(millis int64) time.Duration { return time.Duration(max(millis, 0)) * time.Millisecond }
+
+func decodeHeld(encoded []*ticketpb.Held) (held []ticket.Held, refused []ticket.Refused) {
+	for _, h := range encoded {
+		parsed, err := ticket.NewHeld(h.Document, h.Index, h.Sealed)
+		if err != nil {
+			refused = append(refused, ticket.Refused{Cause: err})
+			continue
+		}
+		held = append(held, parsed)
+	}
+	return held, refused
+}
+
+func encodeHeld(held []ticket.Held) []*ticketpb.Held {
+	encoded := make([]*ticketpb.Held, len(held))
+	for i, h := range held {
+		encoded[i] = &ticketpb.Held{Document: h.Document, Index: h.Index, Sealed: h.Sealed}
+	}
+	return encoded
+}
+
+func encodeDigests(digests []ticket.Digest) []*ticketpb.Digest {
+	encoded := make([]*ticketpb.Digest, len(digests))
+	for i, d := range digests {
+		encoded[i] = &ticketpb.Digest{
+			Service: uint64(d.Service),
+			Number:  uint64(d.Number),
+			Index:   d.Index,
+			Sealed:  d.Sealed,
+			Content: d.Content,
+		}
+	}
+	return encoded
+}
+
+func decodeDigests(encoded []*ticketpb.Digest) []ticket.Digest {
+	digests := make([]ticket.Digest, len(encoded))
+	for i, d := range encoded {
+		digests[i] = ticket.Digest{
+			Service: ticket.ServiceKey(d.Service),
+			Number:  ticket.Number(d.Number),
+			Index:   d.Index,
+			Sealed:  d.Sealed,
+			Content: d.Content,
+		}
+	}
+	return digests
+}
+
+func encodeKeys(keys []ticket.ServiceKey) []uint64 {
+	encoded := make([]uint64, len(keys))
+	for i, key := range keys {
+		encoded[i] = uint64(key)
+	}
+	return encoded
+}
+
+func decodeKeys(encoded []uint64) []ticket.ServiceKey {
+	keys := make([]ticket.ServiceKey, len(encoded))
+	for i, key := range encoded {
+		keys[i] = ticket.ServiceKey(key)
+	}
+	return keys
+}
--- a/ticket/message.go
+++ b/ticket/message.go
@@ -1,6 +1,6 @@
 package ticket
 
-import "cmp"
+import "time"
 
 // Source says where an offered ticket came from.
 type Source int
@@ -12,95 +12,74 @@
 	FromPeer
 )
 
-// Refused is a document that is no valid ticket.
-type Refused struct {
-	// Service is the service it was published for.
-	Service string
-	Cause   error
-}
-
-// Offered brings tickets to the control goroutine.
+// Offered brings tickets to the control goroutine. From the platform it is
+// always everything that is published.
 type Offered struct {
 	Source  Source
 	Held    []Held
 	Refused []Refused
 }
 
-// Digest names a ticket in force without its document.
-type Digest struct {
-	Service ServiceKey
-	Number  Number
-	Index   uint64
-	Sealed  bool
-	Content uint64
-}
-
-// DigestOf returns the digest of a ticket.
-func DigestOf(h Held) Digest {
-	return Digest{Service: h.Ticket.Key(), Number: h.Ticket.Number, Index: h.Index, Sealed: h.Sealed, Content: h.Content}
+// Request is what one process asks another about tickets.
+type Request struct {
+	// Sender is the name of the asking node.
+	Sender string
+	// Summary, when Summarized, is of the sender's whole register.
+	Summary    uint64
+	Summarized bool
+	// Buckets are the parts to compare: Digests are then all the sender
+	// holds there.
+	Buckets []Bucket
+	// Services are the services to compare; those without a digest are
+	// unknown to the sender.
+	Services []ServiceKey
+	Digests  []Digest
+	// Held are tickets given to the receiver.
+	Held []Held
+	// ReadAge is how long ago anybody read the platform, as far as the
+	// sender knows.
+	ReadAge time.Duration
 }
 
-// Compare orders digests as the tickets they name.
-func (d Digest) Compare(other Digest) int {
-	if c := cmp.Compare(d.Number, other.Number); c != 0 {
-		return c
-	}
-	if d.Sealed != other.Sealed {
-		if d.Sealed {
-			return 1
-		}
-		return -1
-	}
-	if c := cmp.Compare(other.Index, d.Index); c != 0 {
-		return c
-	}
-	return cmp.Compare(d.Content, other.Content)
+// Response answers a Request.
+type Response struct {
+	// Summary is of the receiver's whole register.
+	Summary uint64
+	// Sums are set when the sender's summary differs.
+	Sums *Sums
+	// Held are tickets the sender lacks.
+	Held []Held
+	// Wanted are services of which the sender holds a newer ticket.
+	Wanted []ServiceKey
+	// Better are better places in the order of documents that the sender
+	// holds.
+	Better []Digest
+	// More tells that the sender lacks more than one answer holds.
+	More bool
+	// Starting tells that the receiver itself waits for its first table.
+	Starting bool
+	// ReadAge is as in Request, of the receiver.
+	ReadAge time.Duration
 }
 
-// Compared asks the control goroutine what it holds that is newer than the
-// digests of another process.
-type Compared struct {
-	// Digests are what the other process holds.
-	Digests []Digest
-	// Services limits the answer; empty means all.
-	Services []ServiceKey
-	Reply    chan<- Comparison
+// Asked brings a Request of another process to the control goroutine.
+type Asked struct {
+	Request Request
+	Reply   chan<- Response
 }
 
-// Comparison answers Compared.
-type Comparison struct {
-	// Newer are tickets the other process lacks.
-	Newer []Held
-	// Wanted are services of which the other process holds a newer ticket.
-	Wanted []ServiceKey
+// Call asks for a Request to be sent to a peer.
+type Call struct {
+	Peer    Peer
+	Request Request
 }
 
-// Compare returns what the register holds beyond the digests, and the reverse.
-func (r *Register) Compare(digests []Digest, services []ServiceKey) Comparison {
-	theirs := make(map[ServiceKey]Digest, len(digests))
-	for _, d := range digests {
-		theirs[d.Service] = d
-	}
-	var c Comparison
-	consider := func(key ServiceKey, entry *Entry) {
-		other, known := theirs[key]
-		if !known || DigestOf(entry.Held).Compare(other) > 0 {
-			c.Newer = append(c.Newer, entry.Held)
-		}
-	}
-	if len(services) == 0 {
-		r.Each(consider)
-	}
-	for _, key := range services {
-		if entry := r.Entry(key); entry != nil {
-			consider(key, entry)
-		}
-	}
-	for key, d := range theirs {
-		entry := r.Entry(key)
-		if entry == nil || d.Compare(DigestOf(entry.Held)) > 0 {
-			c.Wanted = append(c.Wanted, key)
-		}
-	}
-	return c
+// Answered brings the end of a Call to the control goroutine.
+type Answered struct {
+	Call     Call
+	Response Response
+	// Refused are tickets of the response that are not valid.
+	Refused []Refused
+	// Failure is why there is no response, or nil.
+	Failure error
 }
--- /dev/null
+++ b/ticket/platform/parse.go
@@ -0,0 +1,62 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	"cactustray/membership"
+	"cactustray/ticket"
+)
+
+// parser parses published documents, each once while it stays as it is: a
+// watch repeats everything whenever one value changes.
+type parser struct{ known map[string]parsed }
+
+type parsed struct {
+	pair Pair
+	held ticket.Held
+	err  error
+}
+
+// tickets returns everything published below the ticket prefix.
+func (p *parser) tickets(prefix string, pairs []Pair) ticket.Offered {
+	offered := ticket.Offered{Source: ticket.FromPlatform}
+	known := make(map[string]parsed, len(pairs))
+	for _, pair := range pairs {
+		service, ok := strings.CutPrefix(pair.Key, prefix+TicketPrefix)
+		if !ok {
+			continue
+		}
+		result := p.parse(service, pair)
+		known[pair.Key] = result
+		if result.err != nil {
+			offered.Refused = append(offered.Refused, ticket.Refused{Service: service, Cause: result.err})
+			continue
+		}
+		offered.Held = append(offered.Held, result.held)
+	}
+	p.known = known
+	return offered
+}
+
+func (p *parser) parse(service string, pair Pair) parsed {
+	known, ok := p.known[pair.Key]
+	if ok && known.pair.ModifyIndex == pair.ModifyIndex && bytes.Equal(known.pair.Value, pair.Value) {
+		return known
+	}
+	held, err := ticket.ParsePublished(service, pair.Value, pair.ModifyIndex)
+	return parsed{pair: pair, held: held, err: err}
+}
+
+func members(document []byte) membership.Listed {
+	var vms []VM
+	if err := json.Unmarshal(document, &vms); err != nil {
+		return membership.Listed{Refused: err}
+	}
+	listed := membership.Listed{}
+	for _, vm := range vms {
+		listed.Nodes = append(listed.Nodes, membership.Node(vm))
+	}
+	return listed
+}
--- a/ticket/platform/reader.go
+++ b/ticket/platform/reader.go
@@ -12,11 +12,13 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"cactustray/control/meter"
 )
 
 const (
 	// waitTime is how long the platform holds a watch that has no news.
-	waitTime = 30 * time.Second
+	waitTime = 10 * time.Second
 	// callTimeout bounds a watch together with its answer.
 	callTimeout = waitTime + 5*time.Second
 	// TicketPrefix is where tickets stand below the system's prefix.
@@ -64,9 +66,11 @@
 	prefix string
 }
 
-// NewReader returns a reader of all keys below prefix at the platform's URL.
-func NewReader(base, prefix string) *Reader {
-	return &Reader{client: &http.Client{Timeout: callTimeout}, base: base, prefix: prefix}
+// NewReader returns a reader of all keys below prefix at the platform's URL,
+// whose traffic the meter counts.
+func NewReader(base, prefix string, m *meter.Meter) *Reader {
+	transport := &http.Transport{DialContext: m.Dialer()}
+	return &Reader{client: &http.Client{Timeout: callTimeout, Transport: transport}, base: base, prefix: prefix}
 }
 
 // Prefix returns the prefix of the system's keys.
@@ -76,7 +80,18 @@
 // answers at once; else it waits until something is newer than after or the
 // wait time is over. It fails with *UnavailableError.
 func (r *Reader) Read(ctx context.Context, after uint64) ([]Pair, uint64, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.address(after), nil)
+	return r.read(ctx, r.address("", after))
+}
+
+// ReadList returns the pair of the list of VMs alone, at once. It fails as
+// Read does.
+func (r *Reader) ReadList(ctx context.Context) ([]Pair, error) {
+	pairs, _, err := r.read(ctx, r.address(VMKey, 0))
+	return pairs, err
+}
+
+func (r *Reader) read(ctx context.Context, address string) ([]Pair, uint64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return nil, 0, &UnavailableError{Cause: err}
 	}
@@ -99,11 +114,11 @@
 	return pairs, index, nil
 }
 
-func (r *Reader) address(after uint64) string {
+func (r *Reader) address(key string, after uint64) string {
 	query := url.Values{"recurse": {"true"}}
 	if after > 0 {
 		query.Set("index", strconv.FormatUint(after, 10))
 		query.Set("wait", waitTime.String())
 	}
-	return r.base + "/v1/kv/" + r.prefix + "?" + query.Encode()
+	return r.base + "/v1/kv/" + r.prefix + key + "?" + query.Encode()
 }
--- a/ticket/platform/watch.go
+++ b/ticket/platform/watch.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"cactustray/control"
-	"cactustray/membership"
 	"cactustray/ticket"
 )
 
@@ -16,72 +13,126 @@
 	// firstBackoff and lastBackoff bound the wait after a failed read.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = 10 * time.Second
+	// firstListWithin bounds the wait before the first read of the list of
+	// VMs, so that a fleet that starts at once does not read at once.
+	firstListWithin = 2 * time.Second
 )
 
 // Failed tells the control goroutine that the platform could not be read.
 type Failed struct{ Cause error }
 
-// Watch reads the platform until the context ends and brings what it reads to
+// Watcher reads the platform as the control goroutine orders.
+type Watcher struct {
+	reader *Reader
+	loop   *control.Loop
+	random *rand.Rand
+	orders chan ticket.Reading
+	parsed parser
+}
+
+// NewWatcher returns a watcher that reads nothing until it is ordered to.
+func NewWatcher(reader *Reader, loop *control.Loop, random *rand.Rand) *Watcher {
+	return &Watcher{reader: reader, loop: loop, random: random, orders: make(chan ticket.Reading, 1)}
+}
+
+// Order changes how the platform is read, without waiting. Only the control
+// goroutine calls it; the last order counts.
+func (w *Watcher) Order(reading ticket.Reading) {
+	select {
+	case <-w.orders:
+	default:
+	}
+	w.orders <- reading
+}
+
+// Run reads the platform until the context ends and brings what it reads to
 // the control goroutine. Failed reads back off with jitter.
-func Watch(ctx context.Context, reader *Reader, loop *control.Loop, random *rand.Rand) error {
+func (w *Watcher) Run(ctx context.Context) error {
+	var order ticket.Reading
+	for ctx.Err() == nil {
+		reading, stop := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.read(reading, order)
+		}()
+		select {
+		case order = <-w.orders:
+		case <-ctx.Done():
+		}
+		stop()
+		<-done
+	}
+	return nil
+}
+
+func (w *Watcher) read(ctx context.Context, order ticket.Reading) {
+	switch {
+	case order.Watch:
+		w.watch(ctx)
+	case order.ListInterval > 0:
+		w.list(ctx, order.ListInterval)
+	}
+}
+
+func (w *Watcher) watch(ctx context.Context) {
 	var after uint64
 	backoff := firstBackoff
 	for ctx.Err() == nil {
-		pairs, index, err := reader.Read(ctx, after)
+		pairs, index, err := w.reader.Read(ctx, after)
+		if err == nil {
+			after = index
+			backoff = firstBackoff
+			err = w.deliver(ctx, pairs)
+		}
 		if err != nil {
 			after = 0
-			loop.Offer(Failed{Cause: err})
-			sleep(ctx, jitter(backoff, random))
+			w.failed(ctx, err)
+			sleep(ctx, w.jitter(backoff))
 			backoff = min(2*backoff, lastBackoff)
-			continue
-		}
-		backoff = firstBackoff
-		after = index
-		if err := deliver(ctx, reader.Prefix(), pairs, loop); err != nil {
-			return nil
 		}
 	}
-	return nil
 }
 
-func deliver(ctx context.Context, prefix string, pairs []Pair, loop *control.Loop) error {
-	offered := ticket.Offered{Source: ticket.FromPlatform}
-	for _, pair := range pairs {
-		key := strings.TrimPrefix(pair.Key, prefix)
-		if key == VMKey {
-			if err := loop.Send(ctx, members(pair.Value)); err != nil {
-				return err
-			}
-			continue
-		}
-		service, ok := strings.CutPrefix(key, TicketPrefix)
-		if !ok {
-			continue
+func (w *Watcher) list(ctx context.Context, interval time.Duration) {
+	sleep(ctx, time.Duration(w.random.Int64N(int64(firstListWithin))))
+	for ctx.Err() == nil {
+		pairs, err := w.reader.ReadList(ctx)
+		if err == nil {
+			err = w.deliverList(ctx, pairs)
 		}
-		held, err := ticket.NewHeld(pair.Value, pair.ModifyIndex, false)
 		if err != nil {
-			offered.Refused = append(offered.Refused, ticket.Refused{Service: service, Cause: err})
-			continue
+			w.failed(ctx, err)
 		}
-		offered.Held = append(offered.Held, held)
+		sleep(ctx, w.jitter(interval))
 	}
-	return loop.Send(ctx, offered)
 }
 
-func members(document []byte) membership.Listed {
-	var vms []VM
-	if err := json.Unmarshal(document, &vms); err != nil {
-		return membership.Listed{Refused: err}
+func (w *Watcher) failed(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		w.loop.Offer(Failed{Cause: err})
 	}
-	listed := membership.Listed{}
-	for _, vm := range vms {
-		listed.Nodes = append(listed.Nodes, membership.Node(vm))
+}
+
+func (w *Watcher) deliver(ctx context.Context, pairs []Pair) error {
+	if err := w.deliverList(ctx, pairs); err != nil {
+		return err
 	}
-	return listed
+	return w.loop.Send(ctx, w.parsed.tickets(w.reader.Prefix(), pairs))
+}
+
+func (w *Watcher) deliverList(ctx context.Context, pairs []Pair) error {
+	for _, pair := range pairs {
+		if pair.Key == w.reader.Prefix()+VMKey {
+			return w.loop.Send(ctx, members(pair.Value))
+		}
+	}
+	return nil
 }
 
-func jitter(d time.Duration, random *rand.Rand) time.Duration {
-	return d/2 + time.Duration(random.Int64N(int64(d)))
+// jitter returns a random wait around d, half of it at least.
+func (w *Watcher) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(w.random.Int64N(int64(d)))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/ticket/register.go
+++ b/ticket/register.go
@@ -6,9 +6,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// SealAfter is how long a ticket is in force on a node, without a rival of the
-// same number, until the node counts it as accepted.
-const SealAfter = 2 * time.Second
+const (
+	// SealAfter is how long a ticket is in force on a node, without a rival
+	// of the same number, until a comparison with a peer can accept it.
+	SealAfter = 2 * time.Second
+	// maxRivals bounds the contents remembered beside the one in force.
+	maxRivals = 8
+)
 
 // Held is one ticket with its place in the register's order.
 type Held struct {
@@ -42,75 +46,150 @@
 type Outcome int
 
 const (
-	// Unchanged: the ticket was already held.
+	// Unchanged: the ticket, or the rival, was already known.
 	Unchanged Outcome = iota
 	// Older: a ticket with a higher number is in force.
 	Older
 	// InForce: the ticket is now in force.
 	InForce
-	// Conflict: another content has the same number; the order settled it.
-	Conflict
+	// RivalLost: another content under the number in force is newly known;
+	// the one in force stays.
+	RivalLost
+	// RivalWon: another content under the number in force replaced it.
+	RivalWon
 )
 
+// Changed tells whether another document came into force.
+func (o Outcome) Changed() bool { return o == InForce || o == RivalWon }
+
+// IsConflict tells whether a rival is newly known.
+func (o Outcome) IsConflict() bool { return o == RivalLost || o == RivalWon }
+
 // Entry is the register's state for one service.
 type Entry struct {
 	Held
 	// Since is when the ticket came into force here.
 	Since time.Time
-	// Conflicts counts other contents seen under the number in force.
-	Conflicts int
-	// Refused is why the last refused ticket was refused, or empty.
-	Refused string
+	// Rivals are the other contents seen under the number in force, each
+	// once.
+	Rivals []Digest
 }
 
-// Register holds the ticket in force for every service. The control goroutine
+// Conflicts returns how many other contents were seen under the number in
+// force.
+func (e *Entry) Conflicts() int { return len(e.Rivals) }
+
+// Register holds the ticket in force for every service, removed ones included.
+// The number in force for a service never falls, and under one number a ticket
+// accepted here gives way only to one accepted elsewhere. The control goroutine
 // owns it; it is not safe for concurrent use.
 type Register struct {
-	entries map[ServiceKey]*Entry
+	entries  map[ServiceKey]*Entry
+	sums     [Buckets]uint64
+	refusals map[string]Refused
 }
 
 // NewRegister returns an empty register.
 func NewRegister() *Register {
-	return &Register{entries: make(map[ServiceKey]*Entry)}
+	return &Register{entries: make(map[ServiceKey]*Entry), refusals: make(map[string]Refused)}
 }
 
 // Join takes a ticket in and returns what that did.
 func (r *Register) Join(now time.Time, h Held) Outcome {
-	key := h.Ticket.Key()
-	entry := r.entries[key]
+	digest := DigestOf(h)
+	entry := r.entries[digest.Service]
 	if entry == nil {
-		r.entries[key] = &Entry{Held: h, Since: now}
+		r.put(now, h)
 		return InForce
 	}
-	if h.Ticket.Number == entry.Ticket.Number && h.Content != entry.Content {
-		entry.Conflicts++
-		if Compare(h, entry.Held) > 0 {
-			entry.Held = h
-			entry.Since = now
-		}
-		return Conflict
-	}
-	order := Compare(h, entry.Held)
-	if order == 0 {
+	current := DigestOf(entry.Held)
+	switch {
+	case digest.Number < current.Number:
+		return Older
+	case digest.Number > current.Number:
+		r.put(now, h)
+		return InForce
+	case digest.Content == current.Content:
+		r.raise(entry, digest)
 		return Unchanged
+	case digest.Compare(current) < 0:
+		return entry.addRival(digest)
+	default:
+		r.replace(now, entry, h)
+		return RivalWon
 	}
-	if order < 0 {
-		return Older
+}
+
+// Learn takes in what a digest alone tells: the better place in the order of
+// the document in force, or a rival that lost.
+func (r *Register) Learn(d Digest) Outcome {
+	entry := r.entries[d.Service]
+	if entry == nil {
+		return Unchanged
 	}
-	if h.Content == entry.Content && h.Ticket.Number == entry.Ticket.Number {
-		entry.Held = h
+	current := DigestOf(entry.Held)
+	if d.SameTicket(current) {
+		r.raise(entry, d)
 		return Unchanged
 	}
+	if d.IsRival(current) && d.Compare(current) < 0 {
+		return entry.addRival(d)
+	}
+	return Unchanged
+}
+
+func (r *Register) put(now time.Time, h Held) {
+	key := h.Ticket.Key()
+	if entry := r.entries[key]; entry != nil {
+		r.unsum(DigestOf(entry.Held))
+	}
 	r.entries[key] = &Entry{Held: h, Since: now}
-	return InForce
+	r.sum(DigestOf(h))
+}
+
+// raise moves the document in force up to a better place in the order.
+func (r *Register) raise(entry *Entry, d Digest) {
+	current := DigestOf(entry.Held)
+	if d.Compare(current) <= 0 {
+		return
+	}
+	r.unsum(current)
+	entry.Index, entry.Sealed = d.Index, d.Sealed
+	r.sum(d)
+}
+
+func (r *Register) replace(now time.Time, entry *Entry, h Held) {
+	loser := DigestOf(entry.Held)
+	rivals := entry.Rivals
+	r.put(now, h)
+	winner := r.entries[loser.Service]
+	winner.addRival(loser)
+	for _, rival := range rivals {
+		winner.addRival(rival)
+	}
+}
+
+func (e *Entry) addRival(d Digest) Outcome {
+	if d.Content == e.Content || len(e.Rivals) == maxRivals {
+		return Unchanged
+	}
+	for _, known := range e.Rivals {
+		if known.Content == d.Content {
+			return Unchanged
+		}
+	}
+	e.Rivals = append(e.Rivals, d)
+	return RivalLost
 }
 
-// Seal marks as accepted what has been in force for SealAfter, and returns how
-// many tickets that were.
-func (r *Register) Seal(now time.Time) int {
+// Seal accepts what has been in force for SealAfter and was confirmed by a
+// comparison with a peer at least SealAfter after it came into force. It
+// returns how many tickets that were.
+func (r *Register) Seal(now, confirmed time.Time) int {
 	sealed := 0
 	for _, entry := range r.entries {
-		if !entry.Sealed && now.Sub(entry.Since) >= SealAfter {
+		since := min(now.Sub(entry.Since), confirmed.Sub(entry.Since))
+		if !entry.Sealed && since >= SealAfter {
 			entry.Sealed = true
 			sealed++
 		}
