--- a/balancer/control.go
+++ b/balancer/control.go
@@ -25,8 +25,7 @@
 	started time.Time
 	log     *event.Log
 
-	tickets  *ticket.Register
-	spread   *ticket.Spread
+	tickets  *ticket.State
 	observer *liveness.Observer
 	members  *membership.State
 
@@ -41,8 +40,7 @@
 		zone:     s.Zone,
 		started:  now,
 		log:      log,
-		tickets:  ticket.NewRegister(),
-		spread:   newSpread(now, s, random),
+		tickets:  newTickets(now, s, random),
 		observer: liveness.NewObserver(),
 		members:  membership.NewState(),
 		table:    table,
@@ -56,7 +54,7 @@
 	case ticket.Offered:
 		s.offered(now, m)
 	case ticket.Asked:
-		m.Reply <- s.asked(now, m.Request)
+		s.asked(now, m)
 	case ticket.Answered:
 		s.answered(now, m)
 	case membership.Listed:
@@ -73,7 +71,7 @@
 
 // Tick seals tickets and suspects endpoints that have gone silent.
 func (s *state) Tick(now time.Time, gap time.Duration) {
-	s.spreadTick(now)
+	s.ticketsTick(now)
 	if s.observer.Tick(now, gap) > 0 {
 		s.publish()
 	}
@@ -81,10 +79,10 @@
 
 // publish makes the table anew, once the node may take traffic.
 func (s *state) publish() {
-	if !s.spread.Started() {
+	if !s.tickets.Started() {
 		return
 	}
-	s.table.Store(steering.BuildTable(s.tickets, s.observer, s.table.Load()))
+	s.table.Store(steering.BuildTable(s.tickets.Register, s.observer, s.table.Load()))
 }
 
 func (s *state) report(now time.Time) status.Report {
@@ -94,7 +92,7 @@
 		Zone:    s.zone,
 		State:   s.stateName(),
 		Uptime:  now.Sub(s.started),
-		Tickets: status.InForceOf(now, s.tickets),
+		Tickets: status.InForceOf(now, s.tickets.Register),
 		Nodes:   s.members.Nodes(),
 		Control: s.usage.Rates(now),
 	}
--- a/ticket/spread.go
+++ b/ticket/spread.go
@@ -15,11 +15,13 @@
 	CompareInterval = 2 * time.Second
 	// startInterval is CompareInterval before the first table.
 	startInterval = 300 * time.Millisecond
-	// rotateInterval is how often one partner is replaced by another peer.
-	rotateInterval = 5 * time.Minute
 	// maxFailures is how many calls in a row fail before a partner is
-	// replaced.
+	// replaced, for avoidTime.
 	maxFailures = 3
+	avoidTime   = 10 * time.Second
+	// maxNews bounds the services of one push; more than that is left to
+	// comparisons, which fetch each document once.
+	maxNews = 64
 	// firstRetry and lastRetry bound the wait after failed calls.
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 5 * time.Second
@@ -35,9 +37,11 @@
 // and whether it reads the platform. At most one call to each partner is under
 // way. The control goroutine owns it.
 type Spread struct {
-	self     Peer
-	seeds    []Peer
-	listed   []Peer
+	self   Peer
+	seeds  []Peer
+	listed []Peer
+	// known are the peers that partners are chosen from.
+	known    []Peer
 	partners []*partner
 	random   Random
 
@@ -46,9 +50,12 @@
 	confirmed   time.Time
 	patience    time.Duration
 	nextCompare time.Time
-	nextRotate  time.Time
-	ready       bool
-	platform    bool
+	// fetching is the partner whose differing buckets are being fetched: one
+	// at a time, so that no document comes twice.
+	fetching *partner
+	avoided  map[string]time.Time
+	ready    bool
+	platform bool
 }
 
 // partner is a peer chosen for pushes and comparisons.
@@ -64,7 +71,7 @@
 
 // NewSpread returns the state of a balancer that knows its seeds only.
 func NewSpread(now time.Time, self Peer, seeds []Peer, random Random) *Spread {
-	s := &Spread{self: self, random: random, began: now, read: now, nextRotate: now.Add(rotateInterval)}
+	s := &Spread{self: self, random: random, began: now, read: now, avoided: make(map[string]time.Time)}
 	s.patience = readPatience + s.jitter(readPatience)
 	s.seeds = s.others(seeds)
 	return s
@@ -76,10 +83,9 @@
 		return
 	}
 	s.listed = s.others(balancers)
+	s.known = s.listed
 	s.platform = true
-	s.partners = slices.DeleteFunc(s.partners, func(p *partner) bool {
-		return !slices.ContainsFunc(s.listed, func(peer Peer) bool { return peer.Control == p.Control })
-	})
+	s.choosePartners()
 }
 
 // Published notes that this node read the platform.
@@ -100,9 +106,6 @@
 // as this node knows.
 func (s *Spread) ReadAge(now time.Time) time.Duration { return now.Sub(s.read) }
 
-// Asked takes in what a request tells of its sender.
-func (s *Spread) Asked(now time.Time, request Request) { s.heard(now, request.ReadAge) }
-
 func (s *Spread) others(peers []Peer) []Peer {
 	var others []Peer
 	for _, peer := range peers {
@@ -114,17 +117,13 @@
 	return others
 }
 
-// peers returns everybody known: the list, or the seeds while there is none.
-func (s *Spread) peers() []Peer {
-	if len(s.listed) > 0 {
-		return s.listed
-	}
-	return s.seeds
-}
-
 // News notes that what is known of a service changed, learned from the sender
 // of that name, and returns the calls that tell the partners.
 func (s *Spread) News(now time.Time, register *Register, sender string, keys ...ServiceKey) []Call {
+	if len(keys) > maxNews {
+		s.nextCompare = now
+		return s.push(now, register)
+	}
 	for _, p := range s.partners {
 		if p.Name == sender && sender != "" {
 			continue
@@ -138,8 +137,7 @@
 
 // Tick chooses partners and returns the calls that are due.
 func (s *Spread) Tick(now time.Time, register *Register) []Call {
-	s.rotate(now)
-	s.fill()
+	s.forgive(now)
 	calls := s.push(now, register)
 	if now.Before(s.nextCompare) {
 		return calls
@@ -214,13 +212,16 @@
 		return nil
 	}
 	p.busy = false
+	if s.fetching == p {
+		s.fetching = nil
+	}
 	if m.Failure != nil {
 		s.failed(now, p, m.Call.Request)
 		return s.push(now, register)
 	}
 	p.failures = 0
 	s.heard(now, m.Response.ReadAge)
-	if next, more := s.following(now, register, m); more {
+	if next, more := s.following(now, p, register, m); more {
 		return []Call{s.call(now, p, next)}
 	}
 	p.tried = true
@@ -229,16 +230,17 @@
 
 // following returns the request that a response calls for. A comparison that
 // ends without a difference to fetch confirms what is in force.
-func (s *Spread) following(now time.Time, register *Register, m Answered) (Request, bool) {
+func (s *Spread) following(now time.Time, p *partner, register *Register, m Answered) (Request, bool) {
 	request, response := m.Call.Request, m.Response
 	switch {
+	case response.Sums != nil && s.fetching != nil:
+		return Request{}, false
 	case response.Sums != nil:
-		buckets := register.differing(*response.Sums)
-		return Request{Buckets: buckets, Digests: register.digestsIn(buckets)}, len(buckets) > 0
+		return s.fetch(p, register, register.differing(*response.Sums))
 	case len(response.Wanted) > 0:
 		return s.given(register, response.Wanted), true
 	case response.More:
-		return Request{Buckets: request.Buckets, Digests: register.digestsIn(request.Buckets)}, true
+		return s.fetch(p, register, request.Buckets)
 	}
 	if (request.Summarized || len(request.Buckets) > 0) && !response.Starting {
 		s.confirmed = now
@@ -246,6 +248,15 @@
 	return Request{}, false
 }
 
+// fetch asks a partner for what it holds in the given buckets beyond ours.
+func (s *Spread) fetch(p *partner, register *Register, buckets []Bucket) (Request, bool) {
+	if len(buckets) == 0 {
+		return Request{}, false
+	}
+	s.fetching = p
+	return Request{Buckets: buckets, Digests: register.digestsIn(buckets)}, true
+}
+
 func (s *Spread) given(register *Register, wanted []ServiceKey) Request {
 	request := Request{Held: register.give(wanted)}
 	for _, h := range request.Held {
@@ -265,69 +276,15 @@
 	for _, h := range request.Held {
 		p.news[h.Ticket.Key()] = true
 	}
-	if p.failures >= maxFailures && len(s.peers()) > len(s.partners) {
-		s.exchange(p)
-	}
-}
-
-// rotate replaces one partner now and then, so that the graph of partners
-// heals from whatever it has become.
-func (s *Spread) rotate(now time.Time) {
-	if now.Before(s.nextRotate) {
-		return
-	}
-	s.nextRotate = now.Add(rotateInterval/2 + s.jitter(rotateInterval))
-	if len(s.partners) > 0 && len(s.peers()) > len(s.partners) {
-		s.exchange(s.partners[s.random.IntN(len(s.partners))])
-	}
-}
-
-// exchange puts another peer in the place of a partner, which inherits what
-// the partner was not told.
-func (s *Spread) exchange(old *partner) {
-	i := slices.Index(s.partners, old)
-	if peer, ok := s.candidate(); ok {
-		s.partners[i] = &partner{Peer: peer, news: old.news}
-	}
-}
-
-func (s *Spread) fill() {
-	for len(s.partners) < min(FanOut, len(s.peers())) {
-		peer, ok := s.candidate()
-		if !ok {
-			return
-		}
-		s.partners = append(s.partners, &partner{Peer: peer, news: make(map[ServiceKey]bool)})
-	}
-}
-
-// candidate returns a random peer that is no partner.
-func (s *Spread) candidate() (Peer, bool) {
-	peers := s.peers()
-	if len(peers) <= len(s.partners) {
-		return Peer{}, false
-	}
-	for {
-		peer := peers[s.random.IntN(len(peers))]
-		if s.partner(peer) == nil {
-			return peer, true
-		}
-	}
-}
-
-func (s *Spread) partner(peer Peer) *partner {
-	for _, p := range s.partners {
-		if p.Control == peer.Control {
-			return p
-		}
+	if p.failures >= maxFailures {
+		s.avoid(now, p)
 	}
-	return nil
 }
 
 // Confirmed returns when a comparison with a peer last ended without a
 // difference. A balancer that knows no other has only itself to agree with.
 func (s *Spread) Confirmed(now time.Time) time.Time {
-	if len(s.peers()) == 0 {
+	if len(s.listed) == 0 && len(s.seeds) == 0 {
 		return now
 	}
 	return s.confirmed
--- a/ticket/start.go
+++ b/ticket/start.go
@@ -25,7 +25,7 @@
 // peersTried tells whether every partner was asked in vain. Without any peer
 // it is true once the platform, which lists them, was read.
 func (s *Spread) peersTried() bool {
-	if len(s.peers()) == 0 {
+	if len(s.listed) == 0 && len(s.seeds) == 0 {
 		return s.platform
 	}
 	for _, p := range s.partners {
