Count a ticket as accepted only when all within reach have sealed it

Change: a seal is pushed to partners like a ticket, and a ticket counts as accepted 3 s after it was sealed. Also: an answered push no longer counts as a peer's word on the whole register (TestAnsweredPushDoesNotStart failed first).

Ruled out: sealing in the summary, which would make most comparisons after a ticket differ.

--- a/balancer/events.go
+++ b/balancer/events.go
@@ -14,7 +14,7 @@
 	EventTicketConflict      = event.Define(1102, logrus.WarnLevel, "two contents under one ticket number")
 	EventTicketRefused       = event.Define(1103, logrus.WarnLevel, "ticket refused")
 	EventAddressClash        = event.Define(1105, logrus.WarnLevel, "two services with one address")
-	EventTicketAccepted      = event.Define(1106, logrus.InfoLevel, "tickets accepted")
+	EventTicketsSealed       = event.Define(1106, logrus.InfoLevel, "tickets sealed")
 	EventTableReady          = event.Define(1107, logrus.InfoLevel, "first table in force")
 	EventPeerSilent          = event.Define(1108, logrus.WarnLevel, "balancer does not answer a balancer")
 	EventReadingChanged      = event.Define(1109, logrus.InfoLevel, "way of reading the platform changed")
--- a/balancer/tickets.go
+++ b/balancer/tickets.go
@@ -24,7 +24,7 @@
 		s.log.Emit(EventAddressClash, event.Fields{"address": c.Address, "service": c.Service, "other": c.Other})
 	}
 	if out.Sealed > 0 {
-		s.log.Emit(EventTicketAccepted, event.Fields{"tickets": out.Sealed})
+		s.log.Emit(EventTicketsSealed, event.Fields{"tickets": out.Sealed})
 	}
 	if out.Started {
 		s.log.Emit(EventTableReady, event.Fields{"services": s.tickets.Len()})
--- a/status/status.go
+++ b/status/status.go
@@ -60,7 +60,7 @@
 			Service:   e.Ticket.Service,
 			Number:    e.Ticket.Number,
 			Content:   e.Content,
-			Sealed:    e.Sealed,
+			Sealed:    e.Accepted(now),
 			Age:       now.Sub(e.Since),
 			Conflicts: e.Conflicts(),
 			Refused:   refused[e.Ticket.Service],
--- a/ticket/register.go
+++ b/ticket/register.go
@@ -8,8 +8,11 @@
 
 const (
 	// SealAfter is how long a ticket is in force on a node, without a rival
-	// of the same number, until a comparison with a peer can accept it.
+	// of the same number, until a comparison with a peer can seal it.
 	SealAfter = 2 * time.Second
+	// AcceptAfter is how long a ticket is sealed on a node until it counts as
+	// accepted: every node within reach has learned by then that it is sealed.
+	AcceptAfter = 3 * time.Second
 	// maxRivals bounds the contents remembered beside the one in force.
 	maxRivals = 8
 )
@@ -23,7 +26,8 @@
 	Index uint64
 	// Content is the hash of Document.
 	Content uint64
-	// Sealed tells that the ticket was accepted on some node.
+	// Sealed tells that some node holds the ticket fast against rivals of
+	// the same number.
 	Sealed bool
 }
 
@@ -38,7 +42,7 @@
 
 // Compare orders two tickets of one service; the greater one is in force. The
 // order is total, so joining by it is commutative, associative and idempotent:
-// a higher number wins; under one number an accepted ticket, then the earlier
+// a higher number wins; under one number a sealed ticket, then the earlier
 // publication, then the greater content hash.
 func Compare(a, b Held) int { return DigestOf(a).Compare(DigestOf(b)) }
 
@@ -52,6 +56,8 @@
 	Older
 	// InForce: the ticket is now in force.
 	InForce
+	// NowSealed: the ticket in force is newly known to be sealed.
+	NowSealed
 	// RivalLost: another content under the number in force is newly known;
 	// the one in force stays.
 	RivalLost
@@ -70,18 +76,26 @@
 	Held
 	// Since is when the ticket came into force here.
 	Since time.Time
+	// SealedSince is when the ticket was sealed here, or learned to be.
+	SealedSince time.Time
 	// Rivals are the other contents seen under the number in force, each
 	// once.
 	Rivals []Digest
 }
 
+// Accepted tells whether the ticket is accepted: from then on no rival of the
+// same number takes its place here, except one accepted out of reach.
+func (e *Entry) Accepted(now time.Time) bool {
+	return e.Sealed && now.Sub(e.SealedSince) >= AcceptAfter
+}
+
 // Conflicts returns how many other contents were seen under the number in
 // force.
 func (e *Entry) Conflicts() int { return len(e.Rivals) }
 
 // Register holds the ticket in force for every service, removed ones included.
 // The number in force for a service never falls, and under one number a ticket
-// accepted here gives way only to one accepted elsewhere. The control goroutine
+// sealed here gives way only to one sealed elsewhere. The control goroutine
 // owns it; it is not safe for concurrent use.
 type Register struct {
 	entries  map[ServiceKey]*Entry
@@ -110,8 +124,7 @@
 		r.put(now, h)
 		return InForce
 	case digest.Content == current.Content:
-		r.raise(entry, digest)
-		return Unchanged
+		return r.raise(now, entry, digest)
 	case digest.Compare(current) < 0:
 		return entry.addRival(digest)
 	default:
@@ -122,15 +135,14 @@
 
 // Learn takes in what a digest alone tells: the better place in the order of
 // the document in force, or a rival that lost.
-func (r *Register) Learn(d Digest) Outcome {
+func (r *Register) Learn(now time.Time, d Digest) Outcome {
 	entry := r.entries[d.Service]
 	if entry == nil {
 		return Unchanged
 	}
 	current := DigestOf(entry.Held)
 	if d.SameTicket(current) {
-		r.raise(entry, d)
-		return Unchanged
+		return r.raise(now, entry, d)
 	}
 	if d.IsRival(current) && d.Compare(current) < 0 {
 		return entry.addRival(d)
@@ -143,19 +155,27 @@
 	if entry := r.entries[key]; entry != nil {
 		r.unsum(DigestOf(entry.Held))
 	}
-	r.entries[key] = &Entry{Held: h, Since: now}
+	r.entries[key] = &Entry{Held: h, Since: now, SealedSince: now}
 	r.sum(DigestOf(h))
 }
 
 // raise moves the document in force up to a better place in the order.
-func (r *Register) raise(entry *Entry, d Digest) {
+func (r *Register) raise(now time.Time, entry *Entry, d Digest) Outcome {
 	current := DigestOf(entry.Held)
 	if d.Compare(current) <= 0 {
-		return
+		return Unchanged
 	}
 	r.unsum(current)
 	entry.Index, entry.Sealed = d.Index, d.Sealed
 	r.sum(d)
+	if current.Sealed {
+		return Unchanged
+	}
+	entry.SealedSince = now
+	if d.Sealed {
+		return NowSealed
+	}
+	return Unchanged
 }
 
 func (r *Register) replace(now time.Time, entry *Entry, h Held) {
@@ -182,16 +202,16 @@
 	return RivalLost
 }
 
-// Seal accepts what has been in force for SealAfter and was confirmed by a
+// Seal seals what has been in force for SealAfter and was confirmed by a
 // comparison with a peer at least SealAfter after it came into force. It
-// returns how many tickets that were.
-func (r *Register) Seal(now, confirmed time.Time) int {
-	sealed := 0
-	for _, entry := range r.entries {
+// returns the services.
+func (r *Register) Seal(now, confirmed time.Time) []ServiceKey {
+	var sealed []ServiceKey
+	for key, entry := range r.entries {
 		since := min(now.Sub(entry.Since), confirmed.Sub(entry.Since))
 		if !entry.Sealed && since >= SealAfter {
-			entry.Sealed = true
-			sealed++
+			entry.Sealed, entry.SealedSince = true, now
+			sealed = append(sealed, key)
 		}
 	}
 	return sealed
--- a/ticket/spread.go
+++ b/ticket/spread.go
@@ -224,7 +224,7 @@
 	if next, more := s.following(now, p, register, m); more {
 		return []Call{s.call(now, p, next)}
 	}
-	p.tried = true
+	p.tried = p.tried || m.Response.Starting
 	return s.push(now, register)
 }
 
--- /dev/null
+++ b/ticket/spread_test.go
@@ -0,0 +1,185 @@
+package ticket
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func peersOf(nodes, zones int) []Peer {
+	var peers []Peer
+	for i := range nodes {
+		name := fmt.Sprintf("entry-%04d", i)
+		peers = append(peers, Peer{Name: name, Zone: fmt.Sprintf("fd-%d", i%zones), Control: name})
+	}
+	return peers
+}
+
+func stateOf(self Peer, seeds []Peer) *State {
+	return NewState(epoch, self, seeds, rand.New(rand.NewPCG(1, 1)))
+}
+
+func TestReadersPerZone(t *testing.T) {
+	peers := peersOf(300, 10)
+	readers := make(map[string]int)
+	for _, self := range peers {
+		if IsReader(self, peers) {
+			readers[self.Zone]++
+		}
+	}
+	must.MapLen(t, 10, readers)
+	for zone, n := range readers {
+		must.EqOp(t, ReadersPerZone, n, must.Sprint(zone))
+	}
+}
+
+// On one list every node has partners, and is one, equally often.
+func TestRingsReachEveryNode(t *testing.T) {
+	peers := peersOf(300, 10)
+	callers := make(map[string]int)
+	for _, self := range peers {
+		s := stateOf(self, nil)
+		s.Listed(peers)
+		for _, p := range s.partners {
+			callers[p.Control]++
+		}
+	}
+	must.MapLen(t, len(peers), callers)
+	for name, n := range callers {
+		must.LessEq(t, FanOut, n, must.Sprint(name))
+	}
+}
+
+// A balancer that nobody reads the platform for begins to read it itself, at a
+// random time within a bound.
+func TestReadsWhenNobodyDoes(t *testing.T) {
+	peers := peersOf(300, 10)
+	for _, self := range peers {
+		s := stateOf(self, nil)
+		s.Listed(peers)
+		if IsReader(self, peers) {
+			must.True(t, s.Reading(epoch).Watch)
+			continue
+		}
+		must.False(t, s.Reading(epoch.Add(readPatience-1)).Watch)
+		must.True(t, s.Reading(epoch.Add(2*readPatience)).Watch)
+		s.heard(epoch.Add(2*readPatience), time.Second)
+		must.False(t, s.Reading(epoch.Add(2*readPatience)).Watch)
+	}
+}
+
+// answer ends a call as the peer in the given state would.
+func answer(s *State, call Call, peer *State) Output {
+	response, _ := peer.Asked(epoch, call.Request)
+	return s.Answered(epoch, Answered{Call: call, Response: response})
+}
+
+// talk has a peer answer every call until the state has started.
+func talk(t *testing.T, s *State, calls []Call, peer *State) {
+	for !s.Started() {
+		if len(calls) == 0 {
+			calls = s.Tick(epoch).Calls
+		}
+		must.SliceNotEmpty(t, calls)
+		next := answer(s, calls[0], peer).Calls
+		calls = append(calls[1:], next...)
+	}
+}
+
+func fail(s *State, call Call) Output {
+	return s.Answered(epoch, Answered{Call: call, Failure: &SyntaxError{}})
+}
+
+// A restarted balancer that reads an old platform takes the peer's newer
+// ticket before it takes traffic.
+func TestStartAsksPeers(t *testing.T) {
+	peers := peersOf(2, 1)
+	running := stateOf(peers[1], nil)
+	running.Join(epoch, heldSample(t, 7, 0, 10, true))
+	running.ready = true
+	s := stateOf(peers[0], nil)
+	s.Listed(peers)
+	out := s.Offered(epoch, Offered{Held: []Held{heldSample(t, 5, 0, 5, false)}})
+	must.False(t, out.Started, must.Sprint("the platform alone"))
+	talk(t, s, out.Calls, running)
+	must.EqOp(t, 7, s.Entry(orders).Ticket.Number)
+	must.True(t, s.Entry(orders).Sealed)
+}
+
+func TestStartWithoutPeersThatCanTell(t *testing.T) {
+	peers := peersOf(2, 1)
+	offered := Offered{Held: []Held{heldSample(t, 5, 0, 5, false)}}
+	starting := stateOf(peers[1], nil)
+	starting.Join(epoch, offered.Held[0])
+	for name, end := range map[string]func(*State, Call) Output{
+		"unreachable": fail,
+		"starting":    func(s *State, c Call) Output { return answer(s, c, starting) },
+	} {
+		s := stateOf(peers[0], nil)
+		s.Listed(peers)
+		out := s.Offered(epoch, offered)
+		must.False(t, out.Started)
+		must.Len(t, 1, out.Calls, must.Sprint(name))
+		must.True(t, end(s, out.Calls[0]).Started, must.Sprint(name))
+	}
+	alone := stateOf(peers[0], nil)
+	must.False(t, alone.Tick(epoch).Started, must.Sprint("no table"))
+	must.True(t, alone.Offered(epoch, offered).Started)
+	silent := stateOf(peers[0], nil)
+	silent.Listed(peers)
+	silent.Offered(epoch, offered)
+	must.False(t, silent.Tick(epoch.Add(startBound-1)).Started)
+	must.True(t, silent.Tick(epoch.Add(startBound)).Started)
+}
+
+// With the platform down, a seed's tickets suffice.
+func TestStartFromSeedAlone(t *testing.T) {
+	peers := peersOf(2, 1)
+	running := stateOf(peers[1], nil)
+	running.Join(epoch, heldSample(t, 7, 0, 10, true))
+	running.ready = true
+	s := stateOf(peers[0], []Peer{{Control: peers[1].Control}})
+	must.SliceEmpty(t, s.Tick(epoch).Calls)
+	talk(t, s, s.Tick(epoch.Add(seedPatience)).Calls, running)
+	must.EqOp(t, 7, s.Entry(orders).Ticket.Number)
+}
+
+// A push that a peer answers is no comparison: the peer may hold more.
+func TestAnsweredPushDoesNotStart(t *testing.T) {
+	peers := peersOf(2, 1)
+	running := stateOf(peers[1], nil)
+	running.ready = true
+	s := stateOf(peers[0], nil)
+	s.Listed(peers)
+	out := s.Offered(epoch, Offered{Held: []Held{heldSample(t, 5, 0, 5, false)}})
+	running.Join(epoch, heldSample(t, 5, 0, 5, false))
+	must.False(t, answer(s, out.Calls[0], running).Started)
+}
+
+// What a failed push did not tell is told by the next one, also when another
+// partner has taken the place.
+func TestFailedPushIsRepeated(t *testing.T) {
+	peers := peersOf(30, 1)
+	s := stateOf(peers[0], nil)
+	s.Listed(peers)
+	s.ready = true
+	now := epoch
+	s.nextCompare = now.Add(time.Hour)
+	first := s.Offered(now, Offered{Held: []Held{heldSample(t, 1, 0, 1, false)}}).Calls
+	must.Len(t, FanOut, first)
+	lost := first[0]
+	for range maxFailures {
+		again := s.Answered(now, Answered{Call: lost, Failure: &SyntaxError{}}).Calls
+		if len(again) == 0 {
+			now = now.Add(avoidTime / 4)
+			again = s.Tick(now).Calls
+		}
+		must.Len(t, 1, again)
+		must.Eq(t, []ServiceKey{orders}, again[0].Request.Services)
+		lost = again[0]
+	}
+	must.NotEq(t, first[0].Peer, lost.Peer, must.Sprint("another partner"))
+}
--- a/ticket/state.go
+++ b/ticket/state.go
@@ -29,7 +29,7 @@
 	Refused []Refused
 	// Clashes are newly known.
 	Clashes []Clash
-	// Sealed is how many tickets were accepted.
+	// Sealed is how many tickets were sealed here.
 	Sealed int
 	// Started tells that the node may take traffic from now on.
 	Started bool
@@ -83,7 +83,9 @@
 // Tick does what time alone brings about.
 func (s *State) Tick(now time.Time) Output {
 	out := Output{Calls: s.Spread.Tick(now, s.Register)}
-	out.Sealed = s.Seal(now, s.Confirmed(now))
+	sealed := s.Seal(now, s.Confirmed(now))
+	out.Sealed = len(sealed)
+	s.tell(now, "", sealed, &out)
 	s.start(now, &out)
 	return out
 }
@@ -95,6 +97,9 @@
 	changed := false
 	var news []ServiceKey
 	take := func(key ServiceKey, outcome Outcome) {
+		if outcome == NowSealed {
+			news = append(news, key)
+		}
 		if !outcome.Changed() && !outcome.IsConflict() {
 			return
 		}
@@ -106,7 +111,7 @@
 		take(h.Ticket.Key(), s.Join(now, h))
 	}
 	for _, d := range digests {
-		take(d.Service, s.Learn(d))
+		take(d.Service, s.Learn(now, d))
 	}
 	if changed && len(out.Joined) > before {
 		out.Clashes = s.newClashes()
