--- a/agent/control.go
+++ b/agent/control.go
@@ -10,6 +10,7 @@
 	"cactustray/event"
 	"cactustray/liveness"
 	"cactustray/membership"
+	"cactustray/placement"
 	"cactustray/settings"
 	"cactustray/status"
 	"cactustray/steering"
@@ -19,8 +20,8 @@
 
 // published are the snapshots that traffic goroutines read.
 type published struct {
-	ticket atomic.Pointer[ticket.Ticket]
-	routes atomic.Pointer[datagram.Routes]
+	ticket    atomic.Pointer[ticket.Ticket]
+	residence datagram.Residence
 }
 
 // state is all control state of an agent. Only the control goroutine touches
@@ -31,30 +32,36 @@
 	started  time.Time
 	log      *event.Log
 
-	fact      liveness.Fact
+	reporting *reporting
+	draining  *draining
 	tickets   *ticket.Register
 	admission *admission.State
 	replies   map[admission.RequestID]chan<- admission.Decision
+	placement *placement.State
 
 	published *published
 	// report asks the heartbeat goroutine to send the fact and the ticket.
 	report chan<- report
-	usage  *meter.Usage
+	// loads asks the placement goroutine to send a load report.
+	loads chan<- loadReport
+	usage *meter.Usage
 }
 
-func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, usage *meter.Usage) *state {
+func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport, d *draining) *state {
 	return &state{
 		settings:  s,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
 		started:   time.Now(),
 		log:       log,
-		fact:      liveness.Fact{Endpoint: owner.Endpoint, Incarnation: owner.Incarnation, State: liveness.Ready},
+		reporting: newReporting(liveness.NewSelf(liveness.EndpointSubject(owner.Endpoint), owner.Incarnation), s.Agent.Balancers),
+		draining:  d,
 		tickets:   ticket.NewRegister(),
 		admission: admission.NewState(admission.Limits{}),
 		replies:   make(map[admission.RequestID]chan<- admission.Decision),
+		placement: placement.NewState(owner.Endpoint),
 		published: p,
 		report:    reports,
-		usage:     usage,
+		loads:     loads,
 	}
 }
 
@@ -63,8 +70,10 @@
 	switch m := message.(type) {
 	case ticket.Offered:
 		s.offered(now, m)
+	case ticket.Asked:
+		m.Reply <- s.tickets.Answer(m.Request)
 	case answered:
-		s.learnBalancers(m.answer)
+		s.answered(now, m)
 	case admission.Arrived:
 		s.replies[m.ID] = m.Reply
 		s.decide(s.admission.Arrive(now, m.Request))
@@ -73,29 +82,36 @@
 	case admission.Gone:
 		s.decide(s.admission.Leave(now, m.ID))
 		delete(s.replies, m.ID)
-	case drain:
-		s.drain(m)
+	case placement.Heard:
+		s.placement.Hear(now, m)
+	case steering.Behind:
+		s.behind(m)
+	case stopRequested:
+		s.requestStop(now, m)
 	case status.Asked:
-		m.Reply <- s.statusReport(now)
+		m.Reply <- s.statusReport(now, m)
 	}
 }
 
 // Tick refuses what waited too long and reports to the balancers.
-func (s *state) Tick(now time.Time, _ time.Duration) {
+func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.decide(s.admission.Tick(now))
-	s.sendReport()
 	s.usage.Sample(now)
+	s.placeByLoad(now)
+	s.tickDrain(now)
+	s.tickReports(now, gap)
 }
 
-func (s *state) statusReport(now time.Time) status.Report {
+func (s *state) statusReport(now time.Time, asked status.Asked) status.Report {
 	return status.Report{
 		Node:    s.settings.Node,
 		Role:    membership.RoleAgent,
 		Zone:    s.settings.Zone,
-		State:   "ready",
+		State:   s.reporting.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
-		Tickets: status.InForceOf(now, s.tickets),
-		Flows:   int64(s.admission.Running()),
-		Control: s.usage.Rates(now),
+		Tickets: asked.InForceOf(now, s.tickets),
+		Load:    status.Load{Requests: int64(s.admission.Running())},
+		Cost:    status.CostOf(s.usage.Rates(now)),
+		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -17,11 +17,16 @@
 			s.log.Emit(EventTicketInForce, event.Fields{"service": h.Ticket.Service, "ticket": h.Ticket.Number})
 		}
 	}
+	for _, d := range m.Better {
+		s.tickets.Learn(now, d)
+	}
 	entry := s.tickets.Entry(s.service)
 	if entry == nil {
 		return
 	}
 	s.published.ticket.Store(entry.Ticket)
+	s.steerBy(entry.Ticket)
+	s.followTicket(now, entry.Ticket)
 	limits := admission.Limits{
 		Slots:     int(entry.Ticket.Limits.Slots),
 		QueueTime: time.Duration(entry.Ticket.Limits.QueueMillis) * time.Millisecond,
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -39,23 +39,36 @@
 // Run runs a balancer until the context ends.
 func Run(ctx context.Context, s *settings.Settings, sealer *steering.Sealer, id *identity.Identity, log *event.Log) error {
 	table := new(atomic.Pointer[steering.Table])
-	forwarder, err := newForwarder(s, sealer, table)
+	loop := control.NewLoop(tickInterval)
+	forwarder, err := newForwarder(s, sealer, table, loop)
 	if err != nil {
 		return err
 	}
-	loop := control.NewLoop(tickInterval)
 	traffic := new(meter.Meter)
-	watcher := platform.NewWatcher(platform.NewReader(s.Platform.URL, s.Platform.Prefix, traffic), loop, newRandom())
-	caller := exchange.NewCaller(rpc.NewMeteredClient(id, traffic), loop)
-	out := outside{caller: caller, watcher: watcher, usage: meter.NewUsage(traffic, loop.Busy)}
+	client := rpc.NewMeteredClient(id, traffic)
+	out := outside{
+		caller:  exchange.NewCaller(client, loop),
+		watcher: platform.NewWatcher(platform.NewReader(s.Platform.URL, s.Platform.Prefix, traffic), loop, newRandom()),
+		usage:   meter.NewUsage(traffic, loop.Busy),
+	}
 	log.Emit(EventBalancerStarted, event.Fields{"edge": s.Balancer.Edge})
 	defer log.Emit(EventBalancerStopped, nil)
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return loop.Run(ctx, newState(s, log, table, out, newRandom())) })
-	group.Go(func() error { return forwarder.Run(ctx, workers) })
-	group.Go(func() error { return watcher.Run(ctx) })
-	group.Go(func() error { return caller.Run(ctx) })
-	group.Go(func() error { return rpc.Serve(ctx, s.Control, id, traffic, handler(loop)) })
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	peers := newPeers(s.Node, table)
+	caller := &peerCaller{client: client, loop: loop, log: log}
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return loop.Run(running, newState(s, log, table, peers, out)) })
+	group.Go(func() error { return forwarder.Run(running, workers) })
+	group.Go(func() error { return out.watcher.Run(running) })
+	group.Go(func() error { return out.caller.Run(running) })
+	group.Go(func() error { return rpc.Serve(running, s.Control, id, traffic, handler(loop)) })
+	group.Go(func() error { return caller.run(running, peers.calls) })
+	group.Go(func() error { return serveHealth(running, s.Balancer.Health, &peers.healthy) })
+	group.Go(func() error {
+		defer stop()
+		return stopAsPlanned(ctx, running, loop, forwarder.Counters, log)
+	})
 	return group.Wait()
 }
 
@@ -75,7 +88,7 @@
 	return mux
 }
 
-func newForwarder(s *settings.Settings, sealer *steering.Sealer, table *atomic.Pointer[steering.Table]) (*datagram.Forwarder, error) {
+func newForwarder(s *settings.Settings, sealer *steering.Sealer, table *atomic.Pointer[steering.Table], loop *control.Loop) (*datagram.Forwarder, error) {
 	edge, err := listen(s.Balancer.Edge)
 	if err != nil {
 		return nil, err
@@ -91,6 +104,7 @@
 		Table:    table,
 		Sealer:   sealer,
 		Counters: new(steering.Counters),
+		Offer:    loop.Offer,
 	}, nil
 }
 
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -28,24 +27,30 @@
 	tickets  *ticket.State
 	observer *liveness.Observer
 	members  *membership.State
+	steering *steering.State
+	peers    *peers
 
 	table *atomic.Pointer[steering.Table]
 	outside
 }
 
-func newState(s *settings.Settings, log *event.Log, table *atomic.Pointer[steering.Table], out outside, random *rand.Rand) *state {
+func newState(s *settings.Settings, log *event.Log, table *atomic.Pointer[steering.Table], p *peers, out outside) *state {
 	now := time.Now()
-	return &state{
+	st := &state{
 		node:     s.Node,
 		zone:     s.Zone,
 		started:  now,
 		log:      log,
-		tickets:  newTickets(now, s, random),
+		tickets:  newTickets(now, s, newRandom()),
 		observer: liveness.NewObserver(),
 		members:  membership.NewState(),
+		steering: steering.NewState(),
+		peers:    p,
 		table:    table,
 		outside:  out,
 	}
+	st.members.SetSelf(selfNode(s))
+	return st
 }
 
 // Handle applies one message of any slice.
@@ -58,42 +63,40 @@
 	case ticket.Answered:
 		s.answered(now, m)
 	case membership.Listed:
-		s.members.Learn(m)
-		s.listed()
+		s.listed(now, m)
 	case platform.Failed:
 		s.log.Emit(EventPlatformUnavailable, event.Fields{"cause": m.Cause})
 	case heartbeat.Heard:
 		s.heard(now, m)
+	case steering.Behind:
+		s.behind(now, m)
+	case heartbeat.Passed:
+		s.passed(now, m)
+	case called:
+		s.called(now, m)
+	case leave:
+		s.leave(now, m)
 	case status.Asked:
-		m.Reply <- s.report(now)
+		m.Reply <- s.report(now, m)
 	}
 }
 
 // Tick seals tickets and suspects endpoints that have gone silent.
 func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.ticketsTick(now)
-	if s.observer.Tick(now, gap) > 0 {
-		s.publish()
-	}
-}
-
-// publish makes the table anew, once the node may take traffic.
-func (s *state) publish() {
-	if !s.tickets.Started() {
-		return
-	}
-	s.table.Store(steering.BuildTable(s.tickets.Register, s.observer, s.table.Load()))
+	s.tickLiveness(now, gap)
+	s.forgetLeft(now)
 }
 
-func (s *state) report(now time.Time) status.Report {
+func (s *state) report(now time.Time, asked status.Asked) status.Report {
 	return status.Report{
 		Node:    s.node,
 		Role:    membership.RoleBalancer,
 		Zone:    s.zone,
 		State:   s.stateName(),
 		Uptime:  now.Sub(s.started),
-		Tickets: status.InForceOf(now, s.tickets.Register),
-		Nodes:   s.members.Nodes(),
-		Control: s.usage.Rates(now),
+		Tickets: asked.InForceOf(now, s.tickets.Register),
+		Nodes:   asked.KnownOf(s.members.Nodes(), s.tickets.Register),
+		Cost:    status.CostOf(s.usage.Rates(now)),
 	}
 }
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -1,89 +1,51 @@
 package balancer
 
 import (
-	"math/rand/v2"
-	"time"
+	"context"
+	"net/http"
 
-	"cactustray/control/meter"
+	"cactustray/control"
+	"cactustray/control/rpc"
 	"cactustray/event"
-	"cactustray/settings"
-	"cactustray/ticket"
-	"cactustray/ticket/exchange"
-	"cactustray/ticket/platform"
-)
+	"cactustray/liveness"
+	"cactustray/liveness/heartbeat"
 
-// States of a balancer as `status` names them.
-const (
-	stateStarting = "starting"
-	stateReady    = "ready"
+	"golang.org/x/sync/errgroup"
 )
 
-// outside is what carries out the control goroutine's decisions on tickets.
-type outside struct {
-	caller  *exchange.Caller
-	watcher *platform.Watcher
-	usage   *meter.Usage
-	reading ticket.Reading
-}
-
-// DroppedError reports a call that found no room with the callers.
-type DroppedError struct{ Peer ticket.Peer }
-
-func (e *DroppedError) Error() string { return "no room for a call to " + e.Peer.Control }
-
-func newTickets(now time.Time, s *settings.Settings, random *rand.Rand) *ticket.State {
-	self := ticket.Peer{Name: s.Node, Zone: s.Zone, Control: s.Control.String()}
-	var seeds []ticket.Peer
-	for _, address := range s.Balancer.Peers {
-		seeds = append(seeds, ticket.Peer{Control: address.String()})
-	}
-	return ticket.NewState(now, self, seeds, random)
-}
-
-// listed tells the ticket slice who the balancers are.
-func (s *state) listed() {
-	var peers []ticket.Peer
-	for _, n := range s.members.Balancers() {
-		peers = append(peers, ticket.Peer{Name: n.Name, Zone: n.Zone, Control: n.Control})
-	}
-	s.tickets.Listed(peers)
-}
-
-func (s *state) asked(now time.Time, m ticket.Asked) {
-	response, out := s.tickets.Asked(now, m.Request)
-	m.Reply <- response
-	s.carryOut(now, out)
-}
-
-func (s *state) answered(now time.Time, m ticket.Answered) {
-	if m.Failure != nil {
-		s.log.Emit(EventPeerSilent, event.Fields{"balancer": m.Call.Peer.Control, "cause": m.Failure})
-	}
-	s.carryOut(now, s.tickets.Answered(now, m))
-}
-
-func (s *state) ticketsTick(now time.Time) {
-	s.usage.Sample(now)
-	s.carryOut(now, s.tickets.Tick(now))
-	if reading := s.tickets.Reading(now); reading != s.reading {
-		s.reading = reading
-		s.log.Emit(EventReadingChanged, event.Fields{"watch": reading.Watch})
-		s.watcher.Order(reading)
-	}
-}
-
-// startCalls hands calls over. One that finds no room has failed.
-func (s *state) startCalls(now time.Time, calls []ticket.Call) {
-	for _, call := range calls {
-		if !s.caller.Start(call) {
-			s.answered(now, ticket.Answered{Call: call, Failure: &DroppedError{Peer: call.Peer}})
+// called brings the end of a call to another balancer to the control
+// goroutine; cause is nil when it was answered.
+type called struct {
+	to      string
+	beliefs heartbeat.Beliefs
+	cause   error
+}
+
+// peerCaller makes the calls to other balancers that the control goroutine
+// asks for.
+type peerCaller struct {
+	client *http.Client
+	loop   *control.Loop
+	log    *event.Log
+}
+
+// run makes calls, each in a goroutine of its own, until the context ends.
+func (c *peerCaller) run(ctx context.Context, calls <-chan liveness.Batch) error {
+	var group errgroup.Group
+	for {
+		select {
+		case <-ctx.Done():
+			return group.Wait()
+		case batch := <-calls:
+			group.Go(func() error { return c.call(ctx, batch) })
 		}
 	}
 }
 
-func (s *state) stateName() string {
-	if s.tickets.Started() {
-		return stateReady
-	}
-	return stateStarting
+func (c *peerCaller) call(ctx context.Context, batch liveness.Batch) error {
+	limited, cancel := context.WithTimeout(ctx, rpc.CallTimeout)
+	defer cancel()
+	beliefs, err := heartbeat.NewClient(c.client, rpc.Base(batch.To.Control)).Spread(limited, batch)
+	_ = c.loop.Send(ctx, called{to: batch.To.Name, beliefs: beliefs, cause: err})
+	return nil
 }
--- a/balancer/tickets.go
+++ b/balancer/tickets.go
@@ -10,6 +10,7 @@
 
 func (s *state) offered(now time.Time, m ticket.Offered) {
 	s.carryOut(now, s.tickets.Offered(now, m))
+	s.refreshed()
 }
 
 // carryOut does what the ticket slice decided.
@@ -29,6 +30,7 @@
 	if out.Started {
 		s.log.Emit(EventTableReady, event.Fields{"services": s.tickets.Len()})
 	}
+	s.followTickets(now, out.Joined)
 	if out.Publish {
 		s.publish()
 	}
--- a/standin/spread/network.go
+++ b/standin/spread/network.go
@@ -53,6 +53,7 @@
 	inside  int
 	reading ticket.Reading
 	reads   int
+	listed  bool
 	backoff time.Duration
 }
 
@@ -102,6 +103,7 @@
 	node.Up = true
 	node.life++
 	node.reading = ticket.Reading{}
+	node.listed = false
 	n.after(time.Duration(n.random.Int64N(int64(tickInterval))), n.tick(node, node.life))
 }
 
--- a/ticket/address.go
+++ b/ticket/address.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"strings"
 )
 
 // Clash is one address that the tickets of two live services name.
@@ -13,43 +14,65 @@
 	Service, Other string
 }
 
-// Addresses returns which service has each address, and the clashes. A removed
-// service has none. Of two live services the one whose ticket was published
-// earlier has the address, then the one with the lower key: every node with the
-// same register settles a clash alike.
-func (r *Register) Addresses() (map[netip.AddrPort]ServiceKey, []Clash) {
-	owners := make(map[netip.AddrPort]ServiceKey, len(r.entries))
-	var losers []*Entry
-	for key, entry := range r.entries {
-		if entry.Ticket.Removed {
-			continue
-		}
-		address := entry.Ticket.Address
-		owner, taken := owners[address]
-		switch {
-		case !taken:
-			owners[address] = key
-		case claimsBefore(entry, r.entries[owner]):
-			owners[address] = key
-			losers = append(losers, r.entries[owner])
-		default:
-			losers = append(losers, entry)
-		}
+// AddressOwner returns the live service that has an address. A removed service
+// has none. Of several the one whose ticket was published earliest has it, then
+// the one with the lowest key: nodes with equal registers settle it alike.
+func (r *Register) AddressOwner(address netip.AddrPort) (ServiceKey, bool) {
+	claims := r.claims[address]
+	if len(claims) == 0 {
+		return 0, false
 	}
-	return owners, r.clashes(owners, losers)
+	return slices.MinFunc(claims, r.compareClaims), true
+}
+
+func (r *Register) compareClaims(a, b ServiceKey) int {
+	return cmp.Or(cmp.Compare(r.entries[a].Index, r.entries[b].Index), cmp.Compare(a, b))
 }
 
-func (r *Register) clashes(owners map[netip.AddrPort]ServiceKey, losers []*Entry) []Clash {
+// Clashes returns every claim on an address that another service has, by the
+// name of the service that has to do without.
+func (r *Register) Clashes() []Clash {
 	var clashes []Clash
-	for _, loser := range losers {
-		address := loser.Ticket.Address
-		winner := r.entries[owners[address]]
-		clashes = append(clashes, Clash{Address: address, Service: winner.Ticket.Service, Other: loser.Ticket.Service})
+	for address := range r.contested {
+		owner, _ := r.AddressOwner(address)
+		for _, key := range r.claims[address] {
+			if key != owner {
+				clashes = append(clashes, Clash{
+					Address: address,
+					Service: r.entries[owner].Ticket.Service,
+					Other:   r.entries[key].Ticket.Service,
+				})
+			}
+		}
 	}
-	slices.SortFunc(clashes, func(a, b Clash) int { return cmp.Compare(a.Other, b.Other) })
+	slices.SortFunc(clashes, func(a, b Clash) int { return strings.Compare(a.Other, b.Other) })
 	return clashes
 }
 
-func claimsBefore(a, b *Entry) bool {
-	return cmp.Or(cmp.Compare(a.Index, b.Index), cmp.Compare(a.Ticket.Key(), b.Ticket.Key())) < 0
+func (r *Register) claim(t *Ticket) {
+	if t.Removed {
+		return
+	}
+	r.claims[t.Address] = append(r.claims[t.Address], t.Key())
+	r.contest(t.Address)
+}
+
+func (r *Register) unclaim(t *Ticket) {
+	if t.Removed {
+		return
+	}
+	rest := slices.DeleteFunc(r.claims[t.Address], func(key ServiceKey) bool { return key == t.Key() })
+	r.claims[t.Address] = rest
+	if len(rest) == 0 {
+		delete(r.claims, t.Address)
+	}
+	r.contest(t.Address)
+}
+
+func (r *Register) contest(address netip.AddrPort) {
+	if len(r.claims[address]) > 1 {
+		r.contested[address] = true
+		return
+	}
+	delete(r.contested, address)
 }
--- a/ticket/exchange/exchange.go
+++ b/ticket/exchange/exchange.go
@@ -67,5 +67,5 @@
 	if err != nil {
 		return ticket.Offered{}, err
 	}
-	return ticket.Offered{Source: ticket.FromPeer, Held: response.Held, Refused: refused}, nil
+	return ticket.Offered{Source: ticket.FromPeer, Held: response.Held, Refused: refused, Better: response.Better}, nil
 }
--- a/ticket/message.go
+++ b/ticket/message.go
@@ -18,6 +18,8 @@
 	Source  Source
 	Held    []Held
 	Refused []Refused
+	// Better are better places in the order of documents already held.
+	Better []Digest
 }
 
 // Request is what one process asks another about tickets.
@@ -37,7 +39,7 @@
 	// Held are tickets given to the receiver.
 	Held []Held
 	// ReadAge is how long ago anybody read the platform, as far as the
-	// sender knows.
+	// sender knows; 0 tells nothing.
 	ReadAge time.Duration
 }
 
--- a/ticket/partners.go
+++ b/ticket/partners.go
@@ -10,7 +10,7 @@
 
 // seedPatience is how long a starting balancer waits for the list of VMs
 // before it asks its seeds: a fleet that starts at once would overwhelm them.
-const seedPatience = 3 * time.Second
+const seedPatience = 4 * time.Second
 
 // peers returns everybody known: the list, or late the seeds while there is
 // none.
--- a/ticket/platform/watch.go
+++ b/ticket/platform/watch.go
@@ -15,7 +15,7 @@
 	lastBackoff  = 10 * time.Second
 	// firstListWithin bounds the wait before the first read of the list of
 	// VMs, so that a fleet that starts at once does not read at once.
-	firstListWithin = 2 * time.Second
+	firstListWithin = 3 * time.Second
 )
 
 // Failed tells the control goroutine that the platform could not be read.
@@ -28,6 +28,8 @@
 	random *rand.Rand
 	orders chan ticket.Reading
 	parsed parser
+	// listed tells that the list of VMs was read once.
+	listed bool
 }
 
 // NewWatcher returns a watcher that reads nothing until it is ordered to.
@@ -95,7 +97,11 @@
 }
 
 func (w *Watcher) list(ctx context.Context, interval time.Duration) {
-	sleep(ctx, time.Duration(w.random.Int64N(int64(firstListWithin))))
+	if w.listed {
+		sleep(ctx, w.jitter(interval))
+	} else {
+		sleep(ctx, time.Duration(w.random.Int64N(int64(firstListWithin))))
+	}
 	for ctx.Err() == nil {
 		pairs, err := w.reader.ReadList(ctx)
 		if err == nil {
@@ -124,6 +130,7 @@
 func (w *Watcher) deliverList(ctx context.Context, pairs []Pair) error {
 	for _, pair := range pairs {
 		if pair.Key == w.reader.Prefix()+VMKey {
+			w.listed = true
 			return w.loop.Send(ctx, members(pair.Value))
 		}
 	}
--- a/ticket/refusal.go
+++ b/ticket/refusal.go
@@ -20,13 +20,6 @@
 	return fmt.Sprintf("ticket for %q is published under the key of %q", e.Service, e.Key)
 }
 
-// SizeError reports a document over MaxDocumentBytes.
-type SizeError struct{ Bytes int }
-
-func (e *SizeError) Error() string {
-	return fmt.Sprintf("ticket of %d bytes, allowed: %d", e.Bytes, MaxDocumentBytes)
-}
-
 // OlderError reports a published ticket whose number is below the one in force.
 type OlderError struct{ Published, InForce Number }
 
@@ -101,11 +94,8 @@
 }
 
 // ParsePublished parses the document of a platform's key. It fails with
-// *SizeError, *SyntaxError, *CheckError or *KeyError.
+// *KeyError or as Parse does.
 func ParsePublished(key string, document []byte, index uint64) (Held, error) {
-	if len(document) > MaxDocumentBytes {
-		return Held{}, &SizeError{Bytes: len(document)}
-	}
 	held, err := NewHeld(document, index, false)
 	if err != nil {
 		return Held{}, err
--- a/ticket/register.go
+++ b/ticket/register.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,11 +102,20 @@
 	entries  map[ServiceKey]*Entry
 	sums     [Buckets]uint64
 	refusals map[string]Refused
+	// claims are the live services that name each address, contested the
+	// addresses that several name.
+	claims    map[netip.AddrPort][]ServiceKey
+	contested map[netip.AddrPort]bool
 }
 
 // NewRegister returns an empty register.
 func NewRegister() *Register {
-	return &Register{entries: make(map[ServiceKey]*Entry), refusals: make(map[string]Refused)}
+	return &Register{
+		entries:   make(map[ServiceKey]*Entry),
+		refusals:  make(map[string]Refused),
+		claims:    make(map[netip.AddrPort][]ServiceKey),
+		contested: make(map[netip.AddrPort]bool),
+	}
 }
 
 // Join takes a ticket in and returns what that did.
@@ -154,9 +164,11 @@
 	key := h.Ticket.Key()
 	if entry := r.entries[key]; entry != nil {
 		r.unsum(DigestOf(entry.Held))
+		r.unclaim(entry.Ticket)
 	}
 	r.entries[key] = &Entry{Held: h, Since: now, SealedSince: now}
 	r.sum(DigestOf(h))
+	r.claim(h.Ticket)
 }
 
 // raise moves the document in force up to a better place in the order.
@@ -202,13 +214,23 @@
 	return RivalLost
 }
 
-// Seal seals what has been in force for SealAfter and was confirmed by a
-// comparison with a peer at least SealAfter after it came into force. It
-// returns the services.
-func (r *Register) Seal(now, confirmed time.Time) []ServiceKey {
+// Confirmation is who last agreed with the whole register, and when.
+type Confirmation struct {
+	At time.Time
+	// Alone tells that no peer answers, so that the platform has to do.
+	Alone bool
+}
+
+// Seal seals what has been in force for SealAfter and was confirmed at least
+// SealAfter after it came into force. A node alone seals nothing beside which
+// the platform shows another document. It returns the services.
+func (r *Register) Seal(now time.Time, confirmed Confirmation) []ServiceKey {
 	var sealed []ServiceKey
 	for key, entry := range r.entries {
-		since := min(now.Sub(entry.Since), confirmed.Sub(entry.Since))
+		if _, doubted := r.refusals[entry.Ticket.Service]; doubted && confirmed.Alone {
+			continue
+		}
+		since := min(now.Sub(entry.Since), confirmed.At.Sub(entry.Since))
 		if !entry.Sealed && since >= SealAfter {
 			entry.Sealed, entry.SealedSince = true, now
 			sealed = append(sealed, key)
--- a/ticket/spread.go
+++ b/ticket/spread.go
@@ -19,6 +19,8 @@
 	// replaced, for avoidTime.
 	maxFailures = 3
 	avoidTime   = 10 * time.Second
+	// aloneAfter is how long no peer answers until a node counts as alone.
+	aloneAfter = 10 * time.Second
 	// maxNews bounds the services of one push; more than that is left to
 	// comparisons, which fetch each document once.
 	maxNews = 64
@@ -45,8 +47,12 @@
 	partners []*partner
 	random   Random
 
-	began       time.Time
-	read        time.Time
+	began time.Time
+	read  time.Time
+	// published is when this node itself read the platform, answered when
+	// any peer last answered.
+	published   time.Time
+	answered    time.Time
 	confirmed   time.Time
 	patience    time.Duration
 	nextCompare time.Time
@@ -55,7 +61,6 @@
 	fetching *partner
 	avoided  map[string]time.Time
 	ready    bool
-	platform bool
 }
 
 // partner is a peer chosen for pushes and comparisons.
@@ -71,7 +76,7 @@
 
 // NewSpread returns the state of a balancer that knows its seeds only.
 func NewSpread(now time.Time, self Peer, seeds []Peer, random Random) *Spread {
-	s := &Spread{self: self, random: random, began: now, read: now, avoided: make(map[string]time.Time)}
+	s := &Spread{self: self, random: random, began: now, read: now, answered: now, avoided: make(map[string]time.Time)}
 	s.patience = readPatience + s.jitter(readPatience)
 	s.seeds = s.others(seeds)
 	return s
@@ -84,27 +89,30 @@
 	}
 	s.listed = s.others(balancers)
 	s.known = s.listed
-	s.platform = true
 	s.choosePartners()
 }
 
 // Published notes that this node read the platform.
 func (s *Spread) Published(now time.Time) {
-	s.platform = true
-	s.read = now
+	s.read, s.published = now, now
 }
 
 // heard takes in how long ago another balancer knows the platform to have been
 // read by anybody.
 func (s *Spread) heard(now time.Time, age time.Duration) {
+	if age <= 0 {
+		return
+	}
 	if read := now.Add(-age); read.After(s.read) {
 		s.read = read
 	}
 }
 
 // ReadAge returns how long ago the platform was last read by anybody, as far
-// as this node knows.
-func (s *Spread) ReadAge(now time.Time) time.Duration { return now.Sub(s.read) }
+// as this node knows. It is never 0, which tells nothing.
+func (s *Spread) ReadAge(now time.Time) time.Duration {
+	return max(now.Sub(s.read), time.Millisecond)
+}
 
 func (s *Spread) others(peers []Peer) []Peer {
 	var others []Peer
@@ -220,6 +228,7 @@
 		return s.push(now, register)
 	}
 	p.failures = 0
+	s.answered = now
 	s.heard(now, m.Response.ReadAge)
 	if next, more := s.following(now, p, register, m); more {
 		return []Call{s.call(now, p, next)}
@@ -282,14 +291,17 @@
 }
 
 // Confirmed returns when a comparison with a peer last ended without a
-// difference. A balancer that knows no other has only itself to agree with.
-func (s *Spread) Confirmed(now time.Time) time.Time {
-	if len(s.listed) == 0 && len(s.seeds) == 0 {
-		return now
+// difference. Without a peer that answers, this node's own reading of the
+// platform has to do.
+func (s *Spread) Confirmed(now time.Time) Confirmation {
+	if now.Sub(s.answered) < aloneAfter && s.hasPeers() {
+		return Confirmation{At: s.confirmed}
 	}
-	return s.confirmed
+	return Confirmation{At: s.published, Alone: true}
 }
 
+func (s *Spread) hasPeers() bool { return len(s.listed)+len(s.seeds) > 0 }
+
 func (s *Spread) jitter(d time.Duration) time.Duration {
 	return time.Duration(s.random.Int64N(int64(d)))
 }
--- a/ticket/start.go
+++ b/ticket/start.go
@@ -23,10 +23,11 @@
 func (s *Spread) Started() bool { return s.ready }
 
 // peersTried tells whether every partner was asked in vain. Without any peer
-// it is true once the platform, which lists them, was read.
+// it is true: the tickets then came from the platform, which lists the peers
+// first.
 func (s *Spread) peersTried() bool {
-	if len(s.listed) == 0 && len(s.seeds) == 0 {
-		return s.platform
+	if !s.hasPeers() {
+		return true
 	}
 	for _, p := range s.partners {
 		if !p.tried {
--- a/ticket/state.go
+++ b/ticket/state.go
@@ -93,7 +93,6 @@
 // join takes tickets and digests in, and returns the services of which
 // something is newly known.
 func (s *State) join(now time.Time, held []Held, digests []Digest, out *Output) []ServiceKey {
-	before := len(out.Joined)
 	changed := false
 	var news []ServiceKey
 	take := func(key ServiceKey, outcome Outcome) {
@@ -113,7 +112,8 @@
 	for _, d := range digests {
 		take(d.Service, s.Learn(now, d))
 	}
-	if changed && len(out.Joined) > before {
+	// A better index of one document may settle a clash otherwise.
+	if changed || len(s.clashes) > 0 {
 		out.Clashes = s.newClashes()
 		out.Publish = s.Started()
 	}
@@ -130,7 +130,7 @@
 }
 
 func (s *State) newClashes() []Clash {
-	_, clashes := s.Addresses()
+	clashes := s.Clashes()
 	fresh := slices.DeleteFunc(slices.Clone(clashes), func(c Clash) bool { return slices.Contains(s.clashes, c) })
 	s.clashes = clashes
 	return fresh
