--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/control/rpc"
 	"cactustray/event"
 	"cactustray/identity"
@@ -34,6 +35,7 @@
 	if err := snapshots.trace(ctx, s, log); err != nil {
 		return err
 	}
+	traffic := new(meter.Meter)
 	callers, err := newCallerServer(s, sealer, owner, loop, snapshots)
 	if err != nil {
 		return err
@@ -44,7 +46,7 @@
 	reporter := &reporter{
 		node:    s.Node,
 		service: ticket.ServiceKeyOf(s.Agent.Service),
-		client:  rpc.NewClient(id),
+		client:  rpc.NewMeteredClient(id, traffic),
 		loop:    loop,
 	}
 	log.Emit(EventAgentStarted, event.Fields{"service": s.Agent.Service, "endpoint": s.Agent.Endpoint})
@@ -54,10 +56,11 @@
 	defer stop()
 	group, running := errgroup.WithContext(running)
 	state := newState(s, owner, log, snapshots, reports, loads, draining)
+	state.usage = meter.NewUsage(traffic, loop.Busy)
 	group.Go(func() error { return loop.Run(running, state) })
 	group.Go(func() error { return reporter.run(running, reports) })
 	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
-	group.Go(func() error { return rpc.Serve(running, s.Control, id, controlHandler(loop)) })
+	group.Go(func() error { return rpc.Serve(running, s.Control, id, traffic, controlHandler(loop)) })
 	group.Go(func() error { return callers.serve(running, draining.phases) })
 	observe(running, group, s, id, callers, snapshots, log)
 	group.Go(func() error {
--- a/agent/control.go
+++ b/agent/control.go
@@ -6,6 +6,7 @@
 
 	"cactustray/admission"
 	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/event"
 	"cactustray/liveness"
 	"cactustray/membership"
@@ -46,6 +47,7 @@
 	report chan<- report
 	// loads asks the placement goroutine to send a load report.
 	loads chan<- loadReport
+	usage *meter.Usage
 }
 
 func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport, d *draining) *state {
@@ -71,8 +73,8 @@
 	switch m := message.(type) {
 	case ticket.Offered:
 		s.offered(now, m)
-	case ticket.Compared:
-		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
+	case ticket.Asked:
+		m.Reply <- s.tickets.Answer(m.Request)
 	case answered:
 		s.answered(now, m)
 	case admission.Arrived:
@@ -99,7 +101,7 @@
 // Tick refuses what waited too long and reports to the balancers.
 func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.decide(s.admission.Tick(now))
-	s.tickets.Seal(now)
+	s.usage.Sample(now)
 	s.tickDrain(now)
 	s.tickReports(now, gap)
 	s.placeByLoad(now)
@@ -114,6 +116,7 @@
 		Uptime:  now.Sub(s.started),
 		Tickets: asked.InForceOf(now, s.tickets),
 		Load:    s.work(),
+		Cost:    status.CostOf(s.usage.Rates(now)),
 		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
--- a/agent/gone.go
+++ b/agent/gone.go
@@ -19,7 +19,7 @@
 	last := s.nextReport(s.reporting.targets)
 	var group errgroup.Group
 	for _, balancer := range last.targets {
-		group.Go(func() error { return r.takeLeave(ctx, balancer, last) })
+		group.Go(func() error { return r.takeLeave(ctx, balancer, last.Report) })
 	}
 	_ = group.Wait() // a balancer that does not hear it hears it from others
 }
--- a/balancer/steering.go
+++ b/balancer/steering.go
@@ -9,10 +9,13 @@
 	"cactustray/ticket"
 )
 
-// publish brings the named services, or all when none is named, up to their
+// publish does nothing until the node may take traffic. It brings the named services, or all when none is named, up to their
 // tickets and the endpoints' states, and publishes the table.
 func (s *state) publish(services ...ticket.ServiceKey) {
-	s.table.Store(s.steering.Update(time.Now(), s.tickets, s.observer, services...))
+	if !s.tickets.Started() {
+		return
+	}
+	s.table.Store(s.steering.Update(time.Now(), s.tickets.Register, s.observer, services...))
 }
 
 // forgetLeft forgets endpoints that left the tickets long ago.
@@ -23,11 +26,13 @@
 }
 
 // behind learns that an agent holds a newer ticket than the one datagrams were
-// routed by.
+// routed by, and catches up at once.
 func (s *state) behind(now time.Time, m steering.Behind) {
-	if s.steering.IsBehind(now, m) {
-		s.log.Emit(EventBehind, event.Fields{"service": uint64(m.Service), "ticket": m.Ticket})
+	if !s.steering.IsBehind(now, m) {
+		return
 	}
+	s.tickets.Behind(now)
+	s.log.Emit(EventBehind, event.Fields{"service": uint64(m.Service), "ticket": m.Ticket})
 }
 
 // learnEnd marks the service of an endpoint that has said that it ended, so
--- a/balancer/tickets.go
+++ b/balancer/tickets.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"time"
 
 	"cactustray/event"
@@ -8,28 +9,43 @@
 )
 
 func (s *state) offered(now time.Time, m ticket.Offered) {
-	changed := false
-	for _, h := range m.Held {
-		outcome := s.tickets.Join(now, h)
-		changed = changed || outcome == ticket.InForce || outcome == ticket.Conflict
-		s.logOutcome(h, outcome)
+	s.carryOut(now, s.tickets.Offered(now, m))
+	s.refreshed()
+}
+
+// carryOut does what the ticket slice decided.
+func (s *state) carryOut(now time.Time, out ticket.Output) {
+	for _, j := range out.Joined {
+		s.logJoined(j)
 	}
-	for _, r := range m.Refused {
+	for _, r := range out.Refused {
 		s.log.Emit(EventTicketRefused, event.Fields{"service": r.Service, "cause": r.Cause})
 	}
-	if changed {
-		s.followTickets(now, m)
+	for _, c := range out.Clashes {
+		s.log.Emit(EventAddressClash, event.Fields{"address": c.Address, "service": c.Service, "other": c.Other})
+	}
+	if out.Sealed > 0 {
+		s.log.Emit(EventTicketsSealed, event.Fields{"tickets": out.Sealed})
+	}
+	if out.Started {
+		s.log.Emit(EventTableReady, event.Fields{"services": s.tickets.Len()})
+	}
+	s.followTickets(now, out.Joined)
+	if out.Publish {
 		s.publish()
 	}
-	s.refreshed()
+	s.startCalls(now, out.Calls)
 }
 
-func (s *state) logOutcome(h ticket.Held, outcome ticket.Outcome) {
-	fields := event.Fields{"service": h.Ticket.Service, "ticket": h.Ticket.Number}
-	switch outcome {
-	case ticket.InForce:
+func (s *state) logJoined(j ticket.Joined) {
+	fields := event.Fields{"service": j.Service, "ticket": j.Number}
+	if j.Outcome == ticket.InForce {
 		s.log.Emit(EventTicketInForce, fields)
-	case ticket.Conflict:
-		s.log.Emit(EventTicketConflict, fields)
+		return
 	}
+	fields["won"] = contentText(j.Content)
+	fields["lost"] = contentText(j.Lost)
+	s.log.Emit(EventTicketConflict, fields)
 }
+
+func contentText(content uint64) string { return fmt.Sprintf("%016x", content) }
--- a/settings/check.go
+++ b/settings/check.go
@@ -149,7 +149,9 @@
 	c.address("balancer.edge", s.Balancer.Edge, allowedAddress)
 	c.address("balancer.fabric", s.Balancer.Fabric, allowedPeer)
 	c.address("balancer.health", s.Balancer.Health, allowedAddress)
-	c.address("balancer.health", s.Balancer.Health, allowedAddress)
+	for i, peer := range s.Balancer.Peers {
+		c.address(fmt.Sprintf("balancer.peers[%d]", i), peer, allowedPeer)
+	}
 }
 
 func (c *checker) agent(s *Settings) {
--- a/status/query/server.go
+++ b/status/query/server.go
@@ -49,14 +49,14 @@
 // Ticket returns the text of the ticket in force for one service.
 func (s *Server) Ticket(ctx context.Context, r *statuspb.TicketRequest) (*statuspb.TicketResponse, error) {
 	services := []ticket.ServiceKey{ticket.ServiceKeyOf(r.Service)}
-	answer, err := control.Ask(ctx, s.loop, func(reply chan<- ticket.Comparison) control.Message {
-		return ticket.Compared{Services: services, Reply: reply}
+	answer, err := control.Ask(ctx, s.loop, func(reply chan<- ticket.Response) control.Message {
+		return ticket.Asked{Request: ticket.Request{Services: services}, Reply: reply}
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
 	response := new(statuspb.TicketResponse)
-	for _, held := range answer.Newer {
+	for _, held := range answer.Held {
 		response.Document = held.Document
 	}
 	return response, nil
--- a/status/report.go
+++ b/status/report.go
@@ -1,8 +1,10 @@
 package status
 
 import (
+	"slices"
 	"time"
 
+	"cactustray/control/meter"
 	"cactustray/membership"
 	"cactustray/ticket"
 )
@@ -51,6 +53,11 @@
 	CoreShare float64
 }
 
+// CostOf returns the cost of a node with the given rates.
+func CostOf(rates meter.Rates) Cost {
+	return Cost{BytesPerSecond: rates.BytesPerSecond, CoreShare: rates.CoreShare}
+}
+
 // Report is how a node stands.
 type Report struct {
 	Node    string
@@ -73,13 +80,27 @@
 	Reply     chan<- Report
 }
 
-// InForceOf lists what a register has in force for the services asked for.
+// InForceOf lists what a register has in force for the services asked for, and
+// those whose published document was refused while they have no ticket: their
+// number is 0.
 func (a Asked) InForceOf(now time.Time, register *ticket.Register) []InForce {
+	refused := make(map[string]string)
+	for _, r := range register.Refusals() {
+		refused[r.Service] = r.Cause.Error()
+	}
 	var list []InForce
 	take := func(_ ticket.ServiceKey, e *ticket.Entry) {
-		list = append(list, inForce(now, e))
+		line := inForce(now, e)
+		line.Refused = refused[line.Service]
+		list = append(list, line)
+		delete(refused, line.Service)
 	}
 	a.each(register, take)
+	for service, cause := range refused {
+		if len(a.Services) == 0 || slices.Contains(a.Services, ticket.ServiceKeyOf(service)) {
+			list = append(list, InForce{Service: service, Refused: cause})
+		}
+	}
 	return list
 }
 
@@ -118,10 +139,9 @@
 		Service:   e.Ticket.Service,
 		Number:    e.Ticket.Number,
 		Content:   e.Content,
-		Sealed:    e.Sealed,
+		Sealed:    e.Accepted(now),
 		Age:       now.Sub(e.Since),
-		Conflicts: e.Conflicts,
-		Refused:   e.Refused,
+		Conflicts: e.Conflicts(),
 	}
 }
 
