Decide requests by steps, with slots exchanged between agents

Cause: the queue knew slots and a fixed queue time only; work waited behind a straggler while a peer had a free slot, and nothing was refused early.

Change: a request is queued, dispatched, handed over or refused; one process owns each step. An agent with waiting work asks peers for a slot; a peer with a free one reserves it. Expected waits come from measured service times. Cold backend servers ramp up, feeds have a bound of their own, a pause voids what was promised before it.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,15 +1,28 @@
 // Package admission holds the duty of letting requests run on the backend
-// server: slots, the queue before them, deadlines, and refusals that tell the
-// truth. Its decisions are free of HTTP, sockets and clocks.
+// server: slots, the queue before them, deadlines, hand-over to a peer with a
+// free slot, and refusals that tell the truth. Its decisions are free of HTTP,
+// sockets and clocks.
+//
+// A request is received, queued, then dispatched, handed over to a peer, or
+// refused. One process owns each step: a request that was handed over belongs
+// to the peer until the peer says that it did not run it.
 package admission
 
 import (
 	"time"
+
+	"cactustray/ticket"
 )
 
 // RequestID tells the requests of one agent process apart.
 type RequestID uint64
 
+// ReservationID tells the reservations of one agent process apart; 0 is none.
+type ReservationID uint64
+
+// AskID tells the requests of peers for a free slot apart.
+type AskID uint64
+
 // Kind is how long a request is expected to run.
 type Kind int
 
@@ -35,9 +48,16 @@
 	Draining
 	// Cancelled: the caller gave up while it waited.
 	Cancelled
+	// TooManyFeeds: the backend server has as many feeds as it takes.
+	TooManyFeeds
+	// ReservationExpired: a peer used a reservation too late.
+	ReservationExpired
 )
 
-var refusalNames = [...]string{"none", "queue_full", "deadline_passed", "draining", "cancelled"}
+var refusalNames = [...]string{
+	"none", "queue_full", "deadline_passed", "draining", "cancelled",
+	"too_many_feeds", "reservation_expired",
+}
 
 func (r Refusal) String() string { return refusalNames[r] }
 
@@ -46,12 +66,37 @@
 	ID       RequestID
 	Kind     Kind
 	Deadline time.Time
+	// Reservation is the slot that this agent reserved for a peer's request;
+	// 0 for a request that came from a caller.
+	Reservation ReservationID
+	// Pinned requests are never handed over.
+	Pinned bool
 }
 
-// Decision answers one request: it may be dispatched, or was not run.
+// Decision answers one request. It is refused, handed over to Peer under
+// Reservation, or, when Peer is 0, dispatched to the backend server.
 type Decision struct {
-	ID      RequestID
-	Refusal Refusal
+	ID          RequestID
+	Refusal     Refusal
+	Peer        ticket.EndpointKey
+	Reservation ReservationID
+}
+
+// Granted tells a peer that asked that a slot is reserved for it.
+type Granted struct {
+	Ask         AskID
+	Reservation ReservationID
+}
+
+// Outputs is what one decision brings about.
+type Outputs struct {
+	Decisions []Decision
+	// Granted are reservations for peers that asked for a slot.
+	Granted []Granted
+	// Ask are peers to ask for a slot; each is asked once until it answers.
+	Ask []ticket.EndpointKey
+	// Withdraw are peers whose slot is no longer wanted.
+	Withdraw []ticket.EndpointKey
 }
 
 // Limits bound an agent's work.
@@ -60,109 +105,8 @@
 	Slots int
 	// QueueTime is the longest a job waits.
 	QueueTime time.Duration
-}
-
-type waiting struct {
-	Request
-	until time.Time
-}
-
-// State is the queue before one backend server. The control goroutine owns it.
-type State struct {
-	limits   Limits
-	draining bool
-	running  map[RequestID]Kind
-	jobs     int
-	queue    []waiting
-}
-
-// NewState returns an empty queue with the given limits.
-func NewState(limits Limits) *State {
-	return &State{limits: limits, running: make(map[RequestID]Kind)}
-}
-
-// SetLimits takes new limits in; running work goes on.
-func (s *State) SetLimits(now time.Time, limits Limits) []Decision {
-	s.limits = limits
-	return s.fill(now)
-}
-
-// Drain refuses all new work from now on.
-func (s *State) Drain() { s.draining = true }
-
-// Running returns how many requests are at the backend server.
-func (s *State) Running() int { return len(s.running) }
-
-// Arrive takes a request in. The decisions it returns may concern others.
-func (s *State) Arrive(now time.Time, r Request) []Decision {
-	if s.draining {
-		return []Decision{{ID: r.ID, Refusal: Draining}}
-	}
-	if r.Kind == Feed {
-		s.running[r.ID] = Feed
-		return []Decision{{ID: r.ID}}
-	}
-	until := now.Add(s.limits.QueueTime)
-	if r.Deadline.Before(until) {
-		until = r.Deadline
-	}
-	s.queue = append(s.queue, waiting{Request: r, until: until})
-	return s.fill(now)
-}
-
-// Finish frees what a dispatched request held.
-func (s *State) Finish(now time.Time, id RequestID) []Decision {
-	kind, ok := s.running[id]
-	if !ok {
-		return nil
-	}
-	delete(s.running, id)
-	if kind == Job {
-		s.jobs--
-	}
-	return s.fill(now)
-}
-
-// Cancel takes a request out of the queue; one already dispatched stays.
-func (s *State) Cancel(id RequestID) []Decision {
-	for i, w := range s.queue {
-		if w.ID == id {
-			s.queue = append(s.queue[:i], s.queue[i+1:]...)
-			return []Decision{{ID: id, Refusal: Cancelled}}
-		}
-	}
-	return nil
-}
-
-// Tick refuses what has waited too long.
-func (s *State) Tick(now time.Time) []Decision { return s.fill(now) }
-
-// fill expires what is late and dispatches while slots are free. Expiry comes
-// first, so that late work is never dispatched, not even after a pause.
-func (s *State) fill(now time.Time) []Decision {
-	var decisions []Decision
-	kept := s.queue[:0]
-	for _, w := range s.queue {
-		switch {
-		case !now.Before(w.until):
-			decisions = append(decisions, Decision{ID: w.ID, Refusal: DeadlinePassed})
-		case s.jobs < s.limits.Slots:
-			s.jobs++
-			s.running[w.ID] = Job
-			decisions = append(decisions, Decision{ID: w.ID})
-		default:
-			kept = append(kept, w)
-		}
-	}
-	s.queue = kept
-	return decisions
-}
-
-// Leave ends a request whose caller gave up, wherever it stands. A job that
-// was dispatched in the same moment gives its slot back unused.
-func (s *State) Leave(now time.Time, id RequestID) []Decision {
-	if _, running := s.running[id]; running {
-		return s.Finish(now, id)
-	}
-	return s.Cancel(id)
+	// Feeds is how many feeds are open at once; 0 means no bound.
+	Feeds int
+	// RampTime is how long a cold backend server takes to reach all slots.
+	RampTime time.Duration
 }
--- /dev/null
+++ b/admission/exchange.go
@@ -0,0 +1,219 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cactustray/ticket"
+)
+
+const (
+	// AskWidth is how many peers are asked for a slot for each request that
+	// waits.
+	AskWidth = 3
+	// ReserveTime is how long a slot is kept for a peer that asked for it.
+	ReserveTime = 20 * time.Millisecond
+	// handOverBias is how much longer a peer's request must have waited to
+	// go before one that waits here: a slot idles while a hand-over is on
+	// its way.
+	handOverBias = 20 * time.Millisecond
+	// retryPeerAfter is how long a peer that could not be reached is not
+	// asked again, in asks of other peers.
+	retryPeerAfter = 8
+)
+
+// interest is a peer's request for a slot that waits for one to be free.
+type interest struct {
+	ask   AskID
+	since time.Time
+}
+
+// exchange is what an agent has asked of its peers and promised to them.
+type exchange struct {
+	random *rand.Rand
+	peers  []ticket.EndpointKey
+	asked  map[ticket.EndpointKey]bool
+	// unreached counts down the asks until a peer is tried again.
+	unreached map[ticket.EndpointKey]int
+	interests []interest
+	reserved  map[ReservationID]time.Time
+	last      ReservationID
+}
+
+func newExchange(random *rand.Rand) exchange {
+	return exchange{
+		random:    random,
+		asked:     make(map[ticket.EndpointKey]bool),
+		unreached: make(map[ticket.EndpointKey]int),
+		reserved:  make(map[ReservationID]time.Time),
+	}
+}
+
+func (x *exchange) setPeers(peers []ticket.EndpointKey) { x.peers = slices.Clone(peers) }
+
+// forget voids reservations and interests.
+func (x *exchange) forget() {
+	clear(x.reserved)
+	x.interests = nil
+}
+
+func (x *exchange) expire(now time.Time) {
+	for id, until := range x.reserved {
+		if !now.Before(until) {
+			delete(x.reserved, id)
+		}
+	}
+}
+
+func (x *exchange) redeem(id ReservationID) bool {
+	_, ok := x.reserved[id]
+	delete(x.reserved, id)
+	return ok
+}
+
+// olderThan tells whether a peer's request has waited so much longer than one
+// that arrived here that it goes first.
+func (x *exchange) olderThan(now, arrived time.Time) bool {
+	if len(x.interests) == 0 {
+		return false
+	}
+	there := now.Sub(x.interests[x.oldest()].since)
+	here := now.Sub(arrived)
+	return there > 2*here+handOverBias
+}
+
+func (x *exchange) oldest() int {
+	oldest := 0
+	for i := range x.interests {
+		if x.interests[i].since.Before(x.interests[oldest].since) {
+			oldest = i
+		}
+	}
+	return oldest
+}
+
+// reserve promises a free slot to the peer that has waited longest.
+func (x *exchange) reserve(now time.Time) (Granted, bool) {
+	if len(x.interests) == 0 {
+		return Granted{}, false
+	}
+	i := x.oldest()
+	granted := Granted{Ask: x.interests[i].ask}
+	x.interests = slices.Delete(x.interests, i, i+1)
+	x.last++
+	granted.Reservation = x.last
+	x.reserved[x.last] = now.Add(ReserveTime)
+	return granted, true
+}
+
+// pick returns a peer that is not asked yet; ok is false when there is none.
+func (x *exchange) pick() (peer ticket.EndpointKey, ok bool) {
+	var free []ticket.EndpointKey
+	for _, p := range x.peers {
+		if x.asked[p] {
+			continue
+		}
+		if x.unreached[p] > 0 {
+			x.unreached[p]--
+			continue
+		}
+		free = append(free, p)
+	}
+	if len(free) == 0 {
+		return 0, false
+	}
+	return free[x.random.IntN(len(free))], true
+}
+
+// ask asks peers while work waits, and withdraws once none does.
+func (s *State) ask(out *Outputs) {
+	wanted := AskWidth * s.handable()
+	if wanted == 0 {
+		for peer := range s.exchange.asked {
+			out.Withdraw = append(out.Withdraw, peer)
+		}
+		slices.Sort(out.Withdraw)
+		clear(s.exchange.asked)
+		return
+	}
+	for len(s.exchange.asked) < wanted {
+		peer, ok := s.exchange.pick()
+		if !ok {
+			return
+		}
+		s.exchange.asked[peer] = true
+		out.Ask = append(out.Ask, peer)
+	}
+}
+
+// handable counts the waiting requests that may be handed over.
+func (s *State) handable() int {
+	n := 0
+	for _, e := range s.queue {
+		if !e.Pinned {
+			n++
+		}
+	}
+	return n
+}
+
+// Waited returns how long the oldest request has waited.
+func (s *State) Waited(now time.Time) time.Duration {
+	if len(s.queue) == 0 {
+		return 0
+	}
+	return now.Sub(s.queue[0].arrived)
+}
+
+// SlotAsked takes a peer's request for a slot in.
+func (s *State) SlotAsked(now time.Time, ask AskID, waited time.Duration) Outputs {
+	if s.draining {
+		return Outputs{}
+	}
+	s.exchange.interests = append(s.exchange.interests, interest{ask: ask, since: now.Add(-waited)})
+	return s.settle(now)
+}
+
+// SlotWithdrawn forgets a peer's request for a slot.
+func (s *State) SlotWithdrawn(ask AskID) {
+	s.exchange.interests = slices.DeleteFunc(s.exchange.interests, func(i interest) bool { return i.ask == ask })
+}
+
+// ReservationDeclined frees a slot that a peer will not use.
+func (s *State) ReservationDeclined(now time.Time, id ReservationID) Outputs {
+	s.exchange.redeem(id)
+	return s.settle(now)
+}
+
+// SlotOffered hands the oldest request over to a peer that reserved a slot.
+// used is false when no request waits any more; the peer should be told.
+func (s *State) SlotOffered(now time.Time, peer ticket.EndpointKey, id ReservationID) (out Outputs, used bool) {
+	delete(s.exchange.asked, peer)
+	s.expire(now, &out)
+	for i, e := range s.queue {
+		if e.Pinned {
+			continue
+		}
+		s.queue = slices.Delete(s.queue, i, i+1)
+		s.estimate.left(now, len(s.queue))
+		s.assert(e.step == queued, DispatchedOnce, e.ID)
+		e.step = handedOver
+		out.Decisions = append(out.Decisions, Decision{ID: e.ID, Peer: peer, Reservation: id})
+		used = true
+		break
+	}
+	s.ask(&out)
+	return out, used
+}
+
+// AskEnded takes in that a peer gave no slot.
+func (s *State) AskEnded(peer ticket.EndpointKey, failed bool) Outputs {
+	delete(s.exchange.asked, peer)
+	if failed {
+		s.exchange.unreached[peer] = retryPeerAfter
+	}
+	var out Outputs
+	s.ask(&out)
+	return out
+}
--- /dev/null
+++ b/admission/state_test.go
@@ -0,0 +1,106 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cactustray/ticket"
+
+	"github.com/shoenig/test/must"
+)
+
+var start = time.Unix(1000, 0)
+
+func newTestState(t testing.TB, limits Limits) *State {
+	return NewState(start, limits, rand.New(rand.NewPCG(1, 1)), func(v Violation) { t.Error(v) })
+}
+
+func request(id RequestID, timeout time.Duration) Request {
+	return Request{ID: id, Deadline: start.Add(timeout)}
+}
+
+// Work queued from before a pause is examined anew: what expired meanwhile is
+// refused, even though the message that frees the slot is applied first.
+func TestExpiredWorkIsNotDispatchedAfterPause(t *testing.T) {
+	s := newTestState(t, Limits{Slots: 1, QueueTime: time.Minute})
+	s.Arrive(start, request(1, time.Minute))
+	s.Arrive(start, request(2, time.Second))
+	s.Arrive(start, request(3, time.Minute))
+	out := s.Finish(start.Add(10*time.Second), 1)
+	must.Eq(t, []Decision{{ID: 2, Refusal: DeadlinePassed}, {ID: 3}}, out.Decisions)
+}
+
+// A reservation promised before a pause is void after it: the peer is told
+// that its request was not run.
+func TestReservationIsVoidAfterPause(t *testing.T) {
+	s := newTestState(t, Limits{Slots: 1, QueueTime: time.Minute})
+	granted := s.SlotAsked(start, 7, 0).Granted
+	must.SliceLen(t, 1, granted)
+	s.Tick(start.Add(time.Millisecond), PauseLimit+1)
+	r := request(1, time.Minute)
+	r.Reservation = granted[0].Reservation
+	out := s.Arrive(start.Add(2*time.Millisecond), r)
+	must.Eq(t, []Decision{{ID: 1, Refusal: ReservationExpired}}, out.Decisions)
+}
+
+// A cold backend server takes a growing share of its slots.
+func TestColdBackendServerRampsUp(t *testing.T) {
+	s := newTestState(t, Limits{Slots: 4, QueueTime: time.Minute, RampTime: 4 * time.Second})
+	for second, slots := range []int{1, 1, 2, 3, 4} {
+		must.EqOp(t, slots, s.FreeSlots(start.Add(time.Duration(second)*time.Second)))
+	}
+}
+
+// Feeds hold no slot and jobs no place of a feed.
+func TestFeedsAreKeptApart(t *testing.T) {
+	s := newTestState(t, Limits{Slots: 1, QueueTime: time.Minute, Feeds: 1})
+	must.Eq(t, []Decision{{ID: 1}}, s.Arrive(start, Request{ID: 1, Kind: Feed}).Decisions)
+	must.Eq(t, []Decision{{ID: 2}}, s.Arrive(start, request(2, time.Second)).Decisions)
+	refused := s.Arrive(start, Request{ID: 3, Kind: Feed}).Decisions
+	must.Eq(t, []Decision{{ID: 3, Refusal: TooManyFeeds}}, refused)
+}
+
+// At the crest a request that could not be answered in time is refused at
+// once.
+func TestRefusesEarlyAtTheCrest(t *testing.T) {
+	s := newTestState(t, Limits{Slots: 1, QueueTime: time.Minute})
+	now := start
+	for id := RequestID(1); id <= 40; id++ {
+		s.Arrive(now, request(id, time.Minute))
+	}
+	for id := RequestID(1); id <= 20; id++ {
+		now = now.Add(100 * time.Millisecond)
+		s.Finish(now, id)
+	}
+	late := Request{ID: 99, Deadline: now.Add(time.Second)}
+	must.Eq(t, []Decision{{ID: 99, Refusal: QueueFull}}, s.Arrive(now, late).Decisions)
+	patient := Request{ID: 100, Deadline: now.Add(time.Minute)}
+	must.SliceEmpty(t, s.Arrive(now, patient).Decisions)
+}
+
+// Draining refuses new work and lets work in progress finish.
+func TestDrainRefusesNewWorkOnly(t *testing.T) {
+	s := newTestState(t, Limits{Slots: 1, QueueTime: time.Minute})
+	s.Arrive(start, request(1, time.Minute))
+	s.Arrive(start, request(2, time.Minute))
+	s.Drain(start)
+	must.Eq(t, []Decision{{ID: 3, Refusal: Draining}}, s.Arrive(start, request(3, time.Minute)).Decisions)
+	must.Eq(t, []Decision{{ID: 2}}, s.Finish(start, 1).Decisions)
+	must.SliceEmpty(t, s.SlotAsked(start, 1, time.Second).Granted)
+}
+
+// A request that waits is handed over to the peer that has a slot; when the
+// peer did not run it, it waits again in its old place.
+func TestHandOverAndReturn(t *testing.T) {
+	s := newTestState(t, Limits{Slots: 1, QueueTime: time.Minute})
+	s.SetPeers(start, []ticket.EndpointKey{5})
+	s.Arrive(start, request(1, time.Minute))
+	must.Eq(t, []ticket.EndpointKey{5}, s.Arrive(start, request(2, time.Minute)).Ask)
+	s.Arrive(start.Add(1), request(3, time.Minute))
+	out, used := s.SlotOffered(start, 5, 9)
+	must.True(t, used)
+	must.Eq(t, []Decision{{ID: 2, Peer: 5, Reservation: 9}}, out.Decisions)
+	s.Return(start, 2)
+	must.Eq(t, []Decision{{ID: 2}}, s.Finish(start, 1).Decisions)
+}
--- a/agent/control.go
+++ b/agent/control.go
@@ -48,7 +48,7 @@
 		log:       log,
 		fact:      liveness.Fact{Endpoint: owner.Endpoint, Incarnation: owner.Incarnation, State: liveness.Ready},
 		tickets:   ticket.NewRegister(),
-		admission: admission.NewState(admission.Limits{}),
+		admission: newAdmission(log),
 		replies:   make(map[admission.RequestID]chan<- admission.Decision),
 		published: p,
 		report:    reports,
@@ -64,24 +64,18 @@
 		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
 	case answered:
 		s.learnBalancers(m.answer)
-	case admission.Arrived:
-		s.replies[m.ID] = m.Reply
-		s.decide(s.admission.Arrive(now, m.Request))
-	case admission.Finished:
-		s.decide(s.admission.Finish(now, m.ID))
-	case admission.Gone:
-		s.decide(s.admission.Leave(now, m.ID))
-		delete(s.replies, m.ID)
 	case drain:
 		s.drain(m)
 	case status.Asked:
 		m.Reply <- s.statusReport(now)
+	default:
+		s.handleAdmission(now, message)
 	}
 }
 
 // Tick refuses what waited too long and reports to the balancers.
-func (s *state) Tick(now time.Time, _ time.Duration) {
-	s.decide(s.admission.Tick(now))
+func (s *state) Tick(now time.Time, gap time.Duration) {
+	s.decide(s.admission.Tick(now, gap))
 	s.tickets.Seal(now)
 	s.sendReport()
 }
--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"cactustray/admission"
 	"cactustray/event"
 	"cactustray/ticket"
 )
@@ -22,9 +21,5 @@
 		return
 	}
 	s.published.ticket.Store(entry.Ticket)
-	limits := admission.Limits{
-		Slots:     int(entry.Ticket.Limits.Slots),
-		QueueTime: time.Duration(entry.Ticket.Limits.QueueMillis) * time.Millisecond,
-	}
-	s.decide(s.admission.SetLimits(now, limits))
+	s.decide(s.admission.SetLimits(now, limitsOf(entry.Ticket)))
 }
--- /dev/null
+++ b/standin/measure/flows.go
@@ -0,0 +1,86 @@
+package measure
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"cactustray/steering"
+	"cactustray/ticket"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Broken counts the open flows that a planned change leads elsewhere.
+type Broken struct {
+	Service  string `json:"service"`
+	Change   string `json:"change"`
+	Flows    int    `json:"flows"`
+	Baseline int    `json:"broken_hash_only"`
+	Ours     int    `json:"broken_ours"`
+}
+
+type allTrusted struct{}
+
+func (allTrusted) TakesNew(ticket.EndpointKey) bool { return true }
+
+// BrokenFlows opens flows, changes the ticket and sends each flow one more
+// packet: with its owner token, as ours, and without, as a plain hash.
+func BrokenFlows(d Deployment) []Broken {
+	before := flowTicket(d, 1)
+	drained := flowTicket(d, 2)
+	drained.Endpoints[0].Draining = true
+	removed := flowTicket(d, 2)
+	removed.Endpoints = removed.Endpoints[1:]
+	added := flowTicket(d, 2)
+	added.Endpoints = append(added.Endpoints, flowEndpoint(d.Endpoints))
+	return []Broken{
+		countBroken(d, "endpoint draining", before, drained),
+		countBroken(d, "endpoint removed", before, removed),
+		countBroken(d, "endpoint added", before, added),
+	}
+}
+
+func countBroken(d Deployment, change string, before, after *ticket.Ticket) Broken {
+	register := ticket.NewRegister()
+	join(register, before)
+	old := steering.BuildTable(register, allTrusted{}, nil)
+	join(register, after)
+	changed := steering.BuildTable(register, allTrusted{}, old)
+	b := Broken{Service: d.Name, Change: change, Flows: d.Endpoints * d.Connections}
+	for i := range b.Flows {
+		opening := steering.Packet{
+			Address: before.Address,
+			Flow:    steering.FlowKey(xxhash.Sum64String(fmt.Sprint(i))),
+			Opening: true,
+		}
+		home := old.Decide(opening).Endpoint.Key
+		owned := opening
+		owned.Opening = false
+		owned.HasOwner = true
+		owned.Owner.Endpoint = home
+		if at := changed.Decide(owned).Endpoint; at == nil || at.Key != home {
+			b.Ours++
+		}
+		if at := changed.Decide(opening).Endpoint; at == nil || at.Key != home {
+			b.Baseline++
+		}
+	}
+	return b
+}
+
+func flowTicket(d Deployment, number ticket.Number) *ticket.Ticket {
+	t := &ticket.Ticket{Number: number, Service: d.Name, Address: netip.MustParseAddrPort("127.0.0.1:443")}
+	for i := range d.Endpoints {
+		t.Endpoints = append(t.Endpoints, flowEndpoint(i))
+	}
+	return t
+}
+
+func flowEndpoint(i int) ticket.Endpoint {
+	return ticket.Endpoint{Name: fmt.Sprint("server-", i), Weight: 1}
+}
+
+func join(register *ticket.Register, t *ticket.Ticket) {
+	register.Join(time.Unix(0, 0), ticket.Held{Ticket: t})
+}
--- /dev/null
+++ b/standin/measure/workload.go
@@ -0,0 +1,96 @@
+package measure
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// oneWay is the delay of a message between two processes.
+	oneWay = time.Millisecond
+	// shortWork is the mean service time of short jobs.
+	shortWork = 20 * time.Millisecond
+	// stragglerFactor is how many times longer a straggler runs.
+	stragglerFactor = 50
+	// stragglerShare is the share of jobs that are stragglers.
+	stragglerShare = 0.02
+	// queueTime bounds waiting in the queue, as the users' tickets say.
+	queueTime = 2 * time.Second
+)
+
+// Deployment is one service of one user at the size of today.
+type Deployment struct {
+	Name      string
+	Endpoints int
+	Slots     int
+	// Connections is how many callers each endpoint has.
+	Connections int
+}
+
+// Deployments are those of both users.
+func Deployments() []Deployment {
+	return []Deployment{
+		{Name: "orders", Endpoints: 7, Slots: 2, Connections: 2000},
+		{Name: "drawings", Endpoints: 4, Slots: 2, Connections: 2000},
+		{Name: "booking", Endpoints: 7, Slots: 4, Connections: 2000},
+		{Name: "charts", Endpoints: 4, Slots: 4, Connections: 2000},
+	}
+}
+
+// workload draws the jobs of one run; the same seed gives every policy the
+// same jobs.
+type workload struct {
+	random     *rand.Rand
+	deployment Deployment
+	stragglers bool
+	deadline   time.Duration
+	// load is the offered work as a share of all slots, at a time since the
+	// start.
+	load func(time.Duration) float64
+	// homes is the home agent of each caller.
+	homes []int
+}
+
+type job struct {
+	id        uint64
+	home      int
+	arrived   time.Time
+	deadline  time.Time
+	work      time.Duration
+	straggler bool
+}
+
+func newWorkload(d Deployment, seed uint64) *workload {
+	w := &workload{random: rand.New(rand.NewPCG(seed, 0)), deployment: d, deadline: 10 * time.Second}
+	for range d.Endpoints * d.Connections {
+		w.homes = append(w.homes, w.random.IntN(d.Endpoints))
+	}
+	return w
+}
+
+func (w *workload) meanWork() time.Duration {
+	if !w.stragglers {
+		return shortWork
+	}
+	return time.Duration(float64(shortWork) * (1 + stragglerShare*(stragglerFactor-1)))
+}
+
+// gap draws the time to the next arrival.
+func (w *workload) gap(since time.Duration) time.Duration {
+	slots := float64(w.deployment.Endpoints * w.deployment.Slots)
+	rate := w.load(since) * slots / w.meanWork().Seconds()
+	return time.Duration(w.random.ExpFloat64() / rate * float64(time.Second))
+}
+
+// next draws a job. Short work is spread by a factor of 3 around its mean.
+func (w *workload) next(id uint64, now time.Time) *job {
+	j := &job{id: id, arrived: now, home: w.homes[w.random.IntN(len(w.homes))], deadline: now.Add(w.deadline)}
+	spread := math.Exp(w.random.NormFloat64()*0.5 - 0.125)
+	j.work = time.Duration(float64(shortWork) * spread)
+	if w.stragglers && w.random.Float64() < stragglerShare {
+		j.straggler = true
+		j.work *= stragglerFactor
+	}
+	return j
+}
