--- a/admission/admission.go
+++ b/admission/admission.go
@@ -52,11 +52,14 @@
 	TooManyFeeds
 	// ReservationExpired: a peer used a reservation too late.
 	ReservationExpired
+	// NoRetry: a request whose answer was lost may not run again. It is the
+	// one refusal of a request that may have run.
+	NoRetry
 )
 
 var refusalNames = [...]string{
 	"none", "queue_full", "deadline_passed", "draining", "cancelled",
-	"too_many_feeds", "reservation_expired",
+	"too_many_feeds", "reservation_expired", "no_retry",
 }
 
 func (r Refusal) String() string { return refusalNames[r] }
@@ -71,6 +74,8 @@
 	Reservation ReservationID
 	// Pinned requests are never handed over.
 	Pinned bool
+	// Idempotent requests may run again when their answer was lost.
+	Idempotent bool
 }
 
 // Decision answers one request. It is refused, handed over to Peer under
--- /dev/null
+++ b/admission/frontend/body.go
@@ -0,0 +1,75 @@
+package frontend
+
+import (
+	"io"
+	"sync"
+)
+
+// replayLimit is how much of a request's body is kept so that the request can
+// be sent again, in bytes.
+const replayLimit = 64 << 10
+
+// body is a request's body that can be sent again while no more than
+// replayLimit of it was read. It is safe for concurrent use: a sender that was
+// given up may still be reading.
+type body struct {
+	mu     sync.Mutex
+	source io.Reader
+	head   []byte
+	over   bool
+	err    error
+}
+
+func newBody(source io.Reader) *body { return &body{source: source} }
+
+// replayable tells whether the body can be sent again from its start.
+func (b *body) replayable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.over
+}
+
+// reader returns a reader from the start. Bytes read by an earlier reader are
+// read again.
+func (b *body) reader() io.ReadCloser { return &bodyReader{body: b} }
+
+type bodyReader struct {
+	body *body
+	at   int
+	// closed is guarded by the body's mutex.
+	closed bool
+}
+
+func (r *bodyReader) Read(p []byte) (int, error) {
+	b := r.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.closed {
+		return 0, io.ErrClosedPipe
+	}
+	if r.at < len(b.head) {
+		n := copy(p, b.head[r.at:])
+		r.at += n
+		return n, nil
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.source.Read(p)
+	b.err = err
+	if len(b.head)+n > replayLimit {
+		b.over = true
+		return n, err
+	}
+	b.head = append(b.head, p[:n]...)
+	r.at += n
+	return n, err
+}
+
+// Close ends this reader; the body itself stays open for another one.
+func (r *bodyReader) Close() error {
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	r.closed = true
+	return nil
+}
--- a/admission/frontend/frontend.go
+++ b/admission/frontend/frontend.go
@@ -1,16 +1,14 @@
 // Package frontend is the traffic side of the admission slice: it takes HTTP
-// requests, asks for admission and runs them on the backend server.
+// requests, asks for admission, and runs them on the backend server or forwards
+// them to a peer.
 package frontend
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -20,151 +18,133 @@
 )
 
 const (
-	// OutcomeHeader tells callers what became of a request that has no
-	// answer of the backend server.
-	OutcomeHeader = "Cactustray-Outcome"
-	// OutcomeNotRun: the request never reached the backend server.
-	OutcomeNotRun = "not-run"
-	// OutcomeUnknown: the request may have run.
-	OutcomeUnknown = "unknown"
 	// EndpointHeader names the endpoint that answered.
 	EndpointHeader = "Cactustray-Endpoint"
-	// TimeoutHeader is the caller's deadline in milliseconds from now.
+	// TimeoutHeader is the deadline in milliseconds from now, towards agents
+	// and backend servers alike.
 	TimeoutHeader = "Request-Timeout-Ms"
+	// KeyHeader is the caller's key of a request that must run at most once.
+	KeyHeader = "Idempotency-Key"
+	// PeerPrefix is where agents forward requests to each other.
+	PeerPrefix = "/forward"
+
+	reservationHeader = "Cactustray-Reservation"
+	keeperHopHeader   = "Cactustray-Keeper-Hop"
 	// defaultTimeout bounds a job whose caller named no deadline.
 	defaultTimeout = 30 * time.Second
-	copySize       = 32 << 10
 )
 
-// Handler serves callers' requests.
+// Handler serves callers' requests and those that peers forward.
 type Handler struct {
-	Loop     *control.Loop
-	Ticket   *atomic.Pointer[ticket.Ticket]
+	Loop   *control.Loop
+	Ticket *atomic.Pointer[ticket.Ticket]
+	// Agents are where the agents of this and of former tickets are.
+	Agents   *atomic.Pointer[Addresses]
 	Backend  netip.AddrPort
 	Endpoint string
-	Client   *http.Client
+	Clients  BackendClients
+	// Peers calls the agents of the service.
+	Peers *http.Client
 
 	nextID atomic.Uint64
 }
 
-// NewBackendClient returns a client whose requests run exactly as often as
-// they are sent: it follows no redirect, and every body is sent once.
-func NewBackendClient() *http.Client {
-	return &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+// Addresses are the control addresses of agents. It is immutable.
+type Addresses map[ticket.EndpointKey]netip.AddrPort
+
+func (h *Handler) addressOf(key ticket.EndpointKey) (netip.AddrPort, bool) {
+	agents := h.Agents.Load()
+	if agents == nil {
+		return netip.AddrPort{}, false
 	}
+	address, ok := (*agents)[key]
+	return address, ok
 }
 
-// ServeHTTP admits one request and runs it.
+// ServeHTTP serves one request of a caller.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(EndpointHeader, h.Endpoint)
+	r.Header.Del(reservationHeader)
+	r.Header.Del(keeperHopHeader)
+	h.serve(w, r, 0)
+}
+
+// ServePeer serves one request that another agent forwards under PeerPrefix.
+func (h *Handler) ServePeer(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(EndpointHeader, h.Endpoint)
+	r.URL.Path = strings.TrimPrefix(r.URL.Path, PeerPrefix)
+	r.URL.RawPath = strings.TrimPrefix(r.URL.RawPath, PeerPrefix)
+	hop, _ := strconv.Atoi(r.Header.Get(keeperHopHeader))
+	r.Header.Del(keeperHopHeader)
+	h.serve(w, r, hop)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, hop int) {
 	tk := h.Ticket.Load()
 	if tk == nil {
-		writeOutcome(w, http.StatusServiceUnavailable, OutcomeNotRun, "no ticket in force yet")
-		return
-	}
-	request := admission.Request{ID: admission.RequestID(h.nextID.Add(1)), Kind: admission.Job}
-	ctx, cancel := h.deadline(r, tk, &request)
-	defer cancel()
-	decision, err := h.admit(ctx, request)
-	if err != nil {
-		_ = h.Loop.Send(context.Background(), admission.Gone{ID: request.ID})
-		writeOutcome(w, http.StatusServiceUnavailable, OutcomeNotRun, admission.Cancelled.String())
+		writeNotRun(w, "no ticket in force yet")
 		return
 	}
-	if decision.Refusal != admission.None {
-		writeOutcome(w, http.StatusServiceUnavailable, OutcomeNotRun, decision.Refusal.String())
+	idempotent := isIdempotent(tk, r)
+	reservation := takeReservation(r)
+	if !idempotent && reservation == 0 && r.Header.Get(KeyHeader) != "" {
+		h.serveKeyed(w, r, tk, hop)
 		return
 	}
-	defer h.finish(request.ID)
-	h.run(ctx, w, r)
-}
-
-func (h *Handler) deadline(r *http.Request, tk *ticket.Ticket, request *admission.Request) (context.Context, context.CancelFunc) {
-	if tk.IsFeed(r.URL.Path) {
-		request.Kind = admission.Feed
-		return context.WithCancel(r.Context())
-	}
-	timeout := defaultTimeout
-	if millis, err := strconv.ParseUint(r.Header.Get(TimeoutHeader), 10, 31); err == nil {
-		timeout = time.Duration(millis) * time.Millisecond
-	}
-	request.Deadline = time.Now().Add(timeout)
-	return context.WithDeadline(r.Context(), request.Deadline)
-}
-
-func (h *Handler) admit(ctx context.Context, request admission.Request) (admission.Decision, error) {
-	return control.Ask(ctx, h.Loop, func(reply chan<- admission.Decision) control.Message {
-		return admission.Arrived{Request: request, Reply: reply}
-	})
+	j := h.newJob(w, r, tk)
+	j.request.Reservation = reservation
+	j.request.Idempotent = idempotent
+	j.body = newBody(r.Body)
+	ctx, cancel := j.limit(r.Context())
+	defer cancel()
+	writeResult(w, j.process(ctx))
 }
 
-func (h *Handler) finish(id admission.RequestID) {
-	_ = h.Loop.Send(context.Background(), admission.Finished{ID: id})
+func takeReservation(r *http.Request) admission.ReservationID {
+	id, _ := strconv.ParseUint(r.Header.Get(reservationHeader), 10, 64)
+	r.Header.Del(reservationHeader)
+	return admission.ReservationID(id)
 }
 
-// run sends the request to the backend server once and copies the answer.
-func (h *Handler) run(ctx context.Context, w http.ResponseWriter, r *http.Request) {
-	out := r.Clone(ctx)
-	out.RequestURI = ""
-	out.URL.Scheme = "http"
-	out.URL.Host = h.Backend.String()
-	response, err := h.Client.Do(out)
-	if err != nil {
-		writeFailure(w, err)
-		return
+// isIdempotent tells whether a request may run more than once, by its method
+// (RFC 9110, section 9.2.2) or by the service's ticket.
+func isIdempotent(tk *ticket.Ticket, r *http.Request) bool {
+	switch r.Method {
+	case http.MethodPut, http.MethodDelete:
+		return true
+	default:
+		return isSafe(r.Method) || tk.IsIdempotent(r.URL.Path)
 	}
-	defer response.Body.Close()
-	for name, values := range response.Header {
-		w.Header()[name] = values
-	}
-	w.WriteHeader(response.StatusCode)
-	copyFlushed(w, response.Body)
 }
 
-// writeFailure tells apart a backend server that could not be dialled, which
-// ran nothing, from one whose answer was lost.
-func writeFailure(w http.ResponseWriter, err error) {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		writeOutcome(w, http.StatusServiceUnavailable, OutcomeNotRun, "backend server not reached")
-		return
+func isSafe(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return false
 	}
-	writeOutcome(w, http.StatusGatewayTimeout, OutcomeUnknown, "answer of the backend server lost")
 }
 
-func copyFlushed(w http.ResponseWriter, body io.Reader) {
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, copySize)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return
-			}
-			_ = controller.Flush()
-		}
-		if err == io.EOF {
-			return
-		}
-		if err != nil {
-			panic(http.ErrAbortHandler) // the answer is cut short; the caller must see it
-		}
+func (h *Handler) newJob(w http.ResponseWriter, r *http.Request, tk *ticket.Ticket) *job {
+	j := &job{h: h, tk: tk, out: w, in: r}
+	j.request.ID = admission.RequestID(h.nextID.Add(1))
+	if tk.IsFeed(r.URL.Path) {
+		j.request.Kind = admission.Feed
+		return j
 	}
+	timeout := defaultTimeout
+	if millis, err := strconv.ParseUint(r.Header.Get(TimeoutHeader), 10, 31); err == nil {
+		timeout = time.Duration(millis) * time.Millisecond
+	}
+	j.request.Deadline = time.Now().Add(timeout)
+	return j
 }
 
-// problem is an RFC 9457 problem document.
-type problem struct {
-	Title   string `json:"title"`
-	Status  int    `json:"status"`
-	Outcome string `json:"outcome"`
-	Detail  string `json:"detail"`
-}
-
-func writeOutcome(w http.ResponseWriter, status int, outcome, detail string) {
-	w.Header().Set(OutcomeHeader, outcome)
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(problem{Title: http.StatusText(status), Status: status, Outcome: outcome, Detail: detail})
+// limit ends the context at the job's deadline; a feed has none.
+func (j *job) limit(parent context.Context) (context.Context, context.CancelFunc) {
+	if j.request.Kind == admission.Feed {
+		return context.WithCancel(parent)
+	}
+	return context.WithDeadline(parent, j.request.Deadline)
 }
--- /dev/null
+++ b/admission/frontend/job.go
@@ -0,0 +1,177 @@
+package frontend
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"cactustray/admission"
+	"cactustray/control"
+	"cactustray/ticket"
+)
+
+// job is one request on its way through this agent.
+type job struct {
+	h       *Handler
+	tk      *ticket.Ticket
+	out     http.ResponseWriter
+	in      *http.Request
+	body    *body
+	request admission.Request
+	// lost tells that an answer was lost on the way: the request may have run.
+	lost bool
+}
+
+// peerNotReached is the detail of a request that never left for a peer.
+const peerNotReached = "peer not reached"
+
+type decisionReply = chan<- admission.Decision
+
+// process asks for admission and follows the decisions until the request has a
+// fate. An answer is written to out; any other fate is left to the caller.
+func (j *job) process(ctx context.Context) result {
+	decision, err := j.ask(ctx, func(reply decisionReply) control.Message {
+		return admission.Arrived{Request: j.request, Reply: reply}
+	})
+	for {
+		if err != nil {
+			_ = j.h.Loop.Send(context.WithoutCancel(ctx), admission.Gone{ID: j.request.ID})
+			return j.refused(admission.Cancelled)
+		}
+		if decision.Refusal != admission.None {
+			return j.refused(decision.Refusal)
+		}
+		tried := j.try(ctx, decision)
+		again := j.again(ctx, tried, decision)
+		if again == nil {
+			j.finish(tried)
+			return tried
+		}
+		decision, err = j.ask(ctx, again)
+	}
+}
+
+func (j *job) ask(ctx context.Context, build func(decisionReply) control.Message) (admission.Decision, error) {
+	return control.Ask(ctx, j.h.Loop, build)
+}
+
+// refused is the fate of a request that the control goroutine refused.
+func (j *job) refused(why admission.Refusal) result {
+	if j.lost {
+		return result{fate: unknown, detail: "answer lost"}
+	}
+	return result{fate: notRun, detail: why.String()}
+}
+
+func (j *job) finish(r result) {
+	_ = j.h.Loop.Send(context.Background(), admission.Finished{ID: j.request.ID, Unreached: r.unreached})
+}
+
+// again returns the message that asks for another decision, or nil when the
+// result is final.
+func (j *job) again(ctx context.Context, r result, d admission.Decision) func(decisionReply) control.Message {
+	if r.fate == answered || r.fate == cut || ctx.Err() != nil || !j.body.replayable() || j.request.Reservation != 0 {
+		return nil
+	}
+	if r.fate == notRun && j.request.Kind == admission.Job {
+		return func(reply decisionReply) control.Message {
+			return admission.Returned{ID: d.ID, Unreached: r.unreached, Reply: reply}
+		}
+	}
+	if r.fate == unknown && j.request.Idempotent {
+		j.lost = true
+		return func(reply decisionReply) control.Message {
+			return admission.Retried{ID: d.ID, Reply: reply}
+		}
+	}
+	return nil
+}
+
+// try sends the request once where the decision says.
+func (j *job) try(ctx context.Context, d admission.Decision) result {
+	if ctx.Err() != nil {
+		return result{fate: notRun, detail: admission.DeadlinePassed.String()}
+	}
+	if d.Peer == 0 {
+		return j.run(ctx)
+	}
+	address, ok := j.h.addressOf(d.Peer)
+	if !ok {
+		return result{fate: notRun, detail: "peer not known"}
+	}
+	out := j.outgoing(ctx)
+	out.Header.Set(reservationHeader, strconv.FormatUint(uint64(d.Reservation), 10))
+	return forward(out, j.h.Peers, address, j.out)
+}
+
+// run sends the request to the backend server once.
+func (j *job) run(ctx context.Context) result {
+	out := j.outgoing(ctx)
+	out.URL.Scheme = "http"
+	out.URL.Host = j.h.Backend.String()
+	response, sent, err := send(j.h.Clients.of(out), out)
+	if err != nil && !sent {
+		return result{fate: notRun, detail: "backend server not reached", unreached: ctx.Err() == nil}
+	}
+	if err != nil {
+		return result{fate: unknown, detail: "answer of the backend server lost"}
+	}
+	defer response.Body.Close()
+	response.Header.Del(OutcomeHeader) // ours to say
+	return result{fate: copyResponse(j.out, response)}
+}
+
+// outgoing is the request as it goes to a backend server or to an agent.
+func (j *job) outgoing(ctx context.Context) *http.Request {
+	out := j.in.Clone(ctx)
+	out.RequestURI = ""
+	out.Body = http.NoBody
+	if j.in.ContentLength != 0 {
+		out.Body = j.body.reader()
+	}
+	removeHopHeaders(out.Header)
+	if j.request.Kind == admission.Job {
+		left := time.Until(j.request.Deadline).Milliseconds()
+		out.Header.Set(TimeoutHeader, strconv.FormatInt(max(0, left), 10))
+	}
+	return out
+}
+
+// forward sends a request to another agent and passes its answer on.
+func forward(out *http.Request, client *http.Client, address netip.AddrPort, w http.ResponseWriter) result {
+	out.URL.Scheme = "https"
+	out.URL.Host = address.String()
+	out.URL.Path = PeerPrefix + out.URL.Path
+	if out.URL.RawPath != "" {
+		out.URL.RawPath = PeerPrefix + out.URL.RawPath
+	}
+	response, sent, err := send(client, out)
+	if err != nil && !sent {
+		return result{fate: notRun, detail: peerNotReached}
+	}
+	if err != nil {
+		return result{fate: unknown, detail: "answer of a peer lost"}
+	}
+	defer response.Body.Close()
+	switch response.Header.Get(OutcomeHeader) {
+	case OutcomeNotRun:
+		return result{fate: notRun, detail: "refused by a peer"}
+	case OutcomeUnknown:
+		return result{fate: unknown, detail: "answer lost beyond a peer"}
+	}
+	return result{fate: copyResponse(w, response)}
+}
+
+// send sends a request once. sent is false when it surely did not leave: no
+// connection was had.
+func send(client *http.Client, out *http.Request) (response *http.Response, sent bool, err error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	out = out.WithContext(httptrace.WithClientTrace(out.Context(), trace))
+	response, err = client.Do(out)
+	return response, connected.Load(), err
+}
--- /dev/null
+++ b/admission/keeper.go
@@ -0,0 +1,329 @@
+package admission
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"cactustray/ticket"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// KeepTime is the window within which a key never runs a second time.
+	KeepTime = 2 * time.Minute
+	// MaxAnswer bounds one kept answer, in bytes.
+	MaxAnswer     = 64 << 10
+	sweepInterval = time.Second
+	// maxRecords and maxKept bound the keeper's memory.
+	maxRecords = 1 << 16
+	maxKept    = 32 << 20
+)
+
+// Key is the caller's name for a request that must run at most once.
+type Key string
+
+// Fingerprint tells whether two requests with one key are the same request.
+type Fingerprint uint64
+
+// Answer is a kept answer of the backend server.
+type Answer interface {
+	// Size is its length in bytes.
+	Size() int
+}
+
+// KeeperOf returns the endpoint that keeps a key's outcome: the highest of a
+// rendezvous hash, so that a change moves only the keys it must.
+func KeeperOf(key Key, endpoints []ticket.EndpointKey) (keeper ticket.EndpointKey, ok bool) {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:], xxhash.Sum64String(string(key)))
+	highest := uint64(0)
+	for _, e := range endpoints {
+		binary.LittleEndian.PutUint64(pair[8:], uint64(e))
+		if score := xxhash.Sum64(pair[:]); !ok || score > highest {
+			keeper, highest, ok = e, score, true
+		}
+	}
+	return keeper, ok
+}
+
+// ClaimVerdict is what becomes of a request with a key.
+type ClaimVerdict int
+
+const (
+	// Run: the request runs now; its outcome must be settled.
+	Run ClaimVerdict = iota
+	// Wait: the key's first request is in progress.
+	Wait
+	// Replay: the kept answer is the answer.
+	Replay
+	// Mismatch: the key belongs to another request.
+	Mismatch
+	// Uncertain: the key may have run; its answer is not known.
+	Uncertain
+	// Full: the table of records has no room.
+	Full
+	// AskOthers: other endpoints must be asked before the request may run.
+	AskOthers
+	// FirstNotRun: the key's first request, waited for, was not run.
+	FirstNotRun
+)
+
+// Claim is the answer to a request with a key.
+type Claim struct {
+	Verdict ClaimVerdict
+	// Answer is set for Replay.
+	Answer Answer
+	// Ask are the endpoints to ask, for AskOthers.
+	Ask []ticket.EndpointKey
+}
+
+// Memory is what another agent knows of a key.
+type Memory struct {
+	Known bool
+	// Fresh tells that it runs for less than KeepTime.
+	Fresh bool
+	// Unreached tells that it gave no answer.
+	Unreached bool
+}
+
+type recordState int
+
+const (
+	asking recordState = iota
+	inProgress
+	answered
+	uncertain
+	// notRun records may run: this agent kept the key all the time.
+	notRun
+	// witnessed records were passed on to a keeper elsewhere.
+	witnessed
+)
+
+type record struct {
+	state       recordState
+	fingerprint Fingerprint
+	answer      Answer
+	expires     time.Time
+}
+
+type formerSet struct {
+	endpoints []ticket.EndpointKey
+	until     time.Time
+}
+
+// Keeper holds the outcomes of keyed requests. Each key that runs is known to
+// at least two agents, the keeper and a witness, so that the loss of one of
+// them is noticed. The control goroutine owns it.
+type Keeper struct {
+	self      ticket.EndpointKey
+	since     time.Time
+	endpoints []ticket.EndpointKey
+	former    []formerSet
+	records   map[Key]*record
+	kept      int
+	swept     time.Time
+}
+
+// NewKeeper returns a keeper that remembers nothing from before now.
+func NewKeeper(now time.Time, self ticket.EndpointKey) *Keeper {
+	return &Keeper{self: self, since: now, records: make(map[Key]*record)}
+}
+
+// SetEndpoints takes the service's endpoints in; those before stay known for
+// KeepTime.
+func (k *Keeper) SetEndpoints(now time.Time, endpoints []ticket.EndpointKey) {
+	if slices.Equal(endpoints, k.endpoints) {
+		return
+	}
+	if len(k.endpoints) > 0 {
+		k.former = append(k.former, formerSet{endpoints: k.endpoints, until: now.Add(KeepTime)})
+	}
+	k.endpoints = slices.Clone(endpoints)
+}
+
+// Claim decides on a request with a key.
+func (k *Keeper) Claim(now time.Time, key Key, fingerprint Fingerprint) Claim {
+	if r := k.records[key]; r != nil {
+		return r.claim(fingerprint)
+	}
+	if len(k.records) >= maxRecords || k.kept >= maxKept {
+		return Claim{Verdict: Full}
+	}
+	ask := k.doubts(now, key)
+	if len(ask) > 0 {
+		k.records[key] = &record{state: asking, fingerprint: fingerprint}
+		return Claim{Verdict: AskOthers, Ask: ask}
+	}
+	k.records[key] = &record{state: inProgress, fingerprint: fingerprint}
+	return Claim{Verdict: Run}
+}
+
+func (r *record) claim(fingerprint Fingerprint) Claim {
+	switch {
+	case r.state == witnessed:
+		return Claim{Verdict: Uncertain}
+	case r.state == notRun:
+		r.state, r.fingerprint = inProgress, fingerprint
+		return Claim{Verdict: Run}
+	case r.fingerprint != fingerprint:
+		return Claim{Verdict: Mismatch}
+	case r.state == answered && r.answer != nil:
+		return Claim{Verdict: Replay, Answer: r.answer}
+	case r.state == asking || r.state == inProgress:
+		return Claim{Verdict: Wait}
+	default:
+		return Claim{Verdict: Uncertain}
+	}
+}
+
+// doubts returns whom to ask about a key that has no record: everyone while
+// this process is fresh, else those that kept the key lately.
+func (k *Keeper) doubts(now time.Time, key Key) []ticket.EndpointKey {
+	if k.fresh(now) {
+		return k.everyoneElse()
+	}
+	var ask []ticket.EndpointKey
+	for _, f := range k.former {
+		keeper, _ := KeeperOf(key, f.endpoints)
+		if now.Before(f.until) && keeper != k.self && !slices.Contains(ask, keeper) {
+			ask = append(ask, keeper)
+		}
+	}
+	return ask
+}
+
+func (k *Keeper) fresh(now time.Time) bool { return now.Sub(k.since) < KeepTime }
+
+func (k *Keeper) everyoneElse() []ticket.EndpointKey {
+	var others []ticket.EndpointKey
+	sets := append([]formerSet{{endpoints: k.endpoints}}, k.former...)
+	for _, f := range sets {
+		for _, e := range f.endpoints {
+			if e != k.self && !slices.Contains(others, e) {
+				others = append(others, e)
+			}
+		}
+	}
+	return others
+}
+
+// Recalled decides once the others have been asked. The request runs only when
+// nobody knows the key and no memory of it can have been lost, or when every
+// agent of the service is fresh: then the service has only just started.
+func (k *Keeper) Recalled(now time.Time, key Key, memories []Memory) Claim {
+	r := k.records[key]
+	if r == nil || r.state != asking {
+		return Claim{Verdict: Uncertain}
+	}
+	lost, fresh := 0, 0
+	for _, m := range memories {
+		if m.Known || m.Unreached {
+			lost++
+		}
+		if m.Fresh {
+			fresh++
+		}
+	}
+	allFresh := k.fresh(now) && fresh == len(memories)
+	if lost > 0 || fresh > 0 && !allFresh {
+		k.settle(now, r, uncertain)
+		return Claim{Verdict: Uncertain}
+	}
+	r.state = inProgress
+	return Claim{Verdict: Run}
+}
+
+// Settled takes the outcome of a request that ran in: its answer, or nil when
+// the answer is not known or too large to keep.
+func (k *Keeper) Settled(now time.Time, key Key, answer Answer) {
+	r := k.records[key]
+	if r == nil || r.state == answered {
+		return
+	}
+	if answer == nil || answer.Size() > MaxAnswer {
+		k.settle(now, r, uncertain)
+		return
+	}
+	r.answer = answer
+	k.kept += answer.Size()
+	k.settle(now, r, answered)
+}
+
+func (k *Keeper) settle(now time.Time, r *record, state recordState) {
+	r.state = state
+	r.expires = now.Add(KeepTime)
+}
+
+// Dropped takes in that a claimed request was not run.
+func (k *Keeper) Dropped(now time.Time, key Key) {
+	if r := k.records[key]; r != nil && r.state <= inProgress {
+		k.settle(now, r, notRun)
+	}
+}
+
+// Await returns what became of a key's first request; ok is false while it is
+// in progress.
+func (k *Keeper) Await(key Key, fingerprint Fingerprint) (claim Claim, ok bool) {
+	r := k.records[key]
+	if r == nil || r.state == notRun {
+		return Claim{Verdict: FirstNotRun}, true
+	}
+	claim = r.claim(fingerprint)
+	return claim, claim.Verdict != Wait
+}
+
+// Witness remembers a key that is passed on to its keeper. ok is false when
+// there is no room.
+func (k *Keeper) Witness(now time.Time, key Key) (ok bool) {
+	if r := k.records[key]; r != nil {
+		return true
+	}
+	if len(k.records) >= maxRecords {
+		return false
+	}
+	r := new(record)
+	k.settle(now, r, witnessed)
+	k.records[key] = r
+	return true
+}
+
+// Recall answers another agent that is about to run a key. From then on this
+// agent does not run it.
+func (k *Keeper) Recall(now time.Time, key Key) Memory {
+	known := k.records[key] != nil
+	memory := Memory{Known: known, Fresh: k.fresh(now)}
+	if !known && !k.Witness(now, key) {
+		memory.Unreached = true
+	}
+	return memory
+}
+
+// Tick forgets what is older than KeepTime. After a pause this process counts
+// as fresh.
+func (k *Keeper) Tick(now time.Time, gap time.Duration) {
+	if gap > PauseLimit {
+		k.since = now
+	}
+	if now.Sub(k.swept) < sweepInterval {
+		return
+	}
+	k.swept = now
+	for key, r := range k.records {
+		if r.state >= answered && now.After(r.expires) {
+			k.forget(key, r)
+		}
+	}
+	k.former = slices.DeleteFunc(k.former, func(f formerSet) bool { return now.After(f.until) })
+}
+
+func (k *Keeper) forget(key Key, r *record) {
+	if r.answer != nil {
+		k.kept -= r.answer.Size()
+	}
+	delete(k.records, key)
+}
+
+// Records returns how many keys are remembered.
+func (k *Keeper) Records() int { return len(k.records) }
--- a/admission/message.go
+++ b/admission/message.go
@@ -16,16 +16,22 @@
 
 // Finished tells the control goroutine that a dispatched or handed over
 // request has ended.
-type Finished struct{ ID RequestID }
+type Finished struct {
+	ID RequestID
+	// Unreached tells that this agent's backend server could not be reached.
+	Unreached bool
+}
 
 // Gone tells the control goroutine that the caller of a request gave up.
 type Gone struct{ ID RequestID }
 
-// Returned tells the control goroutine that a peer did not run a request that
-// was handed over to it. It waits for a decision anew.
+// Returned tells the control goroutine that a request was not run where it was
+// sent. It waits for a decision anew.
 type Returned struct {
-	ID    RequestID
-	Reply chan<- Decision
+	ID RequestID
+	// Unreached tells that this agent's backend server could not be reached.
+	Unreached bool
+	Reply     chan<- Decision
 }
 
 // SlotAsked tells the control goroutine that a peer asks for a slot.
@@ -59,3 +65,54 @@
 	// Failed tells that the peer could not be reached.
 	Failed bool
 }
+
+// Retried asks whether an idempotent request whose answer was lost may run
+// again. A refusal means that it may not.
+type Retried struct {
+	ID    RequestID
+	Reply chan<- Decision
+}
+
+// Claimed asks the keeper about a request with a key. The answer comes at
+// once; after Run the outcome must be settled.
+type Claimed struct {
+	Key         Key
+	Fingerprint Fingerprint
+	Reply       chan<- Claim
+}
+
+// OutcomeAwaited asks what became of a key's first request. The answer comes
+// when that request has ended.
+type OutcomeAwaited struct {
+	Key         Key
+	Fingerprint Fingerprint
+	Reply       chan<- Claim
+}
+
+// Recollected brings what others know of a key to the keeper.
+type Recollected struct {
+	Key      Key
+	Memories []Memory
+	Reply    chan<- Claim
+}
+
+// OutcomeSettled brings the outcome of a keyed request to the keeper.
+type OutcomeSettled struct {
+	Key Key
+	// NotRun tells that it never reached a backend server.
+	NotRun bool
+	// Answer is nil when it is not known.
+	Answer Answer
+}
+
+// Witnessed asks to remember a key that is passed on to its keeper.
+type Witnessed struct {
+	Key   Key
+	Reply chan<- bool
+}
+
+// RecallAsked asks what this agent knows of a key.
+type RecallAsked struct {
+	Key   Key
+	Reply chan<- Memory
+}
--- a/admission/state.go
+++ b/admission/state.go
@@ -47,6 +47,7 @@
 	feeds    int
 	estimate estimate
 	exchange exchange
+	retries  retryBudget
 	violated Violated
 }
 
@@ -98,6 +99,9 @@
 // slots grows from one to all while a cold backend server warms up.
 func (s *State) slots(now time.Time) int {
 	warm := now.Sub(s.started)
+	if warm < 0 {
+		return 0
+	}
 	if warm >= s.limits.RampTime || s.limits.Slots <= 1 {
 		return s.limits.Slots
 	}
@@ -111,6 +115,7 @@
 	if known {
 		return Outputs{}
 	}
+	s.retries.earn()
 	e := &entry{Request: r, arrived: now, until: r.Deadline}
 	if r.Reservation != 0 {
 		return s.arriveReserved(now, e)
@@ -204,21 +209,6 @@
 	s.estimate.finished(now.Sub(e.started))
 }
 
-// Return takes back a request that a peer did not run; it keeps its place.
-func (s *State) Return(now time.Time, id RequestID) Outputs {
-	e := s.entries[id]
-	if e == nil || e.step != handedOver {
-		return Outputs{}
-	}
-	if s.draining {
-		delete(s.entries, id)
-		return refused(id, Draining)
-	}
-	e.step = queued
-	s.queue = insert(s.queue, e)
-	return s.settle(now)
-}
-
 // insert puts a request before those that arrived after it.
 func insert(queue []*entry, e *entry) []*entry {
 	at := len(queue)
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"cactustray/admission/handover"
 	"cactustray/control"
 	"cactustray/control/rpc"
 	"cactustray/event"
@@ -31,7 +32,8 @@
 	}
 	loop := control.NewLoop(tickInterval)
 	snapshots := new(published)
-	callers, err := newCallerServer(s, sealer, owner, loop, snapshots)
+	handler := newHandler(s, loop, snapshots, rpc.NewClient(id))
+	callers, err := newCallerServer(s, sealer, owner, snapshots, handler)
 	if err != nil {
 		return err
 	}
@@ -50,9 +52,12 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
-	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports)) })
+	peers := handover.NewClient(running, loop, handler.Peers)
+	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports, peers)) })
 	group.Go(func() error { return reporter.run(running, reports) })
-	group.Go(func() error { return rpc.Serve(running, s.Control, id, controlHandler(loop)) })
+	group.Go(func() error {
+		return rpc.Serve(running, s.Control, id, peerHandler(loop, handler, controlHandler(loop)))
+	})
 	group.Go(func() error { return callers.serve(running) })
 	group.Go(func() error {
 		defer stop()
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"time"
 
-	"cactustray/admission/frontend"
-	"cactustray/control"
 	"cactustray/control/rpc"
 	"cactustray/identity"
 	"cactustray/settings"
@@ -44,7 +42,7 @@
 	server    *http3.Server
 }
 
-func newCallerServer(s *settings.Settings, sealer *steering.Sealer, owner steering.Owner, loop *control.Loop, p *published) (*callerServer, error) {
+func newCallerServer(s *settings.Settings, sealer *steering.Sealer, owner steering.Owner, p *published, handler http.Handler) (*callerServer, error) {
 	id, err := identity.Load(identity.Files(s.Agent.CallerTLS))
 	if err != nil {
 		return nil, err
@@ -64,13 +62,6 @@
 	if err != nil {
 		return nil, &rpc.ListenError{Address: s.Datagram, Cause: err}
 	}
-	handler := &frontend.Handler{
-		Loop:     loop,
-		Ticket:   &p.ticket,
-		Backend:  s.Agent.Backend,
-		Endpoint: s.Agent.Endpoint,
-		Client:   frontend.NewBackendClient(),
-	}
 	return &callerServer{transport: transport, listener: listener, server: &http3.Server{Handler: handler}}, nil
 }
 
--- a/agent/control.go
+++ b/agent/control.go
@@ -4,7 +4,8 @@
 	"sync/atomic"
 	"time"
 
-	"cactustray/admission"
+	"cactustray/admission/frontend"
+	"cactustray/admission/handover"
 	"cactustray/control"
 	"cactustray/event"
 	"cactustray/liveness"
@@ -20,6 +21,7 @@
 type published struct {
 	ticket atomic.Pointer[ticket.Ticket]
 	routes atomic.Pointer[datagram.Routes]
+	agents atomic.Pointer[frontend.Addresses]
 }
 
 // state is all control state of an agent. Only the control goroutine touches
@@ -32,15 +34,14 @@
 
 	fact      liveness.Fact
 	tickets   *ticket.Register
-	admission *admission.State
-	replies   map[admission.RequestID]chan<- admission.Decision
+	admission *admissionState
 
 	published *published
 	// report asks the heartbeat goroutine to send the fact and the ticket.
 	report chan<- report
 }
 
-func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report) *state {
+func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, peers *handover.Client) *state {
 	return &state{
 		settings:  s,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
@@ -48,8 +49,7 @@
 		log:       log,
 		fact:      liveness.Fact{Endpoint: owner.Endpoint, Incarnation: owner.Incarnation, State: liveness.Ready},
 		tickets:   ticket.NewRegister(),
-		admission: newAdmission(log),
-		replies:   make(map[admission.RequestID]chan<- admission.Decision),
+		admission: newAdmission(s, log, peers),
 		published: p,
 		report:    reports,
 	}
@@ -65,7 +65,7 @@
 	case answered:
 		s.learnBalancers(m.answer)
 	case drain:
-		s.drain(m)
+		s.drain(now, m)
 	case status.Asked:
 		m.Reply <- s.statusReport(now)
 	default:
@@ -75,7 +75,7 @@
 
 // Tick refuses what waited too long and reports to the balancers.
 func (s *state) Tick(now time.Time, gap time.Duration) {
-	s.decide(s.admission.Tick(now, gap))
+	s.admission.tick(now, gap)
 	s.tickets.Seal(now)
 	s.sendReport()
 }
@@ -88,6 +88,6 @@
 		State:   "ready",
 		Uptime:  now.Sub(s.started),
 		Tickets: status.InForceOf(now, s.tickets),
-		Flows:   int64(s.admission.Running()),
+		Flows:   int64(s.admission.queue.Running()),
 	}
 }
--- a/agent/liveness.go
+++ b/agent/liveness.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"cactustray/liveness"
 	"cactustray/liveness/heartbeat"
@@ -44,7 +45,8 @@
 	}
 }
 
-func (s *state) drain(m drain) {
+func (s *state) drain(now time.Time, m drain) {
+	s.admission.drain(now)
 	s.fact.State = liveness.Leaving
 	s.fact.Version++
 	s.sendReport()
--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -20,6 +20,6 @@
 	if entry == nil {
 		return
 	}
+	s.published.agents.Store(s.admission.setTicket(now, s.fact.Endpoint, entry.Ticket))
 	s.published.ticket.Store(entry.Ticket)
-	s.decide(s.admission.SetLimits(now, limitsOf(entry.Ticket)))
 }
--- a/standin/measure/ideal.go
+++ b/standin/measure/ideal.go
@@ -13,9 +13,9 @@
 	*tally
 	// foresees tells that the time a job will run is known.
 	foresees bool
-	queue []*job
-	free  []int
-	done  []time.Duration
+	queue    []*job
+	free     []int
+	done     []time.Duration
 }
 
 func newIdeal(name string, foresees bool, d Deployment, start, from time.Time) *ideal {
