--- a/admission/frontend/keyed.go
+++ b/admission/frontend/keyed.go
@@ -34,8 +34,10 @@
 	*job
 	key         admission.Key
 	fingerprint admission.Fingerprint
-	keeper      ticket.EndpointKey
-	hop         int
+	// witnesses are the agents that passed the request on.
+	witnesses map[ticket.EndpointKey]admission.Memory
+	keeper    ticket.EndpointKey
+	hop       int
 }
 
 // serveKeyed runs a request with a key at most once: its keeper owns the
@@ -48,6 +50,7 @@
 		return
 	}
 	k := &keyed{job: h.newJob(w, r, tk), key: admission.Key(key), fingerprint: fingerprint(r, whole), hop: hop}
+	k.witnesses = takeWitnesses(r, tk.Service)
 	k.body = newBody(bytes.NewReader(whole))
 	r.ContentLength = int64(len(whole))
 	keeper, ok := admission.KeeperOf(k.key, KeeperSet(tk))
@@ -103,16 +106,17 @@
 		writeUnknown(k.out, "agents hold different tickets")
 		return
 	}
-	witnessed, err := control.Ask(ctx, k.h.Loop, func(reply chan<- bool) control.Message {
+	memory, err := control.Ask(ctx, k.h.Loop, func(reply chan<- admission.Memory) control.Message {
 		return admission.Witnessed{Key: k.key, Reply: reply}
 	})
-	if err != nil || !witnessed {
+	if err != nil || memory.Unreached {
 		writeUnknown(k.out, "no room to remember the key")
 		return
 	}
 	address, _ := k.h.addressOf(k.keeper)
 	out := k.outgoing(ctx)
 	out.Header.Set(keeperHopHeader, strconv.Itoa(k.hop+1))
+	out.Header.Add(witnessHeader, formatWitness(witness{name: k.h.Endpoint, memory: memory}))
 	r := forward(out, k.h.Peers, address, k.out)
 	if r.fate == notRun && r.detail == peerNotReached {
 		r = result{fate: unknown, detail: "keeper of the key not reached"}
@@ -172,6 +176,9 @@
 }
 
 func (k *keyed) memoryOf(ctx context.Context, other ticket.EndpointKey) admission.Memory {
+	if memory, passedOn := k.witnesses[other]; passedOn {
+		return memory
+	}
 	address, ok := k.h.addressOf(other)
 	if !ok {
 		return admission.Memory{Unreached: true}
--- a/admission/handover/handover.go
+++ b/admission/handover/handover.go
@@ -65,7 +65,7 @@
 // Recall tells what this agent knows of a key.
 func (s *Server) Recall(ctx context.Context, r *admissionpb.RecallRequest) (*admissionpb.RecallResponse, error) {
 	memory, err := control.Ask(ctx, s.loop, func(reply chan<- admission.Memory) control.Message {
-		return admission.RecallAsked{Key: admission.Key(r.Key), Reply: reply}
+		return admission.Witnessed{Key: admission.Key(r.Key), Reply: reply}
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
--- a/admission/keeper.go
+++ b/admission/keeper.go
@@ -274,28 +274,20 @@
 	return claim, claim.Verdict != Wait
 }
 
-// Witness remembers a key that is passed on to its keeper. ok is false when
-// there is no room.
-func (k *Keeper) Witness(now time.Time, key Key) (ok bool) {
-	if r := k.records[key]; r != nil {
-		return true
-	}
-	if len(k.records) >= maxRecords {
-		return false
-	}
-	r := new(record)
-	k.settle(now, r, witnessed)
-	k.records[key] = r
-	return true
-}
-
-// Recall answers another agent that is about to run a key. From then on this
-// agent does not run it.
-func (k *Keeper) Recall(now time.Time, key Key) Memory {
-	known := k.records[key] != nil
-	memory := Memory{Known: known, Fresh: k.fresh(now)}
-	if !known && !k.Witness(now, key) {
+// Witness remembers a key that another agent keeps or is about to run, and
+// returns what was known of it before. From then on this agent does not run
+// it. Unreached means that there is no room.
+func (k *Keeper) Witness(now time.Time, key Key) Memory {
+	memory := Memory{Fresh: k.fresh(now)}
+	switch {
+	case k.records[key] != nil:
+		memory.Known = true
+	case len(k.records) >= maxRecords:
 		memory.Unreached = true
+	default:
+		r := new(record)
+		k.settle(now, r, witnessed)
+		k.records[key] = r
 	}
 	return memory
 }
--- a/admission/message.go
+++ b/admission/message.go
@@ -105,14 +105,9 @@
 	Answer Answer
 }
 
-// Witnessed asks to remember a key that is passed on to its keeper.
+// Witnessed asks to remember a key that another agent keeps, and what was
+// known of it before.
 type Witnessed struct {
-	Key   Key
-	Reply chan<- bool
-}
-
-// RecallAsked asks what this agent knows of a key.
-type RecallAsked struct {
 	Key   Key
 	Reply chan<- Memory
 }
--- a/agent/admission.go
+++ b/agent/admission.go
@@ -20,9 +20,6 @@
 	"github.com/sirupsen/logrus"
 )
 
-// rampTime is how long a cold backend server takes to reach all its slots.
-const rampTime = 5 * time.Second
-
 // The admission slice's events; docs/EVENTS.md explains each.
 var (
 	EventInvariantBroken = event.Define(1501, logrus.ErrorLevel, "admission invariant broken")
@@ -33,7 +30,7 @@
 		Slots:     int(t.Limits.Slots),
 		QueueTime: time.Duration(t.Limits.QueueMillis) * time.Millisecond,
 		Feeds:     int(t.Limits.Connections),
-		RampTime:  rampTime,
+		RampTime:  coldTime,
 	}
 }
 
@@ -129,8 +126,6 @@
 		a.settle(now, m)
 	case admission.Witnessed:
 		m.Reply <- a.keeper.Witness(now, m.Key)
-	case admission.RecallAsked:
-		m.Reply <- a.keeper.Recall(now, m.Key)
 	}
 }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -33,11 +33,12 @@
 	loop := control.NewLoop(tickInterval)
 	snapshots := new(published)
 	handler := newHandler(s, loop, snapshots, rpc.NewClient(id))
-	callers, err := newCallerServer(s, sealer, owner, snapshots, handler)
+	callers, err := newCallerServer(s, sealer, owner, loop, snapshots, handler)
 	if err != nil {
 		return err
 	}
 	reports := make(chan report)
+	loads := make(chan loadReport)
 	reporter := &reporter{
 		node:      s.Node,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
@@ -53,8 +54,9 @@
 	defer stop()
 	group, running := errgroup.WithContext(running)
 	peers := handover.NewClient(running, loop, handler.Peers)
-	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports, peers)) })
+	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports, loads, peers)) })
 	group.Go(func() error { return reporter.run(running, reports) })
+	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
 	group.Go(func() error {
 		return rpc.Serve(running, s.Control, id, peerHandler(loop, handler, controlHandler(loop)))
 	})
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"cactustray/control"
 	"cactustray/control/rpc"
 	"cactustray/identity"
 	"cactustray/settings"
@@ -37,12 +38,13 @@
 
 // callerServer ends callers' QUIC connections and serves HTTP/3 on them.
 type callerServer struct {
+	conn      *datagram.Conn
 	transport *quic.Transport
 	listener  *quic.EarlyListener
 	server    *http3.Server
 }
 
-func newCallerServer(s *settings.Settings, sealer *steering.Sealer, owner steering.Owner, p *published, handler http.Handler) (*callerServer, error) {
+func newCallerServer(s *settings.Settings, sealer *steering.Sealer, owner steering.Owner, loop *control.Loop, p *published, handler http.Handler) (*callerServer, error) {
 	id, err := identity.Load(identity.Files(s.Agent.CallerTLS))
 	if err != nil {
 		return nil, err
@@ -52,17 +54,19 @@
 		return nil, &rpc.ListenError{Address: s.Datagram, Cause: err}
 	}
 	_ = socket.SetReadBuffer(socketBuffer)
-	service := ticket.ServiceKeyOf(s.Agent.Service)
+	p.residence.Steering.Store(&steering.Residence{Owner: owner, Service: ticket.ServiceKeyOf(s.Agent.Service)})
+	conn := datagram.NewConn(socket, sealer, &p.residence, loop.Offer)
 	transport := &quic.Transport{
-		Conn:                  datagram.NewConn(socket, service, owner.Endpoint, &p.routes, new(steering.Counters)),
+		Conn:                  conn,
 		ConnectionIDGenerator: &datagram.TokenIDs{Sealer: sealer, Owner: owner},
 		StatelessResetKey:     resetKey(s),
+		ConnContext:           limitConnections(&p.residence.Connections),
 	}
 	listener, err := transport.ListenEarly(id.CallerTLS(http3.NextProtoH3), quicConfig())
 	if err != nil {
 		return nil, &rpc.ListenError{Address: s.Datagram, Cause: err}
 	}
-	return &callerServer{transport: transport, listener: listener, server: &http3.Server{Handler: handler}}, nil
+	return &callerServer{conn: conn, transport: transport, listener: listener, server: &http3.Server{Handler: handler}}, nil
 }
 
 // quicConfig never accepts 0-RTT: an attacker could run a request twice by
--- a/agent/control.go
+++ b/agent/control.go
@@ -10,6 +10,7 @@
 	"cactustray/event"
 	"cactustray/liveness"
 	"cactustray/membership"
+	"cactustray/placement"
 	"cactustray/settings"
 	"cactustray/status"
 	"cactustray/steering"
@@ -19,9 +20,9 @@
 
 // published are the snapshots that traffic goroutines read.
 type published struct {
-	ticket atomic.Pointer[ticket.Ticket]
-	routes atomic.Pointer[datagram.Routes]
-	agents atomic.Pointer[frontend.Addresses]
+	ticket    atomic.Pointer[ticket.Ticket]
+	agents    atomic.Pointer[frontend.Addresses]
+	residence datagram.Residence
 }
 
 // state is all control state of an agent. Only the control goroutine touches
@@ -35,13 +36,16 @@
 	fact      liveness.Fact
 	tickets   *ticket.Register
 	admission *admissionState
+	placement *placement.State
 
 	published *published
 	// report asks the heartbeat goroutine to send the fact and the ticket.
 	report chan<- report
+	// loads asks the placement goroutine to send a load report.
+	loads chan<- loadReport
 }
 
-func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, peers *handover.Client) *state {
+func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport, peers *handover.Client) *state {
 	return &state{
 		settings:  s,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
@@ -50,8 +54,10 @@
 		fact:      liveness.Fact{Endpoint: owner.Endpoint, Incarnation: owner.Incarnation, State: liveness.Ready},
 		tickets:   ticket.NewRegister(),
 		admission: newAdmission(s, log, peers),
+		placement: placement.NewState(owner.Endpoint),
 		published: p,
 		report:    reports,
+		loads:     loads,
 	}
 }
 
@@ -64,6 +70,10 @@
 		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
 	case answered:
 		s.learnBalancers(m.answer)
+	case placement.Heard:
+		s.placement.Hear(now, m)
+	case steering.Behind:
+		s.behind(m)
 	case drain:
 		s.drain(now, m)
 	case status.Asked:
@@ -78,6 +88,7 @@
 	s.admission.tick(now, gap)
 	s.tickets.Seal(now)
 	s.sendReport()
+	s.placeByLoad(now)
 }
 
 func (s *state) statusReport(now time.Time) status.Report {
--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -22,4 +22,5 @@
 	}
 	s.published.agents.Store(s.admission.setTicket(now, s.fact.Endpoint, entry.Ticket))
 	s.published.ticket.Store(entry.Ticket)
+	s.steerBy(entry.Ticket)
 }
--- a/standin/measure/flows.go
+++ b/standin/measure/flows.go
@@ -24,6 +24,8 @@
 
 func (allTrusted) TakesNew(ticket.EndpointKey) bool { return true }
 
+func (allTrusted) GoneThrough(ticket.EndpointKey) steering.Incarnation { return 0 }
+
 // BrokenFlows opens flows, changes the ticket and sends each flow one more
 // packet: with its owner token, as ours, and without, as a plain hash.
 func BrokenFlows(d Deployment) []Broken {
@@ -42,11 +44,13 @@
 }
 
 func countBroken(d Deployment, change string, before, after *ticket.Ticket) Broken {
+	now := time.Unix(0, 0)
 	register := ticket.NewRegister()
-	join(register, before)
-	old := steering.BuildTable(register, allTrusted{}, nil)
-	join(register, after)
-	changed := steering.BuildTable(register, allTrusted{}, old)
+	state := steering.NewState()
+	register.Join(now, ticket.Held{Ticket: before})
+	old := state.Update(now, register, allTrusted{})
+	register.Join(now, ticket.Held{Ticket: after})
+	changed := state.Update(now, register, allTrusted{})
 	b := Broken{Service: d.Name, Change: change, Flows: d.Endpoints * d.Connections}
 	for i := range b.Flows {
 		opening := steering.Packet{
@@ -80,7 +84,3 @@
 func flowEndpoint(i int) ticket.Endpoint {
 	return ticket.Endpoint{Name: fmt.Sprint("server-", i), Weight: 1}
 }
-
-func join(register *ticket.Register, t *ticket.Ticket) {
-	register.Join(time.Unix(0, 0), ticket.Held{Ticket: t})
-}
