--- a/admission/admission.go
+++ b/admission/admission.go
@@ -81,7 +81,10 @@
 // Decision answers one request. It is refused, handed over to Peer under
 // Reservation, or, when Peer is 0, dispatched to the backend server.
 type Decision struct {
-	ID          RequestID
+	ID RequestID
+	// Attempt counts how often the request was dispatched or handed over; it
+	// tells a late message about an earlier attempt apart.
+	Attempt     int
 	Refusal     Refusal
 	Peer        ticket.EndpointKey
 	Reservation ReservationID
--- a/admission/exchange.go
+++ b/admission/exchange.go
@@ -47,6 +47,8 @@
 		asked:     make(map[ticket.EndpointKey]bool),
 		unreached: make(map[ticket.EndpointKey]int),
 		reserved:  make(map[ReservationID]time.Time),
+		// Reservations of an earlier process mean nothing to this one.
+		last: ReservationID(random.Uint32()) << 32,
 	}
 }
 
@@ -199,7 +201,8 @@
 		s.estimate.left(now, len(s.queue))
 		s.assert(e.step == queued, DispatchedOnce, e.ID)
 		e.step = handedOver
-		out.Decisions = append(out.Decisions, Decision{ID: e.ID, Peer: peer, Reservation: id})
+		e.attempt++
+		out.Decisions = append(out.Decisions, Decision{ID: e.ID, Attempt: e.attempt, Peer: peer, Reservation: id})
 		used = true
 		break
 	}
--- a/admission/frontend/job.go
+++ b/admission/frontend/job.go
@@ -79,7 +79,7 @@
 	}
 	if r.fate == notRun && j.request.Kind == admission.Job {
 		return func(reply decisionReply) control.Message {
-			return admission.Returned{ID: d.ID, Unreached: r.unreached, Reply: reply}
+			return admission.Returned{ID: d.ID, Attempt: d.Attempt, Unreached: r.unreached, Reply: reply}
 		}
 	}
 	if r.fate == unknown && j.request.Idempotent {
--- a/admission/message.go
+++ b/admission/message.go
@@ -28,7 +28,8 @@
 // Returned tells the control goroutine that a request was not run where it was
 // sent. It waits for a decision anew.
 type Returned struct {
-	ID RequestID
+	ID      RequestID
+	Attempt int
 	// Unreached tells that this agent's backend server could not be reached.
 	Unreached bool
 	Reply     chan<- Decision
--- /dev/null
+++ b/admission/network_test.go
@@ -0,0 +1,416 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"cactustray/ticket"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// stepsVariable names the environment variable for long runs: how many steps
+// each case has.
+const stepsVariable = "CACTUSTRAY_LONG_STEPS"
+
+const (
+	networkAgents = 3
+	networkSlots  = 2
+	defaultSteps  = 120
+)
+
+// envelope is a message under way between two agents.
+type envelope struct {
+	text string
+	to   int
+	// deliver applies it at the receiver.
+	deliver func(to *node)
+}
+
+// node is one agent process.
+type node struct {
+	index    int
+	state    *State
+	paused   bool
+	dead     bool
+	inbox    []envelope
+	lastTick time.Time
+	asks     map[ticket.EndpointKey]AskID
+	running  map[RequestID]*tracked
+}
+
+// fateOf is what a caller was told.
+type fateOf int
+
+const (
+	pending fateOf = iota
+	toldAnswered
+	toldNotRun
+	toldUnknown
+)
+
+// tracked is one request as the outside sees it.
+type tracked struct {
+	id       RequestID
+	owner    int
+	deadline time.Time
+	runs     int
+	fate     fateOf
+	attempt  int
+}
+
+// network joins agents by messages that are lost, doubled, reordered, delayed.
+type network struct {
+	t        *rapid.T
+	now      time.Time
+	nodes    []*node
+	flying   []envelope
+	requests map[RequestID]*tracked
+	askers   map[AskID]int
+	lastID   uint64
+	broken   []Violation
+}
+
+func newNetwork(t *rapid.T) *network {
+	n := &network{t: t, now: start, requests: make(map[RequestID]*tracked), askers: make(map[AskID]int)}
+	for i := range networkAgents {
+		n.nodes = append(n.nodes, n.boot(i))
+	}
+	return n
+}
+
+func (n *network) boot(i int) *node {
+	random := rand.New(rand.NewPCG(uint64(i), 7))
+	limits := Limits{Slots: networkSlots, QueueTime: 2 * time.Second}
+	a := &node{index: i, lastTick: n.now, asks: make(map[ticket.EndpointKey]AskID), running: make(map[RequestID]*tracked)}
+	a.state = NewState(n.now, limits, random, func(v Violation) { n.broken = append(n.broken, v) })
+	var peers []ticket.EndpointKey
+	for other := range networkAgents {
+		if other != i {
+			peers = append(peers, ticket.EndpointKey(other+1))
+		}
+	}
+	a.state.SetPeers(n.now, peers)
+	return a
+}
+
+func (n *network) send(text string, to int, deliver func(*node)) {
+	n.flying = append(n.flying, envelope{text: text, to: to, deliver: deliver})
+}
+
+// tell gives a caller the one outcome.
+func (n *network) tell(r *tracked, f fateOf) {
+	if r.fate != pending {
+		n.t.Fatalf("request %d was told two outcomes", r.id)
+	}
+	if f == toldNotRun && r.runs > 0 {
+		n.t.Fatalf("request %d was told not run, and ran", r.id)
+	}
+	r.fate = f
+}
+
+func (n *network) apply(a *node, out Outputs) {
+	for _, d := range out.Decisions {
+		n.decided(a, d)
+	}
+	for _, g := range out.Granted {
+		from := a.index
+		n.send("granted", n.askers[g.Ask], func(to *node) { n.offered(to, from, g) })
+	}
+	for _, peer := range out.Withdraw {
+		ask := a.asks[peer]
+		n.send("withdraw", int(peer-1), func(to *node) { to.state.SlotWithdrawn(ask) })
+	}
+	for _, peer := range out.Ask {
+		n.lastID++
+		ask := AskID(n.lastID)
+		n.askers[ask] = a.index
+		a.asks[peer] = ask
+		waited := a.state.Waited(n.now)
+		n.send("ask", int(peer-1), func(to *node) { n.apply(to, to.state.SlotAsked(n.now, ask, waited)) })
+	}
+}
+
+func (n *network) offered(to *node, from int, g Granted) {
+	out, used := to.state.SlotOffered(n.now, ticket.EndpointKey(from+1), g.Reservation)
+	n.apply(to, out)
+	if !used {
+		n.send("decline", from, func(at *node) { n.apply(at, at.state.ReservationDeclined(n.now, g.Reservation)) })
+	}
+}
+
+func (n *network) decided(a *node, d Decision) {
+	n.t.Logf("agent %d decides %+v", a.index, d)
+	r := n.requests[d.ID]
+	switch {
+	case d.Peer != 0:
+		n.handOver(a, r, d)
+	case d.Refusal != None && r.owner == a.index:
+		n.tell(r, toldNotRun)
+	case d.Refusal != None:
+		attempt := r.attempt
+		n.send("not run", r.owner, func(to *node) { n.apply(to, to.state.Return(n.now, r.id, attempt)) })
+	default:
+		r.runs++
+		if r.runs > 1 {
+			n.t.Fatalf("request %d ran twice", r.id)
+		}
+		if !n.now.Before(r.deadline) {
+			n.t.Fatalf("request %d was dispatched after its deadline", r.id)
+		}
+		a.running[r.id] = r
+		if len(a.running) > networkSlots {
+			n.t.Fatalf("agent %d runs %d jobs", a.index, len(a.running))
+		}
+	}
+}
+
+// handOver sends a request once; the sender's connection makes of a doubled
+// message nothing, so only loss, delay and order are drawn for it.
+func (n *network) handOver(a *node, r *tracked, d Decision) {
+	request := Request{ID: r.id, Deadline: r.deadline, Reservation: d.Reservation}
+	arrived := false
+	r.attempt = d.Attempt
+	n.send(fmt.Sprintf("request %d", r.id), int(d.Peer-1), func(to *node) {
+		if arrived {
+			return
+		}
+		arrived = true
+		n.apply(to, to.state.Arrive(n.now, request))
+	})
+}
+
+// actions that rapid draws.
+func (n *network) arrive() {
+	a := n.node()
+	if a == nil {
+		return
+	}
+	n.lastID++
+	r := &tracked{id: RequestID(n.lastID), owner: a.index}
+	r.deadline = n.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(n.t, "deadline")) * time.Millisecond)
+	n.requests[r.id] = r
+	n.apply(a, a.state.Arrive(n.now, Request{ID: r.id, Deadline: r.deadline}))
+}
+
+// node draws a live agent, or nil.
+func (n *network) node() *node {
+	a := n.nodes[rapid.IntRange(0, networkAgents-1).Draw(n.t, "agent")]
+	if a.dead || a.paused {
+		return nil
+	}
+	return a
+}
+
+func (n *network) deliver() {
+	if len(n.flying) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(n.flying)-1).Draw(n.t, "message")
+	e := n.flying[i]
+	switch rapid.IntRange(0, 9).Draw(n.t, "fate") {
+	case 0: // doubled
+	default:
+		n.flying = append(n.flying[:i], n.flying[i+1:]...)
+	}
+	n.receive(e)
+}
+
+func (n *network) receive(e envelope) {
+	to := n.nodes[e.to]
+	switch {
+	case to.dead:
+	case to.paused:
+		to.inbox = append(to.inbox, e)
+	default:
+		n.t.Logf("%s to agent %d", e.text, e.to)
+		e.deliver(to)
+	}
+}
+
+func (n *network) lose() {
+	if len(n.flying) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(n.flying)-1).Draw(n.t, "lost")
+	n.flying = append(n.flying[:i], n.flying[i+1:]...)
+}
+
+func (n *network) finish() {
+	a := n.node()
+	if a == nil || len(a.running) == 0 {
+		return
+	}
+	ids := make([]RequestID, 0, len(a.running))
+	for id := range a.running {
+		ids = append(ids, id)
+	}
+	lowest := ids[0]
+	for _, id := range ids {
+		lowest = min(lowest, id)
+	}
+	r := a.running[lowest]
+	delete(a.running, lowest)
+	n.apply(a, a.state.Finish(n.now, lowest))
+	if r.owner == a.index {
+		n.tell(r, toldAnswered)
+		return
+	}
+	answered := false
+	n.send(fmt.Sprintf("answer %d", r.id), r.owner, func(to *node) {
+		if answered || r.fate != pending {
+			return
+		}
+		answered = true
+		n.apply(to, to.state.Finish(n.now, r.id))
+		n.tell(r, toldAnswered)
+	})
+}
+
+// pass lets time go on; owners give up what is past its deadline.
+func (n *network) pass() {
+	n.now = n.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(n.t, "millis")) * time.Millisecond)
+	for _, a := range n.nodes {
+		if !a.dead && !a.paused {
+			n.tick(a)
+		}
+	}
+}
+
+func (n *network) tick(a *node) {
+	n.apply(a, a.state.Tick(n.now, n.now.Sub(a.lastTick)))
+	a.lastTick = n.now
+	for id := RequestID(1); id <= RequestID(n.lastID); id++ {
+		r := n.requests[id]
+		if r == nil || r.owner != a.index || r.fate != pending || n.now.Before(r.deadline) || a.running[id] != nil {
+			continue
+		}
+		n.tell(r, toldUnknown) // handed over, and no answer came
+		n.apply(a, a.state.Leave(n.now, id))
+	}
+}
+
+func (n *network) pause() {
+	if a := n.node(); a != nil {
+		a.paused = true
+	}
+}
+
+// wake applies what arrived meanwhile before the first tick, as a process does
+// whose inbox is read first.
+func (n *network) wake() {
+	for _, a := range n.nodes {
+		if !a.paused {
+			continue
+		}
+		a.paused = false
+		inbox := a.inbox
+		a.inbox = nil
+		for _, e := range inbox {
+			n.receive(e)
+		}
+		n.tick(a)
+	}
+}
+
+// kill ends an agent and its callers' connections; a new one starts empty.
+func (n *network) kill() {
+	a := n.node()
+	if a == nil {
+		return
+	}
+	for _, r := range n.requests {
+		if r.owner == a.index && r.fate == pending {
+			r.fate = toldUnknown // the caller's connection broke
+		}
+	}
+	n.nodes[a.index] = n.boot(a.index)
+}
+
+// settle lets all messages arrive and all jobs end, and checks that nothing
+// was lost silently and no slot leaked.
+func (n *network) settle() {
+	n.wake()
+	for range 1000 {
+		if len(n.flying) == 0 && n.idle() {
+			break
+		}
+		for len(n.flying) > 0 {
+			e := n.flying[0]
+			n.flying = n.flying[1:]
+			n.receive(e)
+		}
+		for _, a := range n.nodes {
+			n.finishAll(a)
+		}
+		n.now = n.now.Add(100 * time.Millisecond)
+		for _, a := range n.nodes {
+			n.tick(a)
+		}
+	}
+	for id, r := range n.requests {
+		if r.fate == pending {
+			n.t.Fatalf("request %d was lost silently", id)
+		}
+	}
+	for _, a := range n.nodes {
+		if free := a.state.FreeSlots(n.now); free != networkSlots {
+			n.t.Fatalf("agent %d has %d free slots of %d", a.index, free, networkSlots)
+		}
+	}
+	if len(n.broken) > 0 {
+		n.t.Fatalf("%v", n.broken)
+	}
+}
+
+func (n *network) idle() bool {
+	for _, a := range n.nodes {
+		if len(a.running) > 0 || a.state.Queued() > 0 {
+			return false
+		}
+	}
+	for _, r := range n.requests {
+		if r.fate == pending {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *network) finishAll(a *node) {
+	for id := RequestID(1); id <= RequestID(n.lastID); id++ {
+		if r := a.running[id]; r != nil {
+			delete(a.running, id)
+			n.apply(a, a.state.Finish(n.now, id))
+			if r.fate == pending {
+				n.tell(r, toldAnswered)
+				n.apply(n.nodes[r.owner], n.nodes[r.owner].state.Finish(n.now, id))
+			}
+		}
+	}
+}
+
+// Whatever happens to messages and processes, a request runs at most once, a
+// caller told "not run" is told the truth, slots are bounded and never leak,
+// and every caller is told one outcome.
+func TestHandOverKeepsItsPromises(t *testing.T) {
+	steps := defaultSteps
+	if long, err := strconv.Atoi(os.Getenv(stepsVariable)); err == nil {
+		steps = long
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(t)
+		actions := []func(){n.arrive, n.arrive, n.arrive, n.deliver, n.deliver, n.deliver, n.deliver,
+			n.finish, n.finish, n.pass, n.lose, n.pause, n.wake, n.kill}
+		for range rapid.IntRange(1, steps).Draw(t, "steps") {
+			actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")]()
+		}
+		n.settle()
+		must.SliceEmpty(t, n.broken)
+	})
+}
--- a/admission/retry.go
+++ b/admission/retry.go
@@ -44,10 +44,10 @@
 }
 
 // Return takes back a request that was not run where it was sent; it keeps its
-// place.
-func (s *State) Return(now time.Time, id RequestID) Outputs {
+// place. A message about an earlier attempt changes nothing.
+func (s *State) Return(now time.Time, id RequestID, attempt int) Outputs {
 	e := s.entries[id]
-	if e == nil || e.step == queued {
+	if e == nil || e.step == queued || e.attempt != attempt {
 		return Outputs{}
 	}
 	s.release(now, e)
--- a/admission/settle.go
+++ b/admission/settle.go
@@ -55,9 +55,10 @@
 	s.assert(e.step == queued, DispatchedOnce, e.ID)
 	s.assert(now.Before(e.until), NotExpired, e.ID)
 	e.step, e.started = dispatched, now
+	e.attempt++
 	s.jobs++
 	s.assert(s.jobs+len(s.exchange.reserved) <= max(s.limits.Slots, s.jobs), SlotsBounded, e.ID)
-	out.Decisions = append(out.Decisions, Decision{ID: e.ID})
+	out.Decisions = append(out.Decisions, Decision{ID: e.ID, Attempt: e.attempt})
 }
 
 func (s *State) grant(now time.Time, out *Outputs) bool {
--- a/admission/state.go
+++ b/admission/state.go
@@ -30,6 +30,7 @@
 type entry struct {
 	Request
 	step    step
+	attempt int
 	arrived time.Time
 	until   time.Time
 	// started is when the request was dispatched.
@@ -159,9 +160,10 @@
 		return refused(e.ID, TooManyFeeds)
 	}
 	e.step, e.started = dispatched, now
+	e.attempt++
 	s.entries[e.ID] = e
 	s.feeds++
-	return Outputs{Decisions: []Decision{{ID: e.ID}}}
+	return Outputs{Decisions: []Decision{{ID: e.ID, Attempt: e.attempt}}}
 }
 
 // overloaded tells whether the work before a new request would outlast it.
--- a/admission/state_test.go
+++ b/admission/state_test.go
@@ -28,7 +28,7 @@
 	s.Arrive(start, request(2, time.Second))
 	s.Arrive(start, request(3, time.Minute))
 	out := s.Finish(start.Add(10*time.Second), 1)
-	must.Eq(t, []Decision{{ID: 2, Refusal: DeadlinePassed}, {ID: 3}}, out.Decisions)
+	must.Eq(t, []Decision{{ID: 2, Refusal: DeadlinePassed}, {ID: 3, Attempt: 1}}, out.Decisions)
 }
 
 // A reservation promised before a pause is void after it: the peer is told
@@ -55,8 +55,8 @@
 // Feeds hold no slot and jobs no place of a feed.
 func TestFeedsAreKeptApart(t *testing.T) {
 	s := newTestState(t, Limits{Slots: 1, QueueTime: time.Minute, Feeds: 1})
-	must.Eq(t, []Decision{{ID: 1}}, s.Arrive(start, Request{ID: 1, Kind: Feed}).Decisions)
-	must.Eq(t, []Decision{{ID: 2}}, s.Arrive(start, request(2, time.Second)).Decisions)
+	must.Eq(t, []Decision{{ID: 1, Attempt: 1}}, s.Arrive(start, Request{ID: 1, Kind: Feed}).Decisions)
+	must.Eq(t, []Decision{{ID: 2, Attempt: 1}}, s.Arrive(start, request(2, time.Second)).Decisions)
 	refused := s.Arrive(start, Request{ID: 3, Kind: Feed}).Decisions
 	must.Eq(t, []Decision{{ID: 3, Refusal: TooManyFeeds}}, refused)
 }
@@ -86,7 +86,7 @@
 	s.Arrive(start, request(2, time.Minute))
 	s.Drain(start)
 	must.Eq(t, []Decision{{ID: 3, Refusal: Draining}}, s.Arrive(start, request(3, time.Minute)).Decisions)
-	must.Eq(t, []Decision{{ID: 2}}, s.Finish(start, 1).Decisions)
+	must.Eq(t, []Decision{{ID: 2, Attempt: 1}}, s.Finish(start, 1).Decisions)
 	must.SliceEmpty(t, s.SlotAsked(start, 1, time.Second).Granted)
 }
 
@@ -100,7 +100,8 @@
 	s.Arrive(start.Add(1), request(3, time.Minute))
 	out, used := s.SlotOffered(start, 5, 9)
 	must.True(t, used)
-	must.Eq(t, []Decision{{ID: 2, Peer: 5, Reservation: 9}}, out.Decisions)
-	s.Return(start, 2)
-	must.Eq(t, []Decision{{ID: 2}}, s.Finish(start, 1).Decisions)
+	must.Eq(t, []Decision{{ID: 2, Attempt: 1, Peer: 5, Reservation: 9}}, out.Decisions)
+	s.Return(start, 2, 1)
+	must.Eq(t, []Decision{{ID: 2, Attempt: 2}}, s.Finish(start, 1).Decisions)
+	must.SliceEmpty(t, s.Return(start, 2, 1).Decisions, must.Sprint("a doubled message"))
 }
--- a/agent/admission.go
+++ b/agent/admission.go
@@ -74,7 +74,7 @@
 	case admission.Returned:
 		a.replies[m.ID] = m.Reply
 		a.unreached(now, m.Unreached)
-		a.apply(now, a.queue.Return(now, m.ID))
+		a.apply(now, a.queue.Return(now, m.ID, m.Attempt))
 	case admission.Retried:
 		a.replies[m.ID] = m.Reply
 		a.apply(now, a.queue.Retry(now, m.ID))
--- a/standin/measure/cluster.go
+++ b/standin/measure/cluster.go
@@ -39,26 +39,29 @@
 type cluster struct {
 	model
 	*tally
-	random  *rand.Rand
-	policy  Policy
-	agents  []*agent
-	jobs    map[admission.RequestID]*job
-	owners  map[admission.RequestID]*agent
-	asks    map[admission.AskID]asked
-	lastAsk admission.AskID
-	loads   []load
+	random *rand.Rand
+	policy Policy
+	agents []*agent
+	jobs   map[admission.RequestID]*job
+	owners map[admission.RequestID]*agent
+	// attempts are the attempts of requests that were handed over.
+	attempts map[admission.RequestID]int
+	asks     map[admission.AskID]asked
+	lastAsk  admission.AskID
+	loads    []load
 }
 
 func newCluster(policy Policy, d Deployment, seed uint64, start, from time.Time) *cluster {
 	c := &cluster{
-		model:  model{now: start},
-		tally:  newTally(policy.Name, d.Endpoints, from),
-		random: rand.New(rand.NewPCG(seed, 1)),
-		policy: policy,
-		jobs:   make(map[admission.RequestID]*job),
-		owners: make(map[admission.RequestID]*agent),
-		asks:   make(map[admission.AskID]asked),
-		loads:  make([]load, d.Endpoints),
+		model:    model{now: start},
+		tally:    newTally(policy.Name, d.Endpoints, from),
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		policy:   policy,
+		jobs:     make(map[admission.RequestID]*job),
+		owners:   make(map[admission.RequestID]*agent),
+		attempts: make(map[admission.RequestID]int),
+		asks:     make(map[admission.AskID]asked),
+		loads:    make([]load, d.Endpoints),
 	}
 	limits := admission.Limits{Slots: d.Slots, QueueTime: queueTime}
 	for i := range d.Endpoints {
@@ -178,7 +181,7 @@
 	switch {
 	case d.Refusal != admission.None && owner != nil && owner != a:
 		delete(c.owners, d.ID)
-		c.send(func() { c.apply(owner, owner.state.Return(c.now, d.ID)) })
+		c.send(func() { c.apply(owner, owner.state.Return(c.now, d.ID, c.attempts[d.ID])) })
 	case d.Refusal != admission.None:
 		c.refuse(j)
 	case d.Peer != 0:
@@ -192,6 +195,7 @@
 func (c *cluster) handOver(a *agent, d admission.Decision) {
 	c.HandedOver++
 	c.owners[d.ID] = a
+	c.attempts[d.ID] = d.Attempt
 	peer := c.agents[d.Peer-1]
 	request := admission.Request{ID: d.ID, Deadline: c.jobs[d.ID].deadline, Reservation: d.Reservation}
 	c.send(func() { c.apply(peer, peer.state.Arrive(c.now, request)) })
