Prove keyed confirmations with real processes

Cause: a fresh keeper took the memory of an agent that had just passed the key on for an earlier run: TestConfirmationRunsOnce got 504 unknown for concurrent retries through other agents.

Change: an agent says how long it has known a key; only what it knew before the keeper's process started is a doubt.

--- a/admission/frontend/frontend.go
+++ b/admission/frontend/frontend.go
@@ -66,7 +66,6 @@
 	w.Header().Set(EndpointHeader, h.Endpoint)
 	r.Header.Del(reservationHeader)
 	r.Header.Del(keeperHopHeader)
-	r.Header.Del(witnessHeader)
 	h.serve(w, r, 0)
 }
 
--- a/admission/frontend/keyed.go
+++ b/admission/frontend/keyed.go
@@ -34,10 +34,8 @@
 	*job
 	key         admission.Key
 	fingerprint admission.Fingerprint
-	// witnesses are the agents that passed the request on.
-	witnesses map[ticket.EndpointKey]admission.Memory
-	keeper    ticket.EndpointKey
-	hop       int
+	keeper      ticket.EndpointKey
+	hop         int
 }
 
 // serveKeyed runs a request with a key at most once: its keeper owns the
@@ -50,7 +48,6 @@
 		return
 	}
 	k := &keyed{job: h.newJob(w, r, tk), key: admission.Key(key), fingerprint: fingerprint(r, whole), hop: hop}
-	k.witnesses = takeWitnesses(r, tk.Service)
 	k.body = newBody(bytes.NewReader(whole))
 	r.ContentLength = int64(len(whole))
 	keeper, ok := admission.KeeperOf(k.key, KeeperSet(tk))
@@ -116,7 +113,6 @@
 	address, _ := k.h.addressOf(k.keeper)
 	out := k.outgoing(ctx)
 	out.Header.Set(keeperHopHeader, strconv.Itoa(k.hop+1))
-	out.Header.Add(witnessHeader, formatWitness(witness{name: k.h.Endpoint, memory: memory}))
 	r := forward(out, k.h.Peers, address, k.out)
 	if r.fate == notRun && r.detail == peerNotReached {
 		r = result{fate: unknown, detail: "keeper of the key not reached"}
@@ -176,9 +172,6 @@
 }
 
 func (k *keyed) memoryOf(ctx context.Context, other ticket.EndpointKey) admission.Memory {
-	if memory, passedOn := k.witnesses[other]; passedOn {
-		return memory
-	}
 	address, ok := k.h.addressOf(other)
 	if !ok {
 		return admission.Memory{Unreached: true}
--- a/admission/handover/handover.go
+++ b/admission/handover/handover.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return &admissionpb.RecallResponse{Known: memory.Known, Fresh: memory.Fresh}, nil
+	return &admissionpb.RecallResponse{Known: memory.Known, Fresh: memory.Fresh, AgeUs: memory.Age.Microseconds()}, nil
 }
 
 // NoSlotError reports that a peer gives no slot: it drains.
@@ -140,5 +140,6 @@
 	if err != nil {
 		return admission.Memory{Unreached: true}
 	}
-	return admission.Memory{Known: response.Known, Fresh: response.Fresh}
+	age := time.Duration(response.AgeUs) * time.Microsecond
+	return admission.Memory{Known: response.Known, Age: age, Fresh: response.Fresh}
 }
--- a/admission/keeper.go
+++ b/admission/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -16,6 +17,8 @@
 	// MaxAnswer bounds one kept answer, in bytes.
 	MaxAnswer     = 64 << 10
 	sweepInterval = time.Second
+	// keptItself is the age that a former keeper tells.
+	keptItself = time.Duration(math.MaxInt64)
 	// maxRecords and maxKept bound the keeper's memory.
 	maxRecords = 1 << 16
 	maxKept    = 32 << 20
@@ -82,6 +85,9 @@
 // Memory is what another agent knows of a key.
 type Memory struct {
 	Known bool
+	// Age is how long it has known the key; without bound when it kept the
+	// key itself.
+	Age time.Duration
 	// Fresh tells that it runs for less than KeepTime.
 	Fresh bool
 	// Unreached tells that it gave no answer.
@@ -104,8 +110,10 @@
 type record struct {
 	state       recordState
 	fingerprint Fingerprint
-	answer      Answer
-	expires     time.Time
+	// asked is when others were asked about the key.
+	asked   time.Time
+	answer  Answer
+	expires time.Time
 }
 
 type formerSet struct {
@@ -153,7 +161,7 @@
 	}
 	ask := k.doubts(now, key)
 	if len(ask) > 0 {
-		k.records[key] = &record{state: asking, fingerprint: fingerprint}
+		k.records[key] = &record{state: asking, fingerprint: fingerprint, asked: now}
 		return Claim{Verdict: AskOthers, Ask: ask}
 	}
 	k.records[key] = &record{state: inProgress, fingerprint: fingerprint}
@@ -210,24 +218,25 @@
 }
 
 // Recalled decides once the others have been asked. The request runs only when
-// nobody knows the key and no memory of it can have been lost, or when every
-// agent of the service is fresh: then the service has only just started.
+// nobody knows the key from before this process and no memory of it can have
+// been lost, or when every agent of the service is fresh: then the service has
+// only just started. Who passed the key on to this process says nothing new.
 func (k *Keeper) Recalled(now time.Time, key Key, memories []Memory) Claim {
 	r := k.records[key]
 	if r == nil || r.state != asking {
 		return Claim{Verdict: Uncertain}
 	}
-	lost, fresh := 0, 0
+	doubts, fresh := 0, 0
 	for _, m := range memories {
-		if m.Known || m.Unreached {
-			lost++
+		if m.Unreached || m.Known && m.Age > r.asked.Sub(k.since) {
+			doubts++
 		}
 		if m.Fresh {
 			fresh++
 		}
 	}
 	allFresh := k.fresh(now) && fresh == len(memories)
-	if lost > 0 || fresh > 0 && !allFresh {
+	if doubts > 0 || fresh > 0 && !allFresh {
 		k.settle(now, r, uncertain)
 		return Claim{Verdict: Uncertain}
 	}
@@ -279,19 +288,31 @@
 // it. Unreached means that there is no room.
 func (k *Keeper) Witness(now time.Time, key Key) Memory {
 	memory := Memory{Fresh: k.fresh(now)}
+	r := k.records[key]
 	switch {
-	case k.records[key] != nil:
-		memory.Known = true
-	case len(k.records) >= maxRecords:
+	case r == nil && len(k.records) >= maxRecords:
 		memory.Unreached = true
+		return memory
+	case r == nil:
+		k.records[key] = k.newWitness(now)
+	case r.state == notRun:
+		k.records[key] = k.newWitness(now)
+	case r.state == witnessed:
+		memory.Known = true
+		memory.Age = KeepTime - r.expires.Sub(now)
 	default:
-		r := new(record)
-		k.settle(now, r, witnessed)
-		k.records[key] = r
+		memory.Known = true
+		memory.Age = keptItself
 	}
 	return memory
 }
 
+func (k *Keeper) newWitness(now time.Time) *record {
+	r := new(record)
+	k.settle(now, r, witnessed)
+	return r
+}
+
 // Tick forgets what is older than KeepTime. After a pause this process counts
 // as fresh.
 func (k *Keeper) Tick(now time.Time, gap time.Duration) {
--- /dev/null
+++ b/standin/e2e/admission_test.go
@@ -0,0 +1,163 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"cactustray/admission"
+	"cactustray/admission/frontend"
+	"cactustray/standin/caller"
+	"cactustray/standin/fleet"
+	"cactustray/standin/layout"
+	"cactustray/ticket"
+
+	"github.com/shoenig/test/must"
+)
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	body    string
+	outcome string
+	header  http.Header
+}
+
+func ask(ctx context.Context, from *caller.Caller, method, url, key, body string) (answer, error) {
+	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	if key != "" {
+		r.Header.Set(frontend.KeyHeader, key)
+	}
+	response, err := from.Do(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return answer{
+		status:  response.StatusCode,
+		body:    string(text),
+		outcome: response.Header.Get(frontend.OutcomeHeader),
+		header:  response.Header,
+	}, err
+}
+
+func patience(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), fleet.Patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func recorded(f *fleet.Fleet, key string) int {
+	sum := 0
+	for _, server := range f.Servers {
+		sum += server.Recorded(key)
+	}
+	return sum
+}
+
+// Jobs that all reach one agent run on the slots of its peers too.
+func TestWaitingWorkIsHandedOver(t *testing.T) {
+	f := fleet.Start(t, layout.Size{Balancers: 2, Services: []string{"drawings"}, Backends: 3})
+	ctx := patience(t)
+	from := f.Caller() // one connection: all its requests reach one agent
+	var mu sync.Mutex
+	served := make(map[string]int)
+	var group sync.WaitGroup
+	for range 4 * layout.Slots {
+		group.Go(func() {
+			got, err := ask(ctx, from, http.MethodGet, f.URL("drawings", "/drawing?work=200"), "", "")
+			must.NoError(t, err)
+			must.EqOp(t, http.StatusOK, got.status)
+			mu.Lock()
+			defer mu.Unlock()
+			served[strings.TrimSpace(got.body)]++
+			must.EqOp(t, strings.TrimSpace(got.body), got.header.Get(frontend.EndpointHeader))
+		})
+	}
+	group.Wait()
+	must.Greater(t, 1, len(served), must.Sprint(served))
+}
+
+// Retries with one key through any agent meet the first outcome, at the same
+// time or later; another request under the key is refused.
+func TestConfirmationRunsOnce(t *testing.T) {
+	f := fleet.Start(t, layout.Size{Balancers: 2, Services: []string{"orders"}, Backends: 3})
+	ctx := patience(t)
+	for i := range 6 {
+		key := fmt.Sprint("truck-", i)
+		var group sync.WaitGroup
+		for range 4 {
+			from := f.Caller()
+			group.Go(func() {
+				got, err := ask(ctx, from, http.MethodPost, f.URL("orders", "/confirm?work=50"), key, "panels")
+				must.NoError(t, err)
+				must.EqOp(t, http.StatusOK, got.status, must.Sprint(got.body))
+				must.EqOp(t, "confirmed "+key+"\n", got.body)
+			})
+		}
+		group.Wait()
+		must.EqOp(t, 1, recorded(f, key))
+	}
+	got, err := ask(ctx, f.Caller(), http.MethodPost, f.URL("orders", "/confirm?work=50"), "truck-1", "windows")
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusUnprocessableEntity, got.status)
+	must.EqOp(t, 1, recorded(f, "truck-1"))
+}
+
+// A keeper that was killed and started anew does not run a key a second time,
+// and says that it can't know.
+func TestRestartedKeeperRunsNoKeyAgain(t *testing.T) {
+	f := fleet.Start(t, layout.Size{Balancers: 2, Services: []string{"orders"}, Backends: 3})
+	ctx := patience(t)
+	url := f.URL("orders", "/confirm?work=1")
+	got, err := ask(ctx, f.Caller(), http.MethodPost, url, "truck-7", "panels")
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusOK, got.status, must.Sprint(got.body))
+	keeper := got.header.Get(frontend.KeeperHeader)
+	f.Signal(keeper, syscall.SIGKILL)
+	f.AwaitExit(keeper)
+	f.Run(keeper)
+	f.AwaitTicket("orders", 1)
+	f.Await(func() bool {
+		attempt, cancel := context.WithTimeout(ctx, fleet.Patience/10)
+		defer cancel()
+		got, err = ask(attempt, f.Caller(), http.MethodPost, url, "truck-7", "panels")
+		return err == nil && got.outcome == frontend.OutcomeUnknown
+	})
+	must.EqOp(t, 1, recorded(f, "truck-7"))
+}
+
+// After a ticket change moves a key, the new keeper asks the former one.
+func TestKeyMovedByTicketRunsOnce(t *testing.T) {
+	f := fleet.Start(t, layout.Size{Balancers: 2, Services: []string{"orders"}, Backends: 3})
+	ctx := patience(t)
+	url := f.URL("orders", "/confirm?work=1")
+	got, err := ask(ctx, f.Caller(), http.MethodPost, url, "truck-9", "panels")
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusOK, got.status, must.Sprint(got.body))
+	keeper := got.header.Get(frontend.KeeperHeader)
+	next := *f.Tickets["orders"]
+	next.Number = 2
+	next.Endpoints = append([]ticket.Endpoint(nil), next.Endpoints...)
+	for i := range next.Endpoints {
+		next.Endpoints[i].Draining = next.Endpoints[i].Name == keeper
+	}
+	moved, ok := admission.KeeperOf("truck-9", frontend.KeeperSet(&next))
+	must.True(t, ok)
+	must.NotEq(t, ticket.EndpointKeyOf("orders", keeper), moved)
+	f.Publish(&next)
+	f.AwaitTicket("orders", 2)
+	got, err = ask(ctx, f.Caller(), http.MethodPost, url, "truck-9", "panels")
+	must.NoError(t, err)
+	must.EqOp(t, frontend.OutcomeUnknown, got.outcome, must.Sprint(got.body))
+	must.EqOp(t, 1, recorded(f, "truck-9"))
+}
