Merge main: drains by phase wait for handed over requests too

A planned stop waits for every request that traffic goroutines serve, also those at peers or passed on to a keeper, not only those at its own backend server.

--- a/admission/frontend/frontend.go
+++ b/admission/frontend/frontend.go
@@ -39,7 +39,9 @@
 	Loop   *control.Loop
 	Ticket *atomic.Pointer[ticket.Ticket]
 	// Agents are where the agents of this and of former tickets are.
-	Agents   *atomic.Pointer[Addresses]
+	Agents *atomic.Pointer[Addresses]
+	// Open counts the requests in progress; a planned stop waits for them.
+	Open     *atomic.Int64
 	Backend  netip.AddrPort
 	Endpoint string
 	Clients  BackendClients
@@ -80,6 +82,8 @@
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, hop int) {
+	h.Open.Add(1)
+	defer h.Open.Add(-1)
 	tk := h.Ticket.Load()
 	if tk == nil {
 		writeNotRun(w, "no ticket in force yet")
--- a/admission/frontend/frontend_test.go
+++ b/admission/frontend/frontend_test.go
@@ -63,6 +63,7 @@
 		Loop:     loop,
 		Ticket:   new(atomic.Pointer[ticket.Ticket]),
 		Agents:   new(atomic.Pointer[Addresses]),
+		Open:     new(atomic.Int64),
 		Backend:  netip.MustParseAddrPort(backend),
 		Endpoint: "orders-1",
 		Clients:  NewBackendClients(),
--- a/admission/state.go
+++ b/admission/state.go
@@ -76,13 +76,6 @@
 	return s.settle(now)
 }
 
-// Drain refuses all new work from now on.
-func (s *State) Drain(now time.Time) Outputs {
-	s.draining = true
-	s.exchange.interests = nil
-	return s.settle(now)
-}
-
 // Running returns how many requests are at the backend server.
 func (s *State) Running() int { return s.jobs + s.feeds }
 
--- a/agent/admission.go
+++ b/agent/admission.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"cactustray/admission"
@@ -36,6 +37,7 @@
 
 // admissionState is the admission slice's part of the control state.
 type admissionState struct {
+	self    ticket.EndpointKey
 	queue   *admission.State
 	keeper  *admission.Keeper
 	replies map[admission.RequestID]chan<- admission.Decision
@@ -43,24 +45,32 @@
 	awaited []admission.OutcomeAwaited
 	peers   *handover.Client
 	agents  frontend.Addresses
+	// open counts the requests that traffic goroutines serve.
+	open *atomic.Int64
 }
 
-func newAdmission(s *settings.Settings, log *event.Log, peers *handover.Client) *admissionState {
+func newAdmission(s *settings.Settings, log *event.Log, open *atomic.Int64, peers *handover.Client) *admissionState {
 	now := time.Now()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	broken := func(v admission.Violation) {
 		log.Emit(EventInvariantBroken, event.Fields{"invariant": v.Invariant, "request": v.Request})
 	}
+	self := ticket.EndpointKeyOf(s.Agent.Service, s.Agent.Endpoint)
 	return &admissionState{
+		self:    self,
 		queue:   admission.NewState(now, admission.Limits{}, random, broken),
-		keeper:  admission.NewKeeper(now, ticket.EndpointKeyOf(s.Agent.Service, s.Agent.Endpoint)),
+		keeper:  admission.NewKeeper(now, self),
 		replies: make(map[admission.RequestID]chan<- admission.Decision),
 		asks:    make(map[admission.AskID]chan<- admission.Granted),
 		peers:   peers,
 		agents:  make(frontend.Addresses),
+		open:    open,
 	}
 }
 
+// idle tells whether no request is in progress, here or at a peer.
+func (a *admissionState) idle() bool { return a.open.Load() == 0 }
+
 // handleAdmission applies one message of the admission slice.
 func (s *state) handleAdmission(now time.Time, message control.Message) {
 	a := s.admission
@@ -187,13 +197,13 @@
 }
 
 // setTicket takes the service's ticket in and returns where its agents are.
-func (a *admissionState) setTicket(now time.Time, self ticket.EndpointKey, t *ticket.Ticket) *frontend.Addresses {
+func (a *admissionState) setTicket(now time.Time, t *ticket.Ticket) *frontend.Addresses {
 	var peers []ticket.EndpointKey
 	a.agents = maps.Clone(a.agents)
 	for _, e := range t.Endpoints {
 		key := ticket.EndpointKeyOf(t.Service, e.Name)
 		a.agents[key] = e.Control
-		if key != self && !e.Draining {
+		if key != a.self && !e.Draining {
 			peers = append(peers, key)
 		}
 	}
@@ -210,6 +220,7 @@
 		Loop:     loop,
 		Ticket:   &p.ticket,
 		Agents:   &p.agents,
+		Open:     &p.open,
 		Backend:  s.Agent.Backend,
 		Endpoint: s.Agent.Endpoint,
 		Clients:  frontend.NewBackendClients(),
--- a/agent/control.go
+++ b/agent/control.go
@@ -23,6 +23,8 @@
 	ticket    atomic.Pointer[ticket.Ticket]
 	agents    atomic.Pointer[frontend.Addresses]
 	residence datagram.Residence
+	// open counts requests in progress.
+	open atomic.Int64
 }
 
 // state is all control state of an agent. Only the control goroutine touches
@@ -33,7 +35,8 @@
 	started  time.Time
 	log      *event.Log
 
-	fact      liveness.Fact
+	reporting *reporting
+	draining  *draining
 	tickets   *ticket.Register
 	admission *admissionState
 	placement *placement.State
@@ -45,15 +48,16 @@
 	loads chan<- loadReport
 }
 
-func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport, peers *handover.Client) *state {
+func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport, d *draining, peers *handover.Client) *state {
 	return &state{
 		settings:  s,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
 		started:   time.Now(),
 		log:       log,
-		fact:      liveness.Fact{Endpoint: owner.Endpoint, Incarnation: owner.Incarnation, State: liveness.Ready},
+		reporting: newReporting(liveness.NewSelf(liveness.EndpointSubject(owner.Endpoint), owner.Incarnation), s.Agent.Balancers),
+		draining:  d,
 		tickets:   ticket.NewRegister(),
-		admission: newAdmission(s, log, peers),
+		admission: newAdmission(s, log, &p.open, peers),
 		placement: placement.NewState(owner.Endpoint),
 		published: p,
 		report:    reports,
@@ -69,15 +73,15 @@
 	case ticket.Compared:
 		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
 	case answered:
-		s.learnBalancers(m.answer)
+		s.answered(now, m)
 	case placement.Heard:
 		s.placement.Hear(now, m)
 	case steering.Behind:
 		s.behind(m)
-	case drain:
-		s.drain(now, m)
+	case stopRequested:
+		s.requestStop(now, m)
 	case status.Asked:
-		m.Reply <- s.statusReport(now)
+		m.Reply <- s.statusReport(now, m)
 	default:
 		s.handleAdmission(now, message)
 	}
@@ -87,18 +91,20 @@
 func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.admission.tick(now, gap)
 	s.tickets.Seal(now)
-	s.sendReport()
 	s.placeByLoad(now)
+	s.tickDrain(now)
+	s.tickReports(now, gap)
 }
 
-func (s *state) statusReport(now time.Time) status.Report {
+func (s *state) statusReport(now time.Time, asked status.Asked) status.Report {
 	return status.Report{
 		Node:    s.settings.Node,
 		Role:    membership.RoleAgent,
 		Zone:    s.settings.Zone,
-		State:   "ready",
+		State:   s.reporting.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
-		Tickets: status.InForceOf(now, s.tickets),
-		Flows:   int64(s.admission.queue.Running()),
+		Tickets: asked.InForceOf(now, s.tickets),
+		Load:    status.Load{Requests: int64(s.admission.queue.Running())},
+		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -20,7 +20,8 @@
 	if entry == nil {
 		return
 	}
-	s.published.agents.Store(s.admission.setTicket(now, s.fact.Endpoint, entry.Ticket))
+	s.published.agents.Store(s.admission.setTicket(now, entry.Ticket))
 	s.published.ticket.Store(entry.Ticket)
 	s.steerBy(entry.Ticket)
+	s.followTicket(now, entry.Ticket)
 }
