--- a/admission/keeper.go
+++ b/admission/keeper.go
@@ -17,8 +17,10 @@
 	// MaxAnswer bounds one kept answer, in bytes.
 	MaxAnswer     = 64 << 10
 	sweepInterval = time.Second
+	// recallMargin covers the rounding of ages.
+	recallMargin = time.Millisecond
 	// keptItself is the age that a former keeper tells.
-	keptItself = time.Duration(math.MaxInt64)
+	keptItself = time.Duration(math.MaxInt64) / 2
 	// maxRecords and maxKept bound the keeper's memory.
 	maxRecords = 1 << 16
 	maxKept    = 32 << 20
@@ -228,7 +230,7 @@
 	}
 	doubts, fresh := 0, 0
 	for _, m := range memories {
-		if m.Unreached || m.Known && m.Age > r.asked.Sub(k.since) {
+		if m.Unreached || m.Known && m.Age+recallMargin > r.asked.Sub(k.since) {
 			doubts++
 		}
 		if m.Fresh {
--- /dev/null
+++ b/admission/keeper_test.go
@@ -0,0 +1,244 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cactustray/ticket"
+
+	"pgregory.net/rapid"
+)
+
+type testAnswer string
+
+func (a testAnswer) Size() int { return len(a) }
+
+// keyRun is one claimed key on its way at its keeper.
+type keyRun struct {
+	at       int
+	boot     int
+	key      Key
+	arrived  time.Time
+	ask      []ticket.EndpointKey
+	memories []Memory
+}
+
+// keepers are the agents of one service with one caller per key, who asks
+// again and again through any agent.
+type keepers struct {
+	t       *rapid.T
+	now     time.Time
+	nodes   []*Keeper
+	boots   []int
+	down    []bool
+	tickets [][]ticket.EndpointKey
+	// holds is the ticket each agent has.
+	holds []int
+	// asking and running are claims in progress.
+	asking  []*keyRun
+	running []*keyRun
+	// runs lists when the requests arrived with which each key ran.
+	runs map[Key][]time.Time
+	// lostAt is when each agent was killed.
+	lostAt []time.Time
+}
+
+const (
+	keeperAgents = 4
+	keeperKeys   = 3
+)
+
+func newKeepers(t *rapid.T) *keepers {
+	k := &keepers{t: t, now: start, runs: make(map[Key][]time.Time)}
+	var all []ticket.EndpointKey
+	for i := range keeperAgents {
+		all = append(all, ticket.EndpointKey(i+1))
+	}
+	k.tickets = [][]ticket.EndpointKey{all}
+	for i := range keeperAgents {
+		node := NewKeeper(k.now, ticket.EndpointKey(i+1))
+		node.SetEndpoints(k.now, all)
+		k.nodes = append(k.nodes, node)
+	}
+	k.boots = make([]int, keeperAgents)
+	k.down = make([]bool, keeperAgents)
+	k.holds = make([]int, keeperAgents)
+	k.lostAt = make([]time.Time, keeperAgents)
+	return k
+}
+
+func (k *keepers) draw(name string, n int) int { return rapid.IntRange(0, n-1).Draw(k.t, name) }
+
+// claim sends a caller's request in through an agent, which passes it on to
+// the keeper by its own ticket.
+func (k *keepers) claim() {
+	key := Key(fmt.Sprint("key-", k.draw("key", keeperKeys)))
+	at := k.draw("entry", keeperAgents)
+	witnessed := false
+	for range 3 {
+		if k.down[at] {
+			return
+		}
+		keeper, _ := KeeperOf(key, k.tickets[k.holds[at]])
+		if keeper == ticket.EndpointKey(at+1) {
+			k.claimAt(at, key, witnessed)
+			return
+		}
+		k.nodes[at].Witness(k.now, key)
+		witnessed = true
+		at = int(keeper - 1)
+	}
+}
+
+func (k *keepers) claimAt(at int, key Key, witnessed bool) {
+	claim := k.nodes[at].Claim(k.now, key, 1)
+	k.t.Logf("%v agent %d claims %s: %+v", k.now.Sub(start), at, key, claim)
+	run := &keyRun{at: at, boot: k.boots[at], key: key, arrived: k.now, ask: claim.Ask}
+	switch claim.Verdict {
+	case AskOthers:
+		k.asking = append(k.asking, run)
+	case Run:
+		if !witnessed {
+			k.askWitness(run)
+		}
+		k.run(run)
+	}
+}
+
+func (k *keepers) askWitness(run *keyRun) {
+	for i, node := range k.nodes {
+		if i != run.at && !k.down[i] {
+			node.Witness(k.now, run.key)
+			return
+		}
+	}
+}
+
+// recall lets one asked agent answer, or fail to.
+func (k *keepers) recall() {
+	if len(k.asking) == 0 {
+		return
+	}
+	i := k.draw("asking", len(k.asking))
+	run := k.asking[i]
+	if len(run.memories) < len(run.ask) {
+		other := int(run.ask[len(run.memories)] - 1)
+		memory := Memory{Unreached: true}
+		if !k.down[other] && k.draw("lost", 10) > 0 {
+			memory = k.nodes[other].Witness(k.now, run.key)
+		}
+		run.memories = append(run.memories, memory)
+		return
+	}
+	k.asking = append(k.asking[:i], k.asking[i+1:]...)
+	if run.boot != k.boots[run.at] {
+		return
+	}
+	claim := k.nodes[run.at].Recalled(k.now, run.key, run.memories)
+	k.t.Logf("%v agent %d recalled %s from %v: %+v gives %+v", k.now.Sub(start), run.at, run.key, run.ask, run.memories, claim)
+	if claim.Verdict == Run {
+		k.run(run)
+	}
+}
+
+// run is the dispatch to a backend server.
+func (k *keepers) run(run *keyRun) {
+	for _, at := range k.runs[run.key] {
+		if apart := run.arrived.Sub(at); apart < KeepTime {
+			k.t.Fatalf("%s ran twice for requests %v apart", run.key, apart)
+		}
+	}
+	k.runs[run.key] = append(k.runs[run.key], run.arrived)
+	k.running = append(k.running, run)
+}
+
+func (k *keepers) settle() {
+	if len(k.running) == 0 {
+		return
+	}
+	i := k.draw("running", len(k.running))
+	run := k.running[i]
+	k.running = append(k.running[:i], k.running[i+1:]...)
+	if run.boot != k.boots[run.at] {
+		return
+	}
+	switch k.draw("outcome", 3) {
+	case 0:
+		k.nodes[run.at].Settled(k.now, run.key, nil)
+	default:
+		k.nodes[run.at].Settled(k.now, run.key, testAnswer("confirmed"))
+	}
+}
+
+// kill ends an agent; it comes back later with no memory. One agent is lost
+// within KeepTime, as the stated window allows.
+func (k *keepers) kill() {
+	for i := range k.nodes {
+		if k.down[i] || k.now.Sub(k.lostAt[i]) < KeepTime && !k.lostAt[i].IsZero() {
+			return
+		}
+	}
+	at := k.draw("killed", keeperAgents)
+	k.down[at] = true
+	k.boots[at]++
+	k.lostAt[at] = k.now
+	k.t.Logf("%v agent %d killed", k.now.Sub(start), at)
+}
+
+func (k *keepers) restart() {
+	for i := range k.nodes {
+		if k.down[i] {
+			k.down[i] = false
+			k.nodes[i] = NewKeeper(k.now, ticket.EndpointKey(i+1))
+			k.nodes[i].SetEndpoints(k.now, k.tickets[k.holds[i]])
+		}
+	}
+}
+
+// publish makes a ticket without one endpoint, or with all.
+func (k *keepers) publish() {
+	all := k.tickets[0]
+	without := k.draw("without", keeperAgents+1)
+	var next []ticket.EndpointKey
+	for i, e := range all {
+		if i != without {
+			next = append(next, e)
+		}
+	}
+	k.tickets = append(k.tickets, next)
+}
+
+// learn brings the newest ticket to one agent.
+func (k *keepers) learn() {
+	at := k.draw("learner", keeperAgents)
+	if k.down[at] {
+		return
+	}
+	k.holds[at] = len(k.tickets) - 1
+	k.t.Logf("%v agent %d learns %v", k.now.Sub(start), at, k.tickets[k.holds[at]])
+	k.nodes[at].SetEndpoints(k.now, k.tickets[k.holds[at]])
+}
+
+func (k *keepers) pass() {
+	k.now = k.now.Add(time.Duration(1+k.draw("seconds", 50)) * time.Second)
+	for i, node := range k.nodes {
+		if !k.down[i] {
+			node.Tick(k.now, time.Second)
+		}
+	}
+}
+
+// A key never runs twice within KeepTime, while callers retry through any
+// agent, tickets reach agents at different times, answers between agents are
+// lost, and one agent at a time is killed and started anew.
+func TestKeyRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := newKeepers(t)
+		actions := []func(){k.claim, k.claim, k.claim, k.recall, k.recall, k.recall, k.recall, k.recall,
+			k.settle, k.pass, k.kill, k.restart, k.publish, k.learn, k.learn}
+		for range rapid.IntRange(1, caseSteps()).Draw(t, "steps") {
+			actions[k.draw("action", len(actions))]()
+		}
+	})
+}
--- a/admission/network_test.go
+++ b/admission/network_test.go
@@ -36,6 +36,13 @@
 	defaultSteps  = 120
 )
 
+func caseSteps() int {
+	if long, err := strconv.Atoi(os.Getenv(stepsVariable)); err == nil {
+		return long
+	}
+	return defaultSteps
+}
+
 // envelope is a message under way between two agents.
 type envelope struct {
 	text string
@@ -416,10 +423,7 @@
 // caller told "not run" is told the truth, slots are bounded and never leak,
 // and every caller is told one outcome.
 func TestHandOverKeepsItsPromises(t *testing.T) {
-	steps := defaultSteps
-	if long, err := strconv.Atoi(os.Getenv(stepsVariable)); err == nil {
-		steps = long
-	}
+	steps := caseSteps()
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNetwork(t)
 		actions := []func(){n.arrive, n.arrive, n.arrive, n.deliver, n.deliver, n.deliver, n.deliver,
