Hold the keeper of keyed requests to one run in random runs with faults

Cause: the keeper's rules had one test with real processes each.

Change: TestKeyRunsAtMostOnce joins four keepers; callers retry through any agent, tickets drain endpoints and reach agents at different times, answers between agents are lost, agents are killed one at a time. Keepers ask draining endpoints too.

Outside of what is proved: agents with different tickets for longer than the window, a witness removed by a ticket without draining first.

--- a/admission/frontend/frontend.go
+++ b/admission/frontend/frontend.go
@@ -30,6 +30,8 @@
 
 	reservationHeader = "Cactustray-Reservation"
 	keeperHopHeader   = "Cactustray-Keeper-Hop"
+	// witnessHeader names the agent that passed a keyed request on.
+	witnessHeader = "Cactustray-Witness"
 	// defaultTimeout bounds a job whose caller named no deadline.
 	defaultTimeout = 30 * time.Second
 )
@@ -68,6 +70,7 @@
 	w.Header().Set(EndpointHeader, h.Endpoint)
 	r.Header.Del(reservationHeader)
 	r.Header.Del(keeperHopHeader)
+	r.Header.Del(witnessHeader)
 	h.serve(w, r, 0)
 }
 
--- a/admission/frontend/job.go
+++ b/admission/frontend/job.go
@@ -26,9 +26,6 @@
 	lost bool
 }
 
-// peerNotReached is the detail of a request that never left for a peer.
-const peerNotReached = "peer not reached"
-
 type decisionReply = chan<- admission.Decision
 
 // process asks for admission and follows the decisions until the request has a
@@ -105,7 +102,7 @@
 	}
 	out := j.outgoing(ctx)
 	out.Header.Set(reservationHeader, strconv.FormatUint(uint64(d.Reservation), 10))
-	return forward(out, j.h.Peers, address, j.out)
+	return j.forwardJob(out, address)
 }
 
 // run sends the request to the backend server once.
@@ -141,8 +138,26 @@
 	return out
 }
 
-// forward sends a request to another agent and passes its answer on.
-func forward(out *http.Request, client *http.Client, address netip.AddrPort, w http.ResponseWriter) result {
+// forwardJob forwards a request to the peer that reserved a slot for it, and
+// passes on the answer of the peer's backend server.
+func (j *job) forwardJob(out *http.Request, address netip.AddrPort) result {
+	response, failed := forward(out, j.h.Peers, address)
+	if response == nil {
+		return failed
+	}
+	defer response.Body.Close()
+	switch response.Header.Get(OutcomeHeader) {
+	case OutcomeNotRun:
+		return result{fate: notRun, detail: "refused by a peer"}
+	case OutcomeUnknown:
+		return result{fate: unknown, detail: "answer lost beyond a peer"}
+	}
+	return result{fate: copyResponse(j.out, response)}
+}
+
+// forward sends a request to another agent. Without a response the result says
+// what became of the request.
+func forward(out *http.Request, client *http.Client, address netip.AddrPort) (*http.Response, result) {
 	out.URL.Scheme = "https"
 	out.URL.Host = address.String()
 	out.URL.Path = PeerPrefix + out.URL.Path
@@ -151,19 +166,12 @@
 	}
 	response, sent, err := send(client, out)
 	if err != nil && !sent {
-		return result{fate: notRun, detail: peerNotReached}
+		return nil, result{fate: notRun, detail: "peer not reached"}
 	}
 	if err != nil {
-		return result{fate: unknown, detail: "answer of a peer lost"}
-	}
-	defer response.Body.Close()
-	switch response.Header.Get(OutcomeHeader) {
-	case OutcomeNotRun:
-		return result{fate: notRun, detail: "refused by a peer"}
-	case OutcomeUnknown:
-		return result{fate: unknown, detail: "answer lost beyond a peer"}
+		return nil, result{fate: unknown, detail: "answer of a peer lost"}
 	}
-	return result{fate: copyResponse(w, response)}
+	return response, result{}
 }
 
 // send sends a request once. sent is false when it surely did not leave: no
--- a/admission/frontend/keyed.go
+++ b/admission/frontend/keyed.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -36,6 +37,8 @@
 	fingerprint admission.Fingerprint
 	keeper      ticket.EndpointKey
 	hop         int
+	// witness is the agent that passed the request on.
+	witness ticket.EndpointKey
 }
 
 // serveKeyed runs a request with a key at most once: its keeper owns the
@@ -48,9 +51,11 @@
 		return
 	}
 	k := &keyed{job: h.newJob(w, r, tk), key: admission.Key(key), fingerprint: fingerprint(r, whole), hop: hop}
+	k.witness = ticket.EndpointKeyOf(tk.Service, r.Header.Get(witnessHeader))
+	r.Header.Del(witnessHeader)
 	k.body = newBody(bytes.NewReader(whole))
 	r.ContentLength = int64(len(whole))
-	keeper, ok := admission.KeeperOf(k.key, KeeperSet(tk))
+	keeper, ok := admission.KeeperOf(k.key, MembersOf(tk).Keepers)
 	if !ok {
 		writeNotRun(w, "no endpoint in the ticket")
 		return
@@ -64,15 +69,17 @@
 	k.passOn()
 }
 
-// KeeperSet returns the endpoints of a ticket that keep outcomes.
-func KeeperSet(tk *ticket.Ticket) []ticket.EndpointKey {
-	var set []ticket.EndpointKey
+// MembersOf returns the endpoints of a ticket that keep or may see keys.
+func MembersOf(tk *ticket.Ticket) admission.Members {
+	var members admission.Members
 	for _, e := range tk.Endpoints {
+		key := ticket.EndpointKeyOf(tk.Service, e.Name)
+		members.All = append(members.All, key)
 		if !e.Draining {
-			set = append(set, ticket.EndpointKeyOf(tk.Service, e.Name))
+			members.Keepers = append(members.Keepers, key)
 		}
 	}
-	return set
+	return members
 }
 
 func nameOf(tk *ticket.Ticket, key ticket.EndpointKey) string {
@@ -113,11 +120,17 @@
 	address, _ := k.h.addressOf(k.keeper)
 	out := k.outgoing(ctx)
 	out.Header.Set(keeperHopHeader, strconv.Itoa(k.hop+1))
-	r := forward(out, k.h.Peers, address, k.out)
-	if r.fate == notRun && r.detail == peerNotReached {
-		r = result{fate: unknown, detail: "keeper of the key not reached"}
+	out.Header.Set(witnessHeader, k.h.Endpoint)
+	response, failed := forward(out, k.h.Peers, address)
+	switch {
+	case response != nil:
+		defer response.Body.Close()
+		writeResult(k.out, result{fate: copyResponse(k.out, response)})
+	case failed.fate == notRun:
+		writeUnknown(k.out, "keeper of the key not reached")
+	default:
+		writeResult(k.out, failed)
 	}
-	writeResult(k.out, r)
 }
 
 // keep serves the request as its key's keeper. The claim is asked for with no
@@ -128,7 +141,7 @@
 	claim, err := k.claim(admission.Claimed{Key: k.key, Fingerprint: k.fingerprint})
 	if err == nil && claim.Verdict == admission.AskOthers {
 		claim, err = k.recall(ctx, claim.Ask)
-	} else if err == nil && claim.Verdict == admission.Run && k.hop == 0 {
+	} else if err == nil && claim.Verdict == admission.Run {
 		k.askWitness(ctx)
 	}
 	if err == nil && claim.Verdict == admission.Wait {
@@ -179,10 +192,14 @@
 	return handover.Recall(ctx, k.h.Peers, address, k.key)
 }
 
-// askWitness makes one other agent remember the key, when this agent is the
-// only one that has seen it.
+// askWitness makes one other agent of the ticket remember the key, unless one
+// has passed it on.
 func (k *keyed) askWitness(ctx context.Context) {
-	for _, other := range KeeperSet(k.tk) {
+	members := MembersOf(k.tk).All
+	if k.hop > 0 && slices.Contains(members, k.witness) {
+		return
+	}
+	for _, other := range members {
 		if other != k.keeper && !k.memoryOf(ctx, other).Unreached {
 			return
 		}
--- a/admission/keeper.go
+++ b/admission/keeper.go
@@ -17,6 +17,9 @@
 	// MaxAnswer bounds one kept answer, in bytes.
 	MaxAnswer     = 64 << 10
 	sweepInterval = time.Second
+	// recallTime bounds asking others about a key; records outlive KeepTime
+	// by it, so that what was asked in the window is answered from it.
+	recallTime = 10 * time.Second
 	// recallMargin covers the rounding of ages.
 	recallMargin = time.Millisecond
 	// keptItself is the age that a former keeper tells.
@@ -112,28 +115,41 @@
 type record struct {
 	state       recordState
 	fingerprint Fingerprint
-	// asked is when others were asked about the key.
+	// asked is when others were asked about the key, or when it was first
+	// witnessed.
 	asked   time.Time
 	answer  Answer
 	expires time.Time
 }
 
-type formerSet struct {
-	endpoints []ticket.EndpointKey
-	until     time.Time
+// Members are the endpoints of a service's ticket.
+type Members struct {
+	// All may have seen a key.
+	All []ticket.EndpointKey
+	// Keepers are those that keep outcomes: all that don't drain.
+	Keepers []ticket.EndpointKey
+}
+
+func (m Members) equal(other Members) bool {
+	return slices.Equal(m.All, other.All) && slices.Equal(m.Keepers, other.Keepers)
+}
+
+type formerMembers struct {
+	Members
+	until time.Time
 }
 
 // Keeper holds the outcomes of keyed requests. Each key that runs is known to
 // at least two agents, the keeper and a witness, so that the loss of one of
 // them is noticed. The control goroutine owns it.
 type Keeper struct {
-	self      ticket.EndpointKey
-	since     time.Time
-	endpoints []ticket.EndpointKey
-	former    []formerSet
-	records   map[Key]*record
-	kept      int
-	swept     time.Time
+	self    ticket.EndpointKey
+	since   time.Time
+	members Members
+	former  []formerMembers
+	records map[Key]*record
+	kept    int
+	swept   time.Time
 }
 
 // NewKeeper returns a keeper that remembers nothing from before now.
@@ -141,16 +157,16 @@
 	return &Keeper{self: self, since: now, records: make(map[Key]*record)}
 }
 
-// SetEndpoints takes the service's endpoints in; those before stay known for
+// SetMembers takes the service's endpoints in; those before stay known for
 // KeepTime.
-func (k *Keeper) SetEndpoints(now time.Time, endpoints []ticket.EndpointKey) {
-	if slices.Equal(endpoints, k.endpoints) {
+func (k *Keeper) SetMembers(now time.Time, members Members) {
+	if members.equal(k.members) {
 		return
 	}
-	if len(k.endpoints) > 0 {
-		k.former = append(k.former, formerSet{endpoints: k.endpoints, until: now.Add(KeepTime)})
+	if len(k.members.All) > 0 {
+		k.former = append(k.former, formerMembers{Members: k.members, until: now.Add(KeepTime)})
 	}
-	k.endpoints = slices.Clone(endpoints)
+	k.members = members
 }
 
 // Claim decides on a request with a key.
@@ -196,7 +212,7 @@
 	}
 	var ask []ticket.EndpointKey
 	for _, f := range k.former {
-		keeper, _ := KeeperOf(key, f.endpoints)
+		keeper, _ := KeeperOf(key, f.Keepers)
 		if now.Before(f.until) && keeper != k.self && !slices.Contains(ask, keeper) {
 			ask = append(ask, keeper)
 		}
@@ -208,9 +224,9 @@
 
 func (k *Keeper) everyoneElse() []ticket.EndpointKey {
 	var others []ticket.EndpointKey
-	sets := append([]formerSet{{endpoints: k.endpoints}}, k.former...)
+	sets := append([]formerMembers{{Members: k.members}}, k.former...)
 	for _, f := range sets {
-		for _, e := range f.endpoints {
+		for _, e := range f.All {
 			if e != k.self && !slices.Contains(others, e) {
 				others = append(others, e)
 			}
@@ -237,6 +253,9 @@
 			fresh++
 		}
 	}
+	if now.Sub(r.asked) > recallTime {
+		doubts++
+	}
 	allFresh := k.fresh(now) && fresh == len(memories)
 	if doubts > 0 || fresh > 0 && !allFresh {
 		k.settle(now, r, uncertain)
@@ -264,7 +283,7 @@
 
 func (k *Keeper) settle(now time.Time, r *record, state recordState) {
 	r.state = state
-	r.expires = now.Add(KeepTime)
+	r.expires = now.Add(KeepTime + recallTime)
 }
 
 // Dropped takes in that a claimed request was not run.
@@ -301,7 +320,8 @@
 		k.records[key] = k.newWitness(now)
 	case r.state == witnessed:
 		memory.Known = true
-		memory.Age = KeepTime - r.expires.Sub(now)
+		memory.Age = now.Sub(r.asked)
+		k.settle(now, r, witnessed)
 	default:
 		memory.Known = true
 		memory.Age = keptItself
@@ -310,7 +330,7 @@
 }
 
 func (k *Keeper) newWitness(now time.Time) *record {
-	r := new(record)
+	r := &record{asked: now}
 	k.settle(now, r, witnessed)
 	return r
 }
@@ -330,7 +350,7 @@
 			k.forget(key, r)
 		}
 	}
-	k.former = slices.DeleteFunc(k.former, func(f formerSet) bool { return now.After(f.until) })
+	k.former = slices.DeleteFunc(k.former, func(f formerMembers) bool { return now.After(f.until) })
 }
 
 func (k *Keeper) forget(key Key, r *record) {
--- a/admission/keeper_test.go
+++ b/admission/keeper_test.go
@@ -58,7 +58,7 @@
 	k.tickets = [][]ticket.EndpointKey{all}
 	for i := range keeperAgents {
 		node := NewKeeper(k.now, ticket.EndpointKey(i+1))
-		node.SetEndpoints(k.now, all)
+		node.SetMembers(k.now, membersOf(all))
 		k.nodes = append(k.nodes, node)
 	}
 	k.boots = make([]int, keeperAgents)
@@ -68,6 +68,16 @@
 	return k
 }
 
+// membersOf returns the members of a ticket that drains all but the given
+// endpoints.
+func membersOf(keepers []ticket.EndpointKey) Members {
+	m := Members{Keepers: keepers}
+	for i := range keeperAgents {
+		m.All = append(m.All, ticket.EndpointKey(i+1))
+	}
+	return m
+}
+
 func (k *keepers) draw(name string, n int) int { return rapid.IntRange(0, n-1).Draw(k.t, name) }
 
 // claim sends a caller's request in through an agent, which passes it on to
@@ -75,23 +85,23 @@
 func (k *keepers) claim() {
 	key := Key(fmt.Sprint("key-", k.draw("key", keeperKeys)))
 	at := k.draw("entry", keeperAgents)
-	witnessed := false
+	witness := ticket.EndpointKey(0)
 	for range 3 {
 		if k.down[at] {
 			return
 		}
 		keeper, _ := KeeperOf(key, k.tickets[k.holds[at]])
 		if keeper == ticket.EndpointKey(at+1) {
-			k.claimAt(at, key, witnessed)
+			k.claimAt(at, key, witness)
 			return
 		}
 		k.nodes[at].Witness(k.now, key)
-		witnessed = true
+		witness = ticket.EndpointKey(at + 1)
 		at = int(keeper - 1)
 	}
 }
 
-func (k *keepers) claimAt(at int, key Key, witnessed bool) {
+func (k *keepers) claimAt(at int, key Key, witness ticket.EndpointKey) {
 	claim := k.nodes[at].Claim(k.now, key, 1)
 	k.t.Logf("%v agent %d claims %s: %+v", k.now.Sub(start), at, key, claim)
 	run := &keyRun{at: at, boot: k.boots[at], key: key, arrived: k.now, ask: claim.Ask}
@@ -99,7 +109,7 @@
 	case AskOthers:
 		k.asking = append(k.asking, run)
 	case Run:
-		if !witnessed {
+		if witness == 0 {
 			k.askWitness(run)
 		}
 		k.run(run)
@@ -107,9 +117,9 @@
 }
 
 func (k *keepers) askWitness(run *keyRun) {
-	for i, node := range k.nodes {
+	for i := range k.nodes {
 		if i != run.at && !k.down[i] {
-			node.Witness(k.now, run.key)
+			k.nodes[i].Witness(k.now, run.key)
 			return
 		}
 	}
@@ -191,18 +201,18 @@
 		if k.down[i] {
 			k.down[i] = false
 			k.nodes[i] = NewKeeper(k.now, ticket.EndpointKey(i+1))
-			k.nodes[i].SetEndpoints(k.now, k.tickets[k.holds[i]])
+			k.nodes[i].SetMembers(k.now, membersOf(k.tickets[k.holds[i]]))
 		}
 	}
 }
 
-// publish makes a ticket without one endpoint, or with all.
+// publish makes a ticket that drains one endpoint, or none.
 func (k *keepers) publish() {
 	all := k.tickets[0]
-	without := k.draw("without", keeperAgents+1)
+	draining := k.draw("draining", keeperAgents+1)
 	var next []ticket.EndpointKey
 	for i, e := range all {
-		if i != without {
+		if i != draining {
 			next = append(next, e)
 		}
 	}
@@ -210,17 +220,22 @@
 }
 
 // learn brings the newest ticket to one agent.
-func (k *keepers) learn() {
-	at := k.draw("learner", keeperAgents)
-	if k.down[at] {
+func (k *keepers) learn() { k.learnAt(k.draw("learner", keeperAgents)) }
+
+func (k *keepers) learnAt(at int) {
+	if k.down[at] || k.holds[at] == len(k.tickets)-1 {
 		return
 	}
 	k.holds[at] = len(k.tickets) - 1
 	k.t.Logf("%v agent %d learns %v", k.now.Sub(start), at, k.tickets[k.holds[at]])
-	k.nodes[at].SetEndpoints(k.now, k.tickets[k.holds[at]])
+	k.nodes[at].SetMembers(k.now, membersOf(k.tickets[k.holds[at]]))
 }
 
+// pass lets seconds go by, in which a ticket reaches every live agent.
 func (k *keepers) pass() {
+	for at := range k.nodes {
+		k.learnAt(at)
+	}
 	k.now = k.now.Add(time.Duration(1+k.draw("seconds", 50)) * time.Second)
 	for i, node := range k.nodes {
 		if !k.down[i] {
@@ -230,8 +245,8 @@
 }
 
 // A key never runs twice within KeepTime, while callers retry through any
-// agent, tickets reach agents at different times, answers between agents are
-// lost, and one agent at a time is killed and started anew.
+// agent, tickets drain endpoints and reach agents at different times, answers
+// between agents are lost, and one agent at a time is killed and started anew.
 func TestKeyRunsAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		k := newKeepers(t)
--- a/agent/admission.go
+++ b/agent/admission.go
@@ -207,7 +207,7 @@
 			peers = append(peers, key)
 		}
 	}
-	a.keeper.SetEndpoints(now, frontend.KeeperSet(t))
+	a.keeper.SetMembers(now, frontend.MembersOf(t))
 	a.apply(now, a.queue.SetPeers(now, peers))
 	a.apply(now, a.queue.SetLimits(now, limitsOf(t)))
 	agents := a.agents
--- a/standin/e2e/admission_test.go
+++ b/standin/e2e/admission_test.go
@@ -151,7 +151,7 @@
 	for i := range next.Endpoints {
 		next.Endpoints[i].Draining = next.Endpoints[i].Name == keeper
 	}
-	moved, ok := admission.KeeperOf("truck-9", frontend.KeeperSet(&next))
+	moved, ok := admission.KeeperOf("truck-9", frontend.MembersOf(&next).Keepers)
 	must.True(t, ok)
 	must.NotEq(t, ticket.EndpointKeyOf("orders", keeper), moved)
 	f.Publish(&next)
