--- a/admission/exchange.go
+++ b/admission/exchange.go
@@ -11,7 +11,7 @@
 const (
 	// AskWidth is how many peers are asked for a slot for each request that
 	// waits.
-	AskWidth = 3
+	AskWidth = 2
 	// ReserveTime is how long a slot is kept for a peer that asked for it.
 	ReserveTime = 20 * time.Millisecond
 	// handOverBias is how much longer a peer's request must have waited to
