--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"cactustray/admission/handover"
 	"cactustray/control"
 	"cactustray/control/meter"
 	"cactustray/control/rpc"
@@ -36,7 +37,8 @@
 		return err
 	}
 	traffic := new(meter.Meter)
-	callers, err := newCallerServer(s, sealer, owner, loop, snapshots)
+	handler := newHandler(s, loop, snapshots, rpc.NewMeteredClient(id, traffic))
+	callers, err := newCallerServer(s, sealer, owner, loop, snapshots, handler)
 	if err != nil {
 		return err
 	}
@@ -55,12 +57,15 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
-	state := newState(s, owner, log, snapshots, reports, loads, draining)
+	peers := handover.NewClient(running, loop, handler.Peers)
+	state := newState(s, owner, log, snapshots, reports, loads, draining, peers)
 	state.usage = meter.NewUsage(traffic, loop.Busy)
 	group.Go(func() error { return loop.Run(running, state) })
 	group.Go(func() error { return reporter.run(running, reports) })
 	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
-	group.Go(func() error { return rpc.Serve(running, s.Control, id, traffic, controlHandler(loop)) })
+	group.Go(func() error {
+		return rpc.Serve(running, s.Control, id, traffic, peerHandler(loop, handler, controlHandler(loop)))
+	})
 	group.Go(func() error { return callers.serve(running, draining.phases) })
 	observe(running, group, s, id, callers, snapshots, log)
 	group.Go(func() error {
--- a/agent/placement.go
+++ b/agent/placement.go
@@ -50,7 +50,7 @@
 }
 
 func (s *state) load(now time.Time) placement.Load {
-	running, queued := s.admission.Jobs()
+	running, queued := s.admission.queue.Jobs()
 	load := placement.Load{
 		Incarnation: s.reporting.self.Fact().Incarnation,
 		Running:     uint32(running),
