Give each test deployment a loopback address of its own

Ports were picked by the kernel, closed and bound again later; in between another process's socket took one. Ruled out: the daemon itself (its log names the address in use) and the machine's load. Change: each deployment binds 127.64-127.x.y, from process id and number, picks no port twice, and callers' sockets are bound on 127.0.0.1 only, so nothing else binds there. The demo's feeds last 25 s, past its last stop. Conclusion: no port can be lost to a stranger between choice and use.

--- a/demo.sh
+++ b/demo.sh
@@ -56,7 +56,7 @@
 request --method POST --key truck-17 "$orders/confirm?work=20"
 
 echo "== 20 feeds; meanwhile a ticket, then a balancer and a backend server stop as planned"
-bin/standin feed --ca "$dir/ca.pem" --count 20 --lines 80 "$orders" &
+bin/standin feed --ca "$dir/ca.pem" --count 20 --lines 250 "$orders" &
 feeds=$!
 sleep 1
 sed 's/"number": 1,/"number": 2,/; s/"slots": 4,/"slots": 3,/' "$dir/ticket-orders.json" >"$dir/ticket-2.json"
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -20,8 +21,13 @@
 	keepAlive   = 5 * time.Second
 )
 
+// host is where callers' sockets are bound: no process of a deployment binds
+// there, so a caller never takes one's port.
+var host = net.IPv4(127, 0, 0, 1)
+
 // Caller is one caller with a connection of its own.
 type Caller struct {
+	socket    *quic.Transport
 	transport *http3.Transport
 	client    *http.Client
 }
@@ -34,7 +40,19 @@
 	}
 	pool := x509.NewCertPool()
 	pool.AppendCertsFromPEM(pem)
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: host})
+	if err != nil {
+		return nil, err
+	}
+	socket := &quic.Transport{Conn: conn}
 	transport := &http3.Transport{
+		Dial: func(ctx context.Context, address string, tlsConfig *tls.Config, config *quic.Config) (*quic.Conn, error) {
+			to, err := net.ResolveUDPAddr("udp", address)
+			if err != nil {
+				return nil, err
+			}
+			return socket.DialEarly(ctx, to, tlsConfig, config)
+		},
 		TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13},
 		QUICConfig: &quic.Config{
 			MaxIdleTimeout:          idleTimeout,
@@ -42,7 +60,7 @@
 			DisablePathMTUDiscovery: true,
 		},
 	}
-	return &Caller{transport: transport, client: &http.Client{Transport: transport}}, nil
+	return &Caller{socket: socket, transport: transport, client: &http.Client{Transport: transport}}, nil
 }
 
 // Do sends one request.
@@ -68,4 +86,9 @@
 }
 
 // Close ends the caller's connection.
-func (c *Caller) Close() error { return c.transport.Close() }
+func (c *Caller) Close() error {
+	err := c.transport.Close()
+	_ = c.socket.Close()
+	_ = c.socket.Conn.Close()
+	return err
+}
--- a/standin/layout/layout.go
+++ b/standin/layout/layout.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -19,9 +18,7 @@
 
 const (
 	// Prefix is where the deployment's keys stand on the platform.
-	Prefix = "cactustray/"
-	// loopback is the address every process binds.
-	loopback = "127.0.0.1"
+	Prefix   = "cactustray/"
 	zones    = 4
 	tokenKey = "00112233445566778899aabbccddeeff"
 	resetKey = "8f3a61c0d27b94e51f06ab38c9de7254036b81f7e29a4dc5b0587c163fe8a24d"
@@ -62,6 +59,7 @@
 	CA        string
 
 	authority *Authority
+	ports     *ports
 }
 
 // Write makes a deployment and writes its files into dir.
@@ -70,9 +68,9 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{Dir: dir, authority: authority, CA: authority.file("ca.pem"), Tickets: make(map[string]*ticket.Ticket)}
-	d.Platform = freeTCP()
-	d.Fabric.Return = freeUDP()
+	d := &Deployment{Dir: dir, ports: newPorts(), authority: authority, CA: authority.file("ca.pem"), Tickets: make(map[string]*ticket.Ticket)}
+	d.Platform = d.ports.tcp()
+	d.Fabric.Return = d.ports.udp()
 	if d.Operator, err = authority.Node(identity.Peer{Role: identity.Operator, Name: "operator"}); err != nil {
 		return nil, err
 	}
@@ -103,7 +101,7 @@
 	}
 	s.Role = settings.Balancer
 	s.Platform = &settings.Platform{URL: "http://" + d.Platform.String(), Prefix: Prefix}
-	s.Balancer = &settings.BalancerSettings{Edge: freeUDP(), Fabric: d.Fabric.Return, Health: freeTCP()}
+	s.Balancer = &settings.BalancerSettings{Edge: d.ports.udp(), Fabric: d.Fabric.Return, Health: d.ports.tcp()}
 	d.Balancers = append(d.Balancers, s)
 	d.Fabric.Balancers = append(d.Fabric.Balancers, fabric.Balancer{Edge: s.Balancer.Edge, Health: s.Balancer.Health})
 	return nil
@@ -125,7 +123,7 @@
 }
 
 func (d *Deployment) addService(service string, backends int) error {
-	address := freeUDP()
+	address := d.ports.udp()
 	d.Fabric.Addresses = append(d.Fabric.Addresses, address)
 	t := &ticket.Ticket{
 		Number:     1,
@@ -136,7 +134,7 @@
 		Idempotent: []string{"/drawing"},
 	}
 	d.Tickets[service] = t
-	files, err := d.authority.Service(service, net.ParseIP(loopback))
+	files, err := d.authority.Service(service, d.ports.host.AsSlice())
 	if err != nil {
 		return err
 	}
@@ -158,7 +156,7 @@
 	s.Agent = &settings.AgentSettings{
 		Service:   t.Service,
 		Endpoint:  name,
-		Backend:   freeTCP(),
+		Backend:   d.ports.tcp(),
 		CallerTLS: settings.TLS(callerTLS),
 	}
 	for _, b := range d.Balancers {
@@ -180,8 +178,8 @@
 		Keys:     []settings.Key{{ID: 1, Secret: tokenKey}},
 		ResetKey: resetKey,
 		TLS:      settings.TLS(files),
-		Datagram: freeUDP(),
-		Control:  freeTCP(),
+		Datagram: d.ports.udp(),
+		Control:  d.ports.tcp(),
 	}, nil
 }
 
@@ -218,23 +216,3 @@
 	}
 	return os.WriteFile(d.file(name), raw, 0o600)
 }
-
-// freeTCP and freeUDP return a port that the kernel picked.
-func freeTCP() netip.AddrPort {
-	listener, err := net.Listen("tcp", loopback+":0")
-	if err != nil {
-		panic(err) // a machine without loopback ports runs nothing
-	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
-}
-
-func freeUDP() netip.AddrPort {
-	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(loopback)})
-	if err != nil {
-		panic(err) // a machine without loopback ports runs nothing
-	}
-	defer socket.Close()
-	address := socket.LocalAddr().(*net.UDPAddr).AddrPort()
-	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
-}
