--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,8 +36,8 @@
 		return err
 	}
 	reports := make(chan report)
-	loads := make(chan loadReport)
 	draining := newDraining()
+	loads := make(chan loadReport)
 	reporter := &reporter{
 		node:    s.Node,
 		service: ticket.ServiceKeyOf(s.Agent.Service),
--- a/agent/control.go
+++ b/agent/control.go
@@ -80,12 +80,14 @@
 	case admission.Gone:
 		s.decide(s.admission.Leave(now, m.ID))
 		delete(s.replies, m.ID)
+	case stopRequested:
+		s.requestStop(now, m)
+	case gone:
+		s.sayGone(now)
 	case placement.Heard:
 		s.placement.Hear(now, m)
 	case steering.Behind:
 		s.behind(m)
-	case stopRequested:
-		s.requestStop(now, m)
 	case status.Asked:
 		m.Reply <- s.statusReport(now, m)
 	}
@@ -95,9 +97,9 @@
 func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.decide(s.admission.Tick(now))
 	s.tickets.Seal(now)
-	s.placeByLoad(now)
 	s.tickDrain(now)
 	s.tickReports(now, gap)
+	s.placeByLoad(now)
 }
 
 func (s *state) statusReport(now time.Time, asked status.Asked) status.Report {
@@ -108,7 +110,16 @@
 		State:   s.reporting.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
 		Tickets: asked.InForceOf(now, s.tickets),
-		Load:    status.Load{Requests: int64(s.admission.Running())},
+		Load:    s.statusLoad(),
 		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
+
+func (s *state) statusLoad() status.Load {
+	_, queued := s.admission.Jobs()
+	return status.Load{
+		Flows:    int64(s.published.residence.Connections.Open()),
+		Requests: int64(s.admission.Running()),
+		Queued:   int64(queued),
+	}
+}
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -22,12 +22,17 @@
 	// closeTime is how long callers have, after the last request has ended,
 	// to close their connections themselves.
 	closeTime = time.Second
+	// goneTime is how long balancers have to hear that the process has ended.
+	goneTime = 300 * time.Millisecond
 )
 
 // stopRequested tells the control goroutine that the process stops as
 // planned; drained is closed when nothing is left to wait for.
 type stopRequested struct{ drained chan<- struct{} }
 
+// gone tells the control goroutine that no flow is left.
+type gone struct{}
+
 // draining is how the agent leaves, as the control goroutine sees it.
 type draining struct {
 	drain   liveness.Drain
@@ -125,14 +130,27 @@
 	case <-running.Done():
 		return
 	}
-	timer := time.NewTimer(closeTime)
+	wait(running, closeTime)
+	_ = loop.Send(running, gone{})
+	wait(running, goneTime)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-running.Done():
+	case <-ctx.Done():
 	}
 }
 
+// sayGone is the last this incarnation says of itself.
+func (s *state) sayGone(now time.Time) {
+	s.reporting.self.SetState(liveness.Gone)
+	s.reporting.dirty = true
+	s.tickReports(now, 0)
+}
+
 // generation is the HTTP/3 server of the connections accepted between two
 // drains. A drain asks its callers to go elsewhere; a new generation takes
 // what still arrives.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -49,7 +49,7 @@
 	defer log.Emit(EventBalancerStopped, nil)
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	peers := newPeers(s.Node, table)
+	peers := newPeers(s.Node)
 	caller := &peerCaller{client: rpc.NewClient(id), loop: loop, log: log}
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return loop.Run(running, newState(s, log, table, peers)) })
--- a/balancer/steering.go
+++ b/balancer/steering.go
@@ -39,6 +39,6 @@
 	}
 	endpoint := s.steering.Table().Endpoint(ticket.EndpointKey(subject))
 	if endpoint != nil && endpoint.GoneThrough != fact.Incarnation {
-		s.peers.changed[endpoint.Service] = true
+		s.peers.stale[endpoint.Service] = true
 	}
 }
--- a/balancer/steering_test.go
+++ b/balancer/steering_test.go
@@ -24,7 +24,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	table := new(atomic.Pointer[steering.Table])
-	s := newState(&settings.Settings{Node: "entry-1"}, event.NewLog(logger, "entry-1"), table, newPeers("entry-1", table))
+	s := newState(&settings.Settings{Node: "entry-1"}, event.NewLog(logger, "entry-1"), table, newPeers("entry-1"))
 	now := time.Now()
 	key := ticket.EndpointKeyOf("orders", "vm-1")
 	goneThrough := func(message any) steering.Incarnation {
--- a/steering/datagram/quic_test.go
+++ b/steering/datagram/quic_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"cactustray/control"
 	"cactustray/placement"
 	"cactustray/steering"
 	"cactustray/ticket"
@@ -28,6 +29,7 @@
 	t         *testing.T
 	sealer    *steering.Sealer
 	forwarder *Forwarder
+	offered   <-chan control.Message
 	fabric    *net.UDPConn
 	sockets   []*net.UDPConn
 	ticket    *ticket.Ticket
@@ -70,7 +72,7 @@
 		addresses = append(addresses, addressOf(r.sockets[len(r.sockets)-1]))
 	}
 	r.ticket = ordersTicket(1, addresses...)
-	r.forwarder, _ = newForwarder(t, r.sealer, addressOf(r.fabric), tableOf(r.ticket))
+	r.forwarder, r.offered = newForwarder(t, r.sealer, addressOf(r.fabric), tableOf(r.ticket))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -262,3 +264,16 @@
 	}
 	must.EqOp(t, 1, conn.residence.Connections.Open())
 }
+
+// An agent tells the balancer that routes by an older ticket, and places the
+// flow all the same.
+func TestBalancerIsToldThatItIsBehind(t *testing.T) {
+	r := newRig(t, 1)
+	conn, _ := r.agent(0, 1)
+	newer := *r.ticket
+	newer.Number = 2
+	conn.residence.Steering.Store(conn.residence.Steering.Load().Next(&newer))
+	_, err := r.dial()
+	must.NoError(t, err)
+	must.Eq(t, any(steering.Behind{Service: r.ticket.Key(), Ticket: 2}), <-r.offered)
+}
