--- a/agent/callers.go
+++ b/agent/callers.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"cactustray/admission/frontend"
 	"cactustray/control"
 	"cactustray/control/rpc"
 	"cactustray/identity"
@@ -32,13 +31,14 @@
 
 // callerServer ends callers' QUIC connections and serves HTTP/3 on them.
 type callerServer struct {
+	identity  *identity.Identity
 	conn      *datagram.Conn
 	transport *quic.Transport
 	listener  *quic.EarlyListener
 	handler   http.Handler
 }
 
-func newCallerServer(s *settings.Settings, sealer *steering.Sealer, owner steering.Owner, loop *control.Loop, p *published) (*callerServer, error) {
+func newCallerServer(s *settings.Settings, sealer *steering.Sealer, owner steering.Owner, loop *control.Loop, p *published, handler http.Handler) (*callerServer, error) {
 	id, err := identity.Load(identity.Files(s.Agent.CallerTLS))
 	if err != nil {
 		return nil, err
@@ -54,20 +54,13 @@
 		Conn:                  conn,
 		ConnectionIDGenerator: &datagram.TokenIDs{Sealer: sealer, Owner: owner},
 		StatelessResetKey:     resetKey(s),
-		ConnContext:           datagram.LimitConnections(&p.residence.Connections),
+		ConnContext:           traceFlows(p.tracer, datagram.LimitConnections(&p.residence.Connections)),
 	}
 	listener, err := transport.ListenEarly(id.CallerTLS(http3.NextProtoH3), quicConfig())
 	if err != nil {
 		return nil, &rpc.ListenError{Address: s.Datagram, Cause: err}
 	}
-	handler := &frontend.Handler{
-		Loop:     loop,
-		Ticket:   &p.ticket,
-		Backend:  s.Agent.Backend,
-		Endpoint: s.Agent.Endpoint,
-		Client:   frontend.NewBackendClient(),
-	}
-	return &callerServer{conn: conn, transport: transport, listener: listener, handler: handler}, nil
+	return &callerServer{identity: id, conn: conn, transport: transport, listener: listener, handler: p.tracer.Requests(handler)}, nil
 }
 
 // quicConfig never accepts 0-RTT: an attacker could run a request twice by
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -22,17 +22,12 @@
 	// closeTime is how long callers have, after the last request has ended,
 	// to close their connections themselves.
 	closeTime = time.Second
-	// goneTime is how long balancers have to hear that the process has ended.
-	goneTime = 300 * time.Millisecond
 )
 
 // stopRequested tells the control goroutine that the process stops as
 // planned; drained is closed when nothing is left to wait for.
 type stopRequested struct{ drained chan<- struct{} }
 
-// gone tells the control goroutine that no flow is left.
-type gone struct{}
-
 // draining is how the agent leaves, as the control goroutine sees it.
 type draining struct {
 	drain   liveness.Drain
@@ -92,7 +87,7 @@
 	if d.drained == nil || d.phase < liveness.Draining {
 		return
 	}
-	if s.admission.Running() == 0 || d.phase == liveness.Expired {
+	if s.admission.idle() || d.phase == liveness.Expired {
 		close(d.drained)
 		d.drained = nil
 	}
@@ -102,9 +97,9 @@
 	s.draining.phase = phase
 	switch phase {
 	case liveness.Serving:
-		s.admission.Resume()
+		s.admission.queue.Resume()
 	case liveness.Draining, liveness.Expired:
-		s.admission.Drain()
+		s.admission.drain(now)
 	}
 	// Only the newest phase matters to callers' connections.
 	select {
@@ -131,8 +126,6 @@
 		return
 	}
 	wait(running, closeTime)
-	_ = loop.Send(running, gone{})
-	wait(running, goneTime)
 }
 
 func wait(ctx context.Context, d time.Duration) {
@@ -144,13 +137,6 @@
 	}
 }
 
-// sayGone is the last this incarnation says of itself.
-func (s *state) sayGone(now time.Time) {
-	s.reporting.self.SetState(liveness.Gone)
-	s.reporting.dirty = true
-	s.tickReports(now, 0)
-}
-
 // generation is the HTTP/3 server of the connections accepted between two
 // drains. A drain asks its callers to go elsewhere; a new generation takes
 // what still arrives.
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -46,9 +46,10 @@
 	for _, balancer := range next.targets {
 		group.Go(func() error { return r.reportTo(ctx, balancer, next) })
 	}
-	next.Last = true
+	farewell := next.Report
+	farewell.Last = true
 	for _, balancer := range next.last {
-		group.Go(func() error { return r.takeLeave(ctx, balancer, next) })
+		group.Go(func() error { return r.takeLeave(ctx, balancer, farewell) })
 	}
 }
 
@@ -59,7 +60,7 @@
 	base := rpc.Base(balancer.String())
 	answer, err := heartbeat.NewClient(r.client, base).Send(limited, next.Report)
 	_ = r.loop.Send(ctx, answered{from: balancer, answer: answer, cause: err})
-	if err != nil || answer.Ticket <= next.Ticket {
+	if err != nil || !wants(next.digests, answer) {
 		return nil
 	}
 	offered, err := exchange.NewClient(r.client, base).Fetch(limited, r.node, next.digests, []ticket.ServiceKey{r.service})
@@ -69,11 +70,24 @@
 	return nil
 }
 
+// wants tells whether a balancer's answer calls for its ticket: it has a newer
+// one, another content, or may know that the one held here is sealed.
+func wants(digests []ticket.Digest, answer heartbeat.Answer) bool {
+	if len(digests) == 0 {
+		return answer.Ticket > 0
+	}
+	held := digests[0]
+	if answer.Ticket != held.Number {
+		return answer.Ticket > held.Number
+	}
+	return answer.Content != held.Content || !held.Sealed
+}
+
 // takeLeave tells a balancer that others watch this agent from now on. One
 // that cannot be told suspects the agent, which then refutes it.
-func (r *reporter) takeLeave(ctx context.Context, balancer netip.AddrPort, next report) error {
+func (r *reporter) takeLeave(ctx context.Context, balancer netip.AddrPort, farewell heartbeat.Report) error {
 	limited, cancel := context.WithTimeout(ctx, rpc.CallTimeout)
 	defer cancel()
-	_, _ = heartbeat.NewClient(r.client, rpc.Base(balancer.String())).Send(limited, next.Report)
+	_, _ = heartbeat.NewClient(r.client, rpc.Base(balancer.String())).Send(limited, farewell)
 	return nil
 }
--- a/balancer/liveness.go
+++ b/balancer/liveness.go
@@ -85,7 +85,7 @@
 	answer.Believed, _ = s.observer.Fact(m.Fact.Subject)
 	answer.Balancers = s.listFor(now, m)
 	if entry := s.tickets.Entry(m.Service); entry != nil {
-		answer.Ticket = entry.Ticket.Number
+		answer.Ticket, answer.Content = entry.Ticket.Number, entry.Content
 	}
 	m.Reply <- answer
 }
@@ -204,17 +204,15 @@
 		return
 	}
 	s.peers.live = live
+	s.tellTickets(live)
 	clear(s.peers.paths)
 	s.peers.spreader.SetNeighbours(membership.Successors(s.node, live, liveness.Rings), s.observer.Withheld)
 }
 
-// followTickets learns which endpoints the tickets offered name.
-func (s *state) followTickets(now time.Time, m ticket.Offered) {
-	for _, h := range m.Held {
-		entry := s.tickets.Entry(h.Ticket.Key())
-		if entry == nil {
-			continue
-		}
+// followTickets learns which endpoints the tickets newly in force name.
+func (s *state) followTickets(now time.Time, joined []ticket.Joined) {
+	for _, j := range joined {
+		entry := s.tickets.Entry(ticket.ServiceKeyOf(j.Service))
 		var keys []ticket.EndpointKey
 		for _, e := range entry.Ticket.Endpoints {
 			keys = append(keys, ticket.EndpointKeyOf(entry.Ticket.Service, e.Name))
--- a/balancer/steering_test.go
+++ b/balancer/steering_test.go
@@ -7,12 +7,16 @@
 	"testing"
 	"time"
 
+	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/event"
 	"cactustray/liveness"
 	"cactustray/liveness/heartbeat"
 	"cactustray/settings"
 	"cactustray/steering"
 	"cactustray/ticket"
+	"cactustray/ticket/exchange"
+	"cactustray/ticket/platform"
 
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
@@ -24,7 +28,14 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	table := new(atomic.Pointer[steering.Table])
-	s := newState(&settings.Settings{Node: "entry-1"}, event.NewLog(logger, "entry-1"), table, newPeers("entry-1"))
+	loop := control.NewLoop(tickInterval)
+	out := outside{
+		caller:  exchange.NewCaller(nil, loop),
+		watcher: platform.NewWatcher(nil, loop, newRandom()),
+		usage:   meter.NewUsage(new(meter.Meter), loop.Busy),
+	}
+	alone := &settings.Settings{Node: "entry-1", Balancer: new(settings.BalancerSettings)}
+	s := newState(alone, event.NewLog(logger, "entry-1"), table, newPeers("entry-1"), out)
 	now := time.Now()
 	key := ticket.EndpointKeyOf("orders", "vm-1")
 	goneThrough := func(message any) steering.Incarnation {
--- a/liveness/heartbeat/heartbeat.go
+++ b/liveness/heartbeat/heartbeat.go
@@ -40,6 +40,8 @@
 type Answer struct {
 	// Ticket is the number in force on the balancer for the agent's service.
 	Ticket ticket.Number
+	// Content is the hash of that ticket's text.
+	Content uint64
 	// Believed is what the balancer holds of the agent.
 	Believed liveness.Fact
 	// Leaving tells that the platform lists the agent's VM as leaving.
@@ -69,7 +71,7 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	response := &livenesspb.HeartbeatResponse{Ticket: uint64(answer.Ticket), Leaving: answer.Leaving}
+	response := &livenesspb.HeartbeatResponse{Ticket: uint64(answer.Ticket), Content: answer.Content, Leaving: answer.Leaving}
 	if answer.Believed != report.Fact {
 		response.Believed = encodeFact(answer.Believed)
 	}
@@ -97,6 +99,7 @@
 	}
 	answer := Answer{
 		Ticket:   ticket.Number(response.Ticket),
+		Content:  response.Content,
 		Believed: report.Fact,
 		Leaving:  response.Leaving,
 	}
--- a/status/server.go
+++ b/status/query/server.go
@@ -1,10 +1,13 @@
-package status
+// Package query is the wire side of the status slice: it carries reports from
+// nodes to operators.
+package query
 
 import (
 	"context"
 	"net/http"
 
 	"cactustray/control"
+	"cactustray/status"
 	"cactustray/status/statuspb"
 	"cactustray/status/statuspb/statuspbconnect"
 	"cactustray/ticket"
@@ -34,8 +37,8 @@
 	for i, name := range r.Services {
 		services[i] = ticket.ServiceKeyOf(name)
 	}
-	report, err := control.Ask(ctx, s.loop, func(reply chan<- Report) control.Message {
-		return Asked{Services: services, OmitNodes: r.OmitNodes, Reply: reply}
+	report, err := control.Ask(ctx, s.loop, func(reply chan<- status.Report) control.Message {
+		return status.Asked{Services: services, OmitNodes: r.OmitNodes, Reply: reply}
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
@@ -46,20 +49,20 @@
 // Ticket returns the text of the ticket in force for one service.
 func (s *Server) Ticket(ctx context.Context, r *statuspb.TicketRequest) (*statuspb.TicketResponse, error) {
 	services := []ticket.ServiceKey{ticket.ServiceKeyOf(r.Service)}
-	answer, err := control.Ask(ctx, s.loop, func(reply chan<- ticket.Comparison) control.Message {
-		return ticket.Compared{Services: services, Reply: reply}
+	answer, err := control.Ask(ctx, s.loop, func(reply chan<- ticket.Response) control.Message {
+		return ticket.Asked{Request: ticket.Request{Services: services}, Reply: reply}
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
 	response := new(statuspb.TicketResponse)
-	for _, held := range answer.Newer {
+	for _, held := range answer.Held {
 		response.Document = held.Document
 	}
 	return response, nil
 }
 
-func encode(r Report) *statuspb.StatusResponse {
+func encode(r status.Report) *statuspb.StatusResponse {
 	response := &statuspb.StatusResponse{
 		Node:                  r.Node,
 		Role:                  r.Role,
@@ -81,7 +84,7 @@
 	return response
 }
 
-func encodeInForce(t InForce) *statuspb.InForce {
+func encodeInForce(t status.InForce) *statuspb.InForce {
 	return &statuspb.InForce{
 		Service:   t.Service,
 		Number:    uint64(t.Number),
@@ -93,7 +96,7 @@
 	}
 }
 
-func encodeKnown(n Known) *statuspb.KnownNode {
+func encodeKnown(n status.Known) *statuspb.KnownNode {
 	state := stateLive
 	if n.Leaving {
 		state = stateLeaving
--- a/steering/datagram/receiver.go
+++ b/steering/datagram/receiver.go
@@ -32,8 +32,10 @@
 	placer   *placement.Placer
 	buffer   []byte
 	envelope Envelope
-	told     time.Time
-	noticed  time.Time
+	// reset tells that the datagram received last is to be reset.
+	reset   bool
+	told    time.Time
+	noticed time.Time
 }
 
 func newReceiver(conn *Conn, sealer *steering.Sealer) *receiver {
@@ -47,10 +49,14 @@
 
 // receive decides on one datagram, counts it, and tells whether it is for the
 // flows of this endpoint; the envelope then holds it.
-func (r *receiver) receive(now time.Time, raw []byte, from netip.AddrPort) (deliver bool, reason steering.Reason) {
-	deliver, reason = r.decide(now, raw, from)
+func (r *receiver) receive(now time.Time, raw []byte, from netip.AddrPort) (deliver bool) {
+	deliver, reason := r.decide(now, raw, from)
 	r.conn.residence.Counters.Count(reason)
-	return deliver, reason
+	r.reset = isReset(reason)
+	if deliver {
+		r.traceDelivery()
+	}
+	return deliver
 }
 
 func (r *receiver) decide(now time.Time, raw []byte, from netip.AddrPort) (bool, steering.Reason) {
@@ -143,6 +149,7 @@
 	envelope := r.envelope
 	envelope.Endpoint = endpoint
 	envelope.HandedOn++
+	envelope.Trace = r.traceHandOn(endpoint)
 	envelope.Ticket = max(a.Ticket, r.conn.residence.Steering.Load().Ticket())
 	_ = r.conn.send(&envelope, to) // lost as on any network; callers repeat
 }
