--- a/steering/rendezvous.go
+++ b/steering/rendezvous.go
@@ -68,16 +68,19 @@
 }
 
 // uniformHome is weightedHome where all weights are equal: the highest hash has
-// the lowest logarithm.
+// the lowest logarithm. The first loop has no branch for the processor to mispredict;
+// the second finds whose hash it was.
 func (c *contest) uniformHome(flow FlowKey) *Endpoint {
-	best := 0
 	highest := uint64(0)
+	for _, seed := range c.seeds {
+		highest = max(highest, mix(uint64(flow)^seed))
+	}
 	for i, seed := range c.seeds {
-		if hash := mix(uint64(flow) ^ seed); hash > highest {
-			best, highest = i, hash
+		if mix(uint64(flow)^seed) == highest {
+			return c.endpoints[i]
 		}
 	}
-	return c.endpoints[best]
+	return nil
 }
 
 // mix is the finalizer of MurmurHash3: a bijection that spreads every bit.
