--- a/agent/agent.go
+++ b/agent/agent.go
@@ -33,13 +33,16 @@
 	loop := control.NewLoop(tickInterval)
 	snapshots := new(published)
 	traffic := new(meter.Meter)
+	if err := snapshots.trace(ctx, s, log); err != nil {
+		return err
+	}
 	callers, err := newCallerServer(s, sealer, owner, loop, snapshots)
 	if err != nil {
 		return err
 	}
 	reports := make(chan report)
-	loads := make(chan loadReport)
 	draining := newDraining()
+	loads := make(chan loadReport)
 	reporter := &reporter{
 		node:    s.Node,
 		service: ticket.ServiceKeyOf(s.Agent.Service),
@@ -59,6 +62,7 @@
 	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
 	group.Go(func() error { return rpc.Serve(running, s.Control, id, traffic, controlHandler(loop)) })
 	group.Go(func() error { return callers.serve(running, draining.phases) })
+	observe(running, group, s, id, callers, snapshots, log)
 	group.Go(func() error {
 		defer stop()
 		stopAsPlanned(ctx, running, loop)
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -32,6 +32,7 @@
 
 // callerServer ends callers' QUIC connections and serves HTTP/3 on them.
 type callerServer struct {
+	identity  *identity.Identity
 	conn      *datagram.Conn
 	transport *quic.Transport
 	listener  *quic.EarlyListener
@@ -54,7 +55,7 @@
 		Conn:                  conn,
 		ConnectionIDGenerator: &datagram.TokenIDs{Sealer: sealer, Owner: owner},
 		StatelessResetKey:     resetKey(s),
-		ConnContext:           limitConnections(&p.residence.Connections),
+		ConnContext:           limitConnections(&p.residence.Connections, p.tracer),
 	}
 	listener, err := transport.ListenEarly(id.CallerTLS(http3.NextProtoH3), quicConfig())
 	if err != nil {
@@ -67,7 +68,7 @@
 		Endpoint: s.Agent.Endpoint,
 		Client:   frontend.NewBackendClient(),
 	}
-	return &callerServer{conn: conn, transport: transport, listener: listener, handler: handler}, nil
+	return &callerServer{identity: id, conn: conn, transport: transport, listener: listener, handler: p.tracer.Requests(handler)}, nil
 }
 
 // quicConfig never accepts 0-RTT: an attacker could run a request twice by
--- a/agent/control.go
+++ b/agent/control.go
@@ -16,12 +16,15 @@
 	"cactustray/steering"
 	"cactustray/steering/datagram"
 	"cactustray/ticket"
+	"cactustray/trace"
 )
 
 // published are the snapshots that traffic goroutines read.
 type published struct {
 	ticket    atomic.Pointer[ticket.Ticket]
 	residence datagram.Residence
+	// tracer is set before traffic begins; nil means none.
+	tracer *trace.Tracer
 }
 
 // state is all control state of an agent. Only the control goroutine touches
@@ -82,12 +85,14 @@
 	case admission.Gone:
 		s.decide(s.admission.Leave(now, m.ID))
 		delete(s.replies, m.ID)
+	case stopRequested:
+		s.requestStop(now, m)
+	case gone:
+		s.sayGone(now)
 	case placement.Heard:
 		s.placement.Hear(now, m)
 	case steering.Behind:
 		s.behind(m)
-	case stopRequested:
-		s.requestStop(now, m)
 	case status.Asked:
 		m.Reply <- s.statusReport(now, m)
 	}
@@ -97,9 +102,9 @@
 func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.decide(s.admission.Tick(now))
 	s.usage.Sample(now)
-	s.placeByLoad(now)
 	s.tickDrain(now)
 	s.tickReports(now, gap)
+	s.placeByLoad(now)
 }
 
 func (s *state) statusReport(now time.Time, asked status.Asked) status.Report {
@@ -110,7 +115,7 @@
 		State:   s.reporting.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
 		Tickets: asked.InForceOf(now, s.tickets),
-		Load:    status.Load{Requests: int64(s.admission.Running())},
+		Load:    s.work(),
 		Cost:    status.CostOf(s.usage.Rates(now)),
 		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -23,6 +23,7 @@
 	"cactustray/steering/datagram"
 	"cactustray/ticket/exchange"
 	"cactustray/ticket/platform"
+	"cactustray/trace"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -44,6 +45,11 @@
 	if err != nil {
 		return err
 	}
+	tracer, err := trace.New(ctx, trace.OptionsOf(s), log)
+	if err != nil {
+		return err
+	}
+	forwarder.Tracer = tracer
 	traffic := new(meter.Meter)
 	client := rpc.NewMeteredClient(id, traffic)
 	out := outside{
@@ -55,7 +61,7 @@
 	defer log.Emit(EventBalancerStopped, nil)
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	peers := newPeers(s.Node, table)
+	peers := newPeers(s.Node)
 	caller := &peerCaller{client: client, loop: loop, log: log}
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return loop.Run(running, newState(s, log, table, peers, out)) })
@@ -65,6 +71,8 @@
 	group.Go(func() error { return rpc.Serve(running, s.Control, id, traffic, handler(loop)) })
 	group.Go(func() error { return caller.run(running, peers.calls) })
 	group.Go(func() error { return serveHealth(running, s.Balancer.Health, &peers.healthy) })
+	group.Go(func() error { return tracer.Run(running) })
+	observe(running, group, s, id, forwarder, log)
 	group.Go(func() error {
 		defer stop()
 		return stopAsPlanned(ctx, running, loop, forwarder.Counters, log)
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -27,8 +27,8 @@
 	tickets  *ticket.State
 	observer *liveness.Observer
 	members  *membership.State
-	steering *steering.State
 	peers    *peers
+	steering *steering.State
 
 	table *atomic.Pointer[steering.Table]
 	outside
@@ -44,8 +44,8 @@
 		tickets:  newTickets(now, s, newRandom()),
 		observer: liveness.NewObserver(),
 		members:  membership.NewState(),
-		steering: steering.NewState(),
 		peers:    p,
+		steering: steering.NewState(),
 		table:    table,
 		outside:  out,
 	}
@@ -68,14 +68,14 @@
 		s.log.Emit(EventPlatformUnavailable, event.Fields{"cause": m.Cause})
 	case heartbeat.Heard:
 		s.heard(now, m)
-	case steering.Behind:
-		s.behind(now, m)
 	case heartbeat.Passed:
 		s.passed(now, m)
 	case called:
 		s.called(now, m)
 	case leave:
 		s.leave(now, m)
+	case steering.Behind:
+		s.behind(now, m)
 	case status.Asked:
 		m.Reply <- s.report(now, m)
 	}
--- a/balancer/liveness.go
+++ b/balancer/liveness.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -39,10 +40,12 @@
 	listedAt   time.Time
 	refreshBy  time.Time
 	refreshing bool
-	dirty      bool
+	// stale are services whose table no longer fits the facts; allStale
+	// stands for every service.
+	stale    map[ticket.ServiceKey]bool
+	allStale bool
 
 	calls   chan liveness.Batch
-	table   *atomic.Pointer[steering.Table]
 	healthy atomic.Bool
 }
 
@@ -51,14 +54,14 @@
 	peers  []liveness.Peer
 }
 
-func newPeers(node string, table *atomic.Pointer[steering.Table]) *peers {
+func newPeers(node string) *peers {
 	incarnation := steering.Incarnation(time.Now().Unix())
 	return &peers{
 		self:     liveness.NewSelf(liveness.BalancerSubject(node), incarnation),
 		spreader: liveness.NewSpreader(),
 		paths:    make(map[string]pathList),
+		stale:    make(map[ticket.ServiceKey]bool),
 		calls:    make(chan liveness.Batch, maxCalls),
-		table:    table,
 	}
 }
 
@@ -162,10 +165,11 @@
 	if change.News {
 		s.peers.spreader.Add(subject, from)
 	}
-	if change.Service != 0 || change.Fleet {
-		s.peers.dirty = true
+	if change.Service != 0 {
+		s.peers.stale[change.Service] = true
 	}
 	if change.Fleet {
+		s.peers.allStale = true
 		s.log.Emit(EventFleetDoubted, nil)
 	}
 	if change.Balancers {
@@ -229,11 +233,22 @@
 	if s.peers.refreshing && now.After(s.peers.refreshBy) {
 		s.refreshed()
 	}
-	if s.peers.dirty {
-		s.peers.dirty = false
+	s.publishStale()
+	s.peers.healthy.Store(s.serving())
+}
+
+// publishStale brings the table up to the facts. A node without tickets has
+// none to publish.
+func (s *state) publishStale() {
+	switch {
+	case s.tickets.Len() == 0:
+	case s.peers.allStale:
 		s.publish()
+	case len(s.peers.stale) > 0:
+		s.publish(slices.Collect(maps.Keys(s.peers.stale))...)
 	}
-	s.peers.healthy.Store(s.serving())
+	clear(s.peers.stale)
+	s.peers.allStale = false
 }
 
 func (s *state) callPeers(now time.Time) {
@@ -257,16 +272,12 @@
 	s.peers.spreader.Resume()
 	s.peers.refreshing = true
 	s.peers.refreshBy = now.Add(refreshLimit)
-	s.peers.dirty = true
 	s.peers.healthy.Store(false)
 }
 
 // refreshed ends the wait after a pause.
 func (s *state) refreshed() {
-	if s.peers.refreshing {
-		s.peers.refreshing = false
-		s.peers.dirty = true
-	}
+	s.peers.refreshing = false
 }
 
 // serving tells whether the fabric should send datagrams.
