--- a/agent/observe.go
+++ b/agent/observe.go
@@ -11,6 +11,7 @@
 	"cactustray/steering/datagram"
 	"cactustray/trace"
 
+	"github.com/quic-go/quic-go"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -27,11 +28,10 @@
 
 // work is what operators see of the agent's work.
 func (s *state) work() status.Load {
-	_, queued := s.admission.Jobs()
 	return status.Load{
 		Flows:    int64(s.published.residence.Connections.Open()),
-		Requests: int64(s.admission.Running()),
-		Queued:   int64(queued),
+		Requests: int64(s.admission.queue.Running()),
+		Queued:   int64(s.admission.queue.Queued()),
 	}
 }
 
@@ -46,3 +46,17 @@
 	p.residence.Tracer = tracer
 	return nil
 }
+
+// connContext makes the context of a new connection, or refuses it.
+type connContext = func(context.Context, *quic.ClientInfo) (context.Context, error)
+
+// traceFlows begins the span of each sampled connection that admit accepts.
+func traceFlows(tracer *trace.Tracer, admit connContext) connContext {
+	return func(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
+		admitted, err := admit(ctx, info)
+		if err != nil {
+			return nil, err
+		}
+		return tracer.Flow(admitted, info.RemoteAddr), nil
+	}
+}
--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"cactustray/admission"
 	"cactustray/event"
 	"cactustray/ticket"
 )
@@ -24,12 +23,8 @@
 	if entry == nil {
 		return
 	}
+	s.published.agents.Store(s.admission.setTicket(now, entry.Ticket))
 	s.published.ticket.Store(entry.Ticket)
 	s.steerBy(entry.Ticket)
 	s.followTicket(now, entry.Ticket)
-	limits := admission.Limits{
-		Slots:     int(entry.Ticket.Limits.Slots),
-		QueueTime: time.Duration(entry.Ticket.Limits.QueueMillis) * time.Millisecond,
-	}
-	s.decide(s.admission.SetLimits(now, limits))
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -185,6 +185,7 @@
 	stream := []use{{"control", s.Control}, {"metrics", s.Metrics}}
 	if s.Balancer != nil {
 		datagram = append(datagram, use{"balancer.edge", s.Balancer.Edge}, use{"balancer.fabric", s.Balancer.Fabric})
+		stream = append(stream, use{"balancer.health", s.Balancer.Health})
 	}
 	if s.Agent != nil {
 		stream = append(stream, use{"agent.backend", s.Agent.Backend})
--- a/steering/datagram/receiver.go
+++ b/steering/datagram/receiver.go
@@ -32,8 +32,10 @@
 	placer   *placement.Placer
 	buffer   []byte
 	envelope Envelope
-	told     time.Time
-	noticed  time.Time
+	// reset tells that the datagram received last is to be reset.
+	reset   bool
+	told    time.Time
+	noticed time.Time
 }
 
 func newReceiver(conn *Conn, sealer *steering.Sealer) *receiver {
@@ -50,6 +52,7 @@
 func (r *receiver) receive(now time.Time, raw []byte, from netip.AddrPort) (deliver bool) {
 	deliver, reason := r.decide(now, raw, from)
 	r.conn.residence.Counters.Count(reason)
+	r.reset = isReset(reason)
 	if deliver {
 		r.traceDelivery()
 	}
@@ -110,8 +113,8 @@
 	}
 }
 
-// place decides whether a new flow stays. One that is refused is delivered:
-// the transport, which counts the connections, tells the caller at once.
+// place decides whether a new flow stays. One that should not, but has nowhere
+// to go, is delivered too, so that its caller gets an answer.
 func (r *receiver) place(now time.Time, a steering.Arrival, reception steering.Reception) (bool, steering.Reason) {
 	view := r.conn.residence.View.Load()
 	if view == nil {
--- a/steering/update.go
+++ b/steering/update.go
@@ -12,7 +12,7 @@
 	state     *State
 	register  *ticket.Register
 	now       time.Time
-	byAddress *editor[netip.AddrPort, *Service]
+	byAddress *editor[addressKey, *Service]
 	services  *editor[ticket.ServiceKey, *Service]
 	endpoints *editor[ticket.EndpointKey, *Endpoint]
 }
@@ -55,7 +55,7 @@
 
 func (u *update) add(service *Service) {
 	u.services.set(service.Key, service)
-	u.byAddress.set(service.Address, service)
+	u.byAddress.set(addressKeyOf(service.Address), service)
 	u.settle(service.Address)
 	for _, endpoint := range service.endpoints {
 		u.endpoints.set(endpoint.Key, endpoint)
@@ -71,16 +71,16 @@
 		return
 	}
 	service := u.services.next.get(owner)
-	if service != nil && u.byAddress.next.get(address) != service {
-		u.byAddress.set(address, service)
+	if service != nil && u.byAddress.next.get(addressKeyOf(address)) != service {
+		u.byAddress.set(addressKeyOf(address), service)
 	}
 }
 
 // release takes out what only the service before had. Its endpoints stay for
 // their open flows.
 func (u *update) release(before, service *Service) {
-	if before.Address != service.Address && u.byAddress.next.get(before.Address) == before {
-		u.byAddress.remove(before.Address)
+	if before.Address != service.Address && u.byAddress.next.get(addressKeyOf(before.Address)) == before {
+		u.byAddress.remove(addressKeyOf(before.Address))
 		u.settle(before.Address)
 	}
 	for _, endpoint := range before.endpoints {
