--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"time"
 
+	"cactustray/admission/handover"
 	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/control/rpc"
 	"cactustray/event"
 	"cactustray/identity"
 	"cactustray/settings"
-	"cactustray/status"
+	"cactustray/status/query"
 	"cactustray/steering"
 	"cactustray/ticket"
 
@@ -34,7 +36,9 @@
 	if err := snapshots.trace(ctx, s, log); err != nil {
 		return err
 	}
-	callers, err := newCallerServer(s, sealer, owner, loop, snapshots)
+	traffic := new(meter.Meter)
+	handler := newHandler(s, loop, snapshots, rpc.NewMeteredClient(id, traffic))
+	callers, err := newCallerServer(s, sealer, owner, loop, snapshots, handler)
 	if err != nil {
 		return err
 	}
@@ -44,7 +48,7 @@
 	reporter := &reporter{
 		node:    s.Node,
 		service: ticket.ServiceKeyOf(s.Agent.Service),
-		client:  rpc.NewClient(id),
+		client:  rpc.NewMeteredClient(id, traffic),
 		loop:    loop,
 	}
 	log.Emit(EventAgentStarted, event.Fields{"service": s.Agent.Service, "endpoint": s.Agent.Endpoint})
@@ -53,10 +57,15 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
-	group.Go(func() error { return loop.Run(running, newState(s, owner, log, snapshots, reports, loads, draining)) })
+	peers := handover.NewClient(running, loop, handler.Peers)
+	state := newState(s, owner, log, snapshots, reports, loads, draining, peers)
+	state.usage = meter.NewUsage(traffic, loop.Busy)
+	group.Go(func() error { return loop.Run(running, state) })
 	group.Go(func() error { return reporter.run(running, reports) })
 	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
-	group.Go(func() error { return rpc.Serve(running, s.Control, id, controlHandler(loop)) })
+	group.Go(func() error {
+		return rpc.Serve(running, s.Control, id, traffic, peerHandler(loop, handler, controlHandler(loop)))
+	})
 	group.Go(func() error { return callers.serve(running, draining.phases) })
 	observe(running, group, s, id, callers, snapshots, log)
 	group.Go(func() error {
@@ -64,12 +73,14 @@
 		stopAsPlanned(ctx, running, loop)
 		return nil
 	})
-	return group.Wait()
+	err = group.Wait()
+	reporter.sayGone(state)
+	return err
 }
 
 func controlHandler(loop *control.Loop) http.Handler {
 	mux := http.NewServeMux()
-	path, h := status.NewServer(loop).Handler()
+	path, h := query.NewServer(loop).Handler()
 	mux.Handle(path, identity.Require(h, identity.Balancer, identity.Agent, identity.Operator))
 	return mux
 }
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"cactustray/admission/frontend"
 	"cactustray/control"
 	"cactustray/control/rpc"
 	"cactustray/identity"
@@ -39,7 +38,7 @@
 	handler   http.Handler
 }
 
-func newCallerServer(s *settings.Settings, sealer *steering.Sealer, owner steering.Owner, loop *control.Loop, p *published) (*callerServer, error) {
+func newCallerServer(s *settings.Settings, sealer *steering.Sealer, owner steering.Owner, loop *control.Loop, p *published, handler http.Handler) (*callerServer, error) {
 	id, err := identity.Load(identity.Files(s.Agent.CallerTLS))
 	if err != nil {
 		return nil, err
@@ -55,19 +54,12 @@
 		Conn:                  conn,
 		ConnectionIDGenerator: &datagram.TokenIDs{Sealer: sealer, Owner: owner},
 		StatelessResetKey:     resetKey(s),
-		ConnContext:           limitConnections(&p.residence.Connections, p.tracer),
+		ConnContext:           traceFlows(p.tracer, datagram.LimitConnections(&p.residence.Connections)),
 	}
 	listener, err := transport.ListenEarly(id.CallerTLS(http3.NextProtoH3), quicConfig())
 	if err != nil {
 		return nil, &rpc.ListenError{Address: s.Datagram, Cause: err}
 	}
-	handler := &frontend.Handler{
-		Loop:     loop,
-		Ticket:   &p.ticket,
-		Backend:  s.Agent.Backend,
-		Endpoint: s.Agent.Endpoint,
-		Client:   frontend.NewBackendClient(),
-	}
 	return &callerServer{identity: id, conn: conn, transport: transport, listener: listener, handler: p.tracer.Requests(handler)}, nil
 }
 
--- a/agent/control.go
+++ b/agent/control.go
@@ -4,8 +4,10 @@
 	"sync/atomic"
 	"time"
 
-	"cactustray/admission"
+	"cactustray/admission/frontend"
+	"cactustray/admission/handover"
 	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/event"
 	"cactustray/liveness"
 	"cactustray/membership"
@@ -21,9 +23,12 @@
 // published are the snapshots that traffic goroutines read.
 type published struct {
 	ticket    atomic.Pointer[ticket.Ticket]
+	agents    atomic.Pointer[frontend.Addresses]
 	residence datagram.Residence
 	// tracer is set before traffic begins; nil means none.
 	tracer *trace.Tracer
+	// open counts requests in progress.
+	open atomic.Int64
 }
 
 // state is all control state of an agent. Only the control goroutine touches
@@ -37,8 +42,7 @@
 	reporting *reporting
 	draining  *draining
 	tickets   *ticket.Register
-	admission *admission.State
-	replies   map[admission.RequestID]chan<- admission.Decision
+	admission *admissionState
 	placement *placement.State
 
 	published *published
@@ -46,9 +50,10 @@
 	report chan<- report
 	// loads asks the placement goroutine to send a load report.
 	loads chan<- loadReport
+	usage *meter.Usage
 }
 
-func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport, d *draining) *state {
+func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport, d *draining, peers *handover.Client) *state {
 	return &state{
 		settings:  s,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
@@ -57,8 +62,7 @@
 		reporting: newReporting(liveness.NewSelf(liveness.EndpointSubject(owner.Endpoint), owner.Incarnation), s.Agent.Balancers),
 		draining:  d,
 		tickets:   ticket.NewRegister(),
-		admission: admission.NewState(admission.Limits{}),
-		replies:   make(map[admission.RequestID]chan<- admission.Decision),
+		admission: newAdmission(s, log, &p.open, peers),
 		placement: placement.NewState(owner.Endpoint),
 		published: p,
 		report:    reports,
@@ -71,35 +75,27 @@
 	switch m := message.(type) {
 	case ticket.Offered:
 		s.offered(now, m)
-	case ticket.Compared:
-		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
+	case ticket.Asked:
+		m.Reply <- s.tickets.Answer(m.Request)
 	case answered:
 		s.answered(now, m)
-	case admission.Arrived:
-		s.replies[m.ID] = m.Reply
-		s.decide(s.admission.Arrive(now, m.Request))
-	case admission.Finished:
-		s.decide(s.admission.Finish(now, m.ID))
-	case admission.Gone:
-		s.decide(s.admission.Leave(now, m.ID))
-		delete(s.replies, m.ID)
 	case stopRequested:
 		s.requestStop(now, m)
-	case gone:
-		s.sayGone(now)
 	case placement.Heard:
 		s.placement.Hear(now, m)
 	case steering.Behind:
 		s.behind(m)
 	case status.Asked:
 		m.Reply <- s.statusReport(now, m)
+	default:
+		s.handleAdmission(now, message)
 	}
 }
 
 // Tick refuses what waited too long and reports to the balancers.
 func (s *state) Tick(now time.Time, gap time.Duration) {
-	s.decide(s.admission.Tick(now))
-	s.tickets.Seal(now)
+	s.admission.tick(now, gap)
+	s.usage.Sample(now)
 	s.tickDrain(now)
 	s.tickReports(now, gap)
 	s.placeByLoad(now)
@@ -114,6 +110,7 @@
 		Uptime:  now.Sub(s.started),
 		Tickets: asked.InForceOf(now, s.tickets),
 		Load:    s.work(),
+		Cost:    status.CostOf(s.usage.Rates(now)),
 		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"cactustray/admission"
 	"cactustray/event"
 	"cactustray/ticket"
 )
@@ -13,20 +12,19 @@
 		if h.Ticket.Key() != s.service {
 			continue
 		}
-		if s.tickets.Join(now, h) == ticket.InForce {
+		if s.tickets.Join(now, h).Changed() {
 			s.log.Emit(EventTicketInForce, event.Fields{"service": h.Ticket.Service, "ticket": h.Ticket.Number})
 		}
 	}
+	for _, d := range m.Better {
+		s.tickets.Learn(now, d)
+	}
 	entry := s.tickets.Entry(s.service)
 	if entry == nil {
 		return
 	}
+	s.published.agents.Store(s.admission.setTicket(now, entry.Ticket))
 	s.published.ticket.Store(entry.Ticket)
 	s.steerBy(entry.Ticket)
 	s.followTicket(now, entry.Ticket)
-	limits := admission.Limits{
-		Slots:     int(entry.Ticket.Limits.Slots),
-		QueueTime: time.Duration(entry.Ticket.Limits.QueueMillis) * time.Millisecond,
-	}
-	s.decide(s.admission.SetLimits(now, limits))
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -12,12 +12,13 @@
 	"time"
 
 	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/control/rpc"
 	"cactustray/event"
 	"cactustray/identity"
 	"cactustray/liveness/heartbeat"
 	"cactustray/settings"
-	"cactustray/status"
+	"cactustray/status/query"
 	"cactustray/steering"
 	"cactustray/steering/datagram"
 	"cactustray/ticket/exchange"
@@ -49,19 +50,25 @@
 		return err
 	}
 	forwarder.Tracer = tracer
-	reader := platform.NewReader(s.Platform.URL, s.Platform.Prefix)
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	traffic := new(meter.Meter)
+	client := rpc.NewMeteredClient(id, traffic)
+	out := outside{
+		caller:  exchange.NewCaller(client, loop),
+		watcher: platform.NewWatcher(platform.NewReader(s.Platform.URL, s.Platform.Prefix, traffic), loop, newRandom()),
+		usage:   meter.NewUsage(traffic, loop.Busy),
+	}
 	log.Emit(EventBalancerStarted, event.Fields{"edge": s.Balancer.Edge})
 	defer log.Emit(EventBalancerStopped, nil)
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	peers := newPeers(s.Node)
-	caller := &peerCaller{client: rpc.NewClient(id), loop: loop, log: log}
+	caller := &peerCaller{client: client, loop: loop, log: log}
 	group, running := errgroup.WithContext(running)
-	group.Go(func() error { return loop.Run(running, newState(s, log, table, peers)) })
+	group.Go(func() error { return loop.Run(running, newState(s, log, table, peers, out)) })
 	group.Go(func() error { return forwarder.Run(running, workers) })
-	group.Go(func() error { return platform.Watch(running, reader, loop, random) })
-	group.Go(func() error { return rpc.Serve(running, s.Control, id, handler(loop)) })
+	group.Go(func() error { return out.watcher.Run(running) })
+	group.Go(func() error { return out.caller.Run(running) })
+	group.Go(func() error { return rpc.Serve(running, s.Control, id, traffic, handler(loop)) })
 	group.Go(func() error { return caller.run(running, peers.calls) })
 	group.Go(func() error { return serveHealth(running, s.Balancer.Health, &peers.healthy) })
 	group.Go(func() error { return tracer.Run(running) })
@@ -73,6 +80,8 @@
 	return group.Wait()
 }
 
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 func handler(loop *control.Loop) http.Handler {
 	mux := http.NewServeMux()
 	mount := func(path string, h http.Handler, roles ...identity.Role) {
@@ -82,7 +91,7 @@
 	mount(path, h, identity.Balancer, identity.Agent)
 	path, h = heartbeat.NewServer(loop).Handler()
 	mount(path, h, identity.Balancer, identity.Agent)
-	path, h = status.NewServer(loop).Handler()
+	path, h = query.NewServer(loop).Handler()
 	mount(path, h, identity.Balancer, identity.Agent, identity.Operator)
 	return mux
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,6 +66,9 @@
 	Edge netip.AddrPort `json:"edge"`
 	// Fabric is where datagrams for callers are handed to the fabric.
 	Fabric netip.AddrPort `json:"fabric"`
+	// Peers are control addresses of balancers asked while the list of VMs
+	// is not known.
+	Peers []netip.AddrPort `json:"peers,omitempty"`
 	// Health is where the fabric asks over HTTP whether to send datagrams.
 	Health netip.AddrPort `json:"health"`
 }
