Choose paths without moving nodes; follow balancers once a tick

Cause: a change of the live balancers cost a full choice for every fact. Measured (machine busy, load 60): Choose among 3,200 balancers 10.9 ms before, 6.8 ms after; neighbours anew 11.0 ms, now once a tick at most.

--- a/balancer/liveness.go
+++ b/balancer/liveness.go
@@ -44,6 +44,9 @@
 	// stands for every service.
 	stale    map[ticket.ServiceKey]bool
 	allStale bool
+	// moved tells that the live balancers may have changed since the last
+	// tick.
+	moved bool
 
 	calls   chan liveness.Batch
 	healthy atomic.Bool
@@ -77,7 +80,7 @@
 
 // heard takes an agent's heartbeat in.
 func (s *state) heard(now time.Time, m heartbeat.Heard) {
-	s.took(now, s.observer.Heard(now, m.Fact), m.Fact.Subject, "")
+	s.took(s.observer.Heard(now, m.Fact), m.Fact.Subject, "")
 	if m.Last {
 		s.observer.Unwatch(m.Fact.Subject)
 	}
@@ -123,13 +126,13 @@
 
 // passed takes in what another balancer passed on.
 func (s *state) passed(now time.Time, m heartbeat.Passed) {
-	s.took(now, s.observer.Learn(now, m.Sender), m.Sender.Subject, m.Node)
+	s.took(s.observer.Learn(now, m.Sender), m.Sender.Subject, m.Node)
 	for _, fact := range m.Facts {
 		if s.peers.self.Refute(fact) {
 			s.announce(now)
 			continue
 		}
-		s.took(now, s.observer.Learn(now, fact), fact.Subject, m.Node)
+		s.took(s.observer.Learn(now, fact), fact.Subject, m.Node)
 	}
 	believed, _ := s.observer.Fact(m.Sender.Subject)
 	m.Reply <- heartbeat.Beliefs{Self: s.peers.self.Fact(), Sender: believed}
@@ -140,7 +143,7 @@
 	silent := s.peers.spreader.Called(m.to, m.cause == nil)
 	if m.cause == nil {
 		s.refreshed()
-		s.took(now, s.observer.Learn(now, m.beliefs.Self), m.beliefs.Self.Subject, m.to)
+		s.took(s.observer.Learn(now, m.beliefs.Self), m.beliefs.Self.Subject, m.to)
 		if s.peers.self.Refute(m.beliefs.Sender) {
 			s.announce(now)
 		}
@@ -156,12 +159,12 @@
 	}
 	fact.Subject, fact.Suspected = subject, true
 	s.log.Emit(EventBalancerSuspected, event.Fields{"balancer": m.to, "cause": m.cause})
-	s.took(now, s.observer.Learn(now, fact), subject, "")
+	s.took(s.observer.Learn(now, fact), subject, "")
 }
 
-// took acts on what taking a fact in did. The table is built at the next tick,
-// so that many facts cost one.
-func (s *state) took(now time.Time, change liveness.Change, subject liveness.Subject, from string) {
+// took acts on what taking a fact in did. Tables, neighbours and paths follow
+// at the next tick, so that many facts cost one change.
+func (s *state) took(change liveness.Change, subject liveness.Subject, from string) {
 	if change.News {
 		s.peers.spreader.Add(subject, from)
 	}
@@ -174,7 +177,7 @@
 		s.log.Emit(EventFleetDoubted, nil)
 	}
 	if change.Balancers {
-		s.refreshBalancers(now)
+		s.peers.moved = true
 	}
 }
 
@@ -183,7 +186,7 @@
 	fact := s.peers.self.Fact()
 	s.observer.Learn(now, fact)
 	s.peers.spreader.Add(fact.Subject, "")
-	s.refreshBalancers(now)
+	s.refreshBalancers()
 }
 
 // listed takes the platform's list in.
@@ -193,12 +196,12 @@
 	}
 	s.members.Learn(m)
 	s.observer.SetBalancers(now, s.members.Balancers())
-	s.refreshBalancers(now)
+	s.refreshBalancers()
 }
 
 // refreshBalancers chooses neighbours and agents' paths anew when the live
 // balancers have changed.
-func (s *state) refreshBalancers(time.Time) {
+func (s *state) refreshBalancers() {
 	live := s.observer.Live(s.members.Balancers())
 	if slices.Equal(live, s.peers.live) {
 		return
@@ -228,7 +231,11 @@
 	}
 	for _, fact := range s.observer.Tick(now, gap) {
 		s.log.Emit(EventEndpointSuspected, event.Fields{"endpoint": uint64(fact.Subject)})
-		s.took(now, s.observer.Learn(now, fact), fact.Subject, "")
+		s.took(s.observer.Learn(now, fact), fact.Subject, "")
+	}
+	if s.peers.moved {
+		s.peers.moved = false
+		s.refreshBalancers()
 	}
 	s.callPeers(now)
 	if s.peers.refreshing && now.After(s.peers.refreshBy) {
--- a/liveness/cost_test.go
+++ b/liveness/cost_test.go
@@ -35,6 +35,7 @@
 func BenchmarkHeard(b *testing.B) {
 	o, _ := atSize()
 	now := start
+	b.ResetTimer()
 	for i := range b.N {
 		now = now.Add(time.Millisecond)
 		o.Heard(now, Fact{Subject: Subject(i % 23), Incarnation: 1, State: Ready})
@@ -75,6 +76,7 @@
 // BenchmarkLive measures what a change of the live balancers costs.
 func BenchmarkLive(b *testing.B) {
 	o, nodes := atSize()
+	b.ResetTimer()
 	for range b.N {
 		live := o.Live(nodes)
 		membership.Successors("entry-1", live, Rings)
--- a/membership/choose.go
+++ b/membership/choose.go
@@ -13,42 +13,44 @@
 // many zones as there are, and a change of the nodes moves only the choices it
 // must. Every process with the same nodes chooses the same.
 func Choose(key string, nodes []Node, count int) []Node {
-	ranked := rank(key, nodes)
+	var rounds [][]int
 	taken := make(map[string]int)
-	type place struct {
-		node  Node
-		round int
-	}
-	places := make([]place, len(ranked))
-	for i, node := range ranked {
-		places[i] = place{node: node, round: taken[node.Zone]}
-		taken[node.Zone]++
+	for _, i := range rank(key, nodes) {
+		round := taken[nodes[i].Zone]
+		taken[nodes[i].Zone]++
+		if round == len(rounds) {
+			rounds = append(rounds, nil)
+		}
+		rounds[round] = append(rounds[round], i)
 	}
-	slices.SortStableFunc(places, func(a, b place) int { return cmp.Compare(a.round, b.round) })
-	chosen := make([]Node, min(count, len(places)))
-	for i := range chosen {
-		chosen[i] = places[i].node
+	chosen := make([]Node, 0, min(count, len(nodes)))
+	for _, i := range slices.Concat(rounds...) {
+		if len(chosen) == count {
+			break
+		}
+		chosen = append(chosen, nodes[i])
 	}
 	return chosen
 }
 
 type scored struct {
-	node  Node
+	index int
 	score uint64
 }
 
-// rank orders nodes by the hash of key and name, the lowest first.
-func rank(key string, nodes []Node) []Node {
+// rank returns the nodes' indexes by the hash of key and name, the lowest
+// first.
+func rank(key string, nodes []Node) []int {
 	list := make([]scored, len(nodes))
 	for i, node := range nodes {
-		list[i] = scored{node: node, score: xxhash.Sum64String(key + "\x00" + node.Name)}
+		list[i] = scored{index: i, score: xxhash.Sum64String(key + "\x00" + node.Name)}
 	}
 	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.node.Name, b.node.Name))
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(nodes[a.index].Name, nodes[b.index].Name))
 	})
-	ranked := make([]Node, len(list))
+	ranked := make([]int, len(list))
 	for i, s := range list {
-		ranked[i] = s.node
+		ranked[i] = s.index
 	}
 	return ranked
 }
