Freeze an agent across a deadline with however many slots a cold one has

The test waited for a queue behind the ticket's 4 slots; a cold backend server now has fewer, so its wait for one queued request never came true. It fills all slots and the queue's head instead, and is as strict: the late confirmation must be refused as not run and never recorded.

--- a/standin/e2e/failure_test.go
+++ b/standin/e2e/failure_test.go
@@ -96,26 +96,31 @@
 	agent := f.Backends[0].Name
 	// The queue is as patient as the caller, so that the wait can be seen on
 	// a busy machine.
-	const busyWork, busyTimeout, timeout, frozenFor = 6000, 60_000, 5000, 7 * time.Second
+	const busyWork, busyTimeout, timeout, frozenFor = 4000, 60_000, 5000, 7 * time.Second
 	patient := *f.Tickets["orders"]
 	patient.Number, patient.Limits.QueueMillis = 2, busyTimeout
 	f.Publish(&patient)
 	f.AwaitTicket("orders", 2)
-	busy := make(chan outcome, layout.Slots)
-	for i := range layout.Slots {
+	// A cold backend server has fewer slots than its ticket says; these fill
+	// them all and the queue's head.
+	busy := make(chan outcome, 2*layout.Slots)
+	for i := range cap(busy) {
 		key := string(rune('a' + i))
 		go func() { busy <- confirm(context.Background(), f, "orders", key, busyWork, busyTimeout) }()
-		f.Await(func() bool { return f.Servers[agent].Records()[key] == 1 })
 	}
+	arrived := func(count int64) {
+		f.Await(func() bool { return f.Work(f.Backends[0].Settings.Control) == count })
+	}
+	arrived(int64(cap(busy)))
 	queued := make(chan outcome, 1)
 	go func() { queued <- confirm(context.Background(), f, "orders", "late", 1, timeout) }()
-	f.Await(func() bool { return f.Queued(f.Backends[0].Settings.Control) == 1 })
+	arrived(int64(cap(busy)) + 1)
 	f.Signal(agent, syscall.SIGSTOP)
 	time.Sleep(frozenFor) // the length of the fault
 	f.Signal(agent, syscall.SIGCONT)
 	must.EqOp(t, notRun, <-queued)
 	must.EqOp(t, 0, f.Servers[agent].Records()["late"])
-	for range layout.Slots {
+	for range cap(busy) {
 		must.EqOp(t, confirmed, <-busy)
 	}
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -230,13 +230,13 @@
 	return strings.Contains(string(raw), fmt.Sprintf(`"event":%d,`, e.Number))
 }
 
-// Queued returns how many requests wait on an agent.
-func (f *Fleet) Queued(control netip.AddrPort) int64 {
+// Work returns how many requests run or wait on an agent.
+func (f *Fleet) Work(control netip.AddrPort) int64 {
 	response, err := f.Status(control)
 	if err != nil {
 		return 0
 	}
-	return response.GetQueued()
+	return response.GetRequests() + response.GetQueued()
 }
 
 // Await waits until a condition holds.
