--- a/standin/e2e/failure_test.go
+++ b/standin/e2e/failure_test.go
@@ -187,3 +187,33 @@
 	f.Platform.SetMode(platform.Healthy)
 	open.mustFlow(t, f)
 }
+
+// Two operators use one number in the same moment, and the platform shows only
+// the later content to whoever reads late: all nodes end on one content, also
+// one that starts afterwards.
+func TestTwoOperatorsOneNumber(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, layout.Size{Balancers: 3, Services: []string{"orders"}, Backends: 2})
+	f.Publish(draining(f.Tickets["orders"], 2, "orders-1"))
+	f.Publish(draining(f.Tickets["orders"], 2, "orders-2"))
+	f.AwaitTicket("orders", 2)
+	f.Await(func() bool { return agree(f) })
+	f.Signal("entry-2", syscall.SIGKILL)
+	f.AwaitExit("entry-2")
+	f.Run("entry-2")
+	f.AwaitTicket("orders", 2)
+	f.Await(func() bool { return agree(f) })
+}
+
+// agree tells whether all nodes have one accepted content in force.
+func agree(f *fleet.Fleet) bool {
+	contents := make(map[uint64]bool)
+	for _, control := range f.Controls() {
+		response, err := f.Status(control)
+		if err != nil || len(response.Tickets) != 1 || !response.Tickets[0].Sealed {
+			return false
+		}
+		contents[response.Tickets[0].Content] = true
+	}
+	return len(contents) == 1
+}
--- a/standin/e2e/load_test.go
+++ b/standin/e2e/load_test.go
@@ -162,6 +162,7 @@
 	defer from.Close()
 	response, err := from.Do(request)
 	if err != nil {
+		f.Log("confirmation", key, "failed:", err)
 		return unknown
 	}
 	defer response.Body.Close()
@@ -170,6 +171,7 @@
 	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil || response.StatusCode != http.StatusOK || string(body) != "confirmed "+key+"\n" {
+		f.Log("confirmation", key, "answered", response.StatusCode, string(body), err)
 		return unknown
 	}
 	return confirmed
--- a/standin/e2e/planned_test.go
+++ b/standin/e2e/planned_test.go
@@ -13,6 +13,7 @@
 	"cactustray/standin/fleet"
 	"cactustray/standin/layout"
 	"cactustray/ticket"
+	"cactustray/ticket/platform"
 
 	"github.com/shoenig/test/must"
 )
@@ -59,20 +60,43 @@
 		})
 		open.mustFlow(t, f)
 	})
-	t.Run("a backend server's agent stops under load", func(t *testing.T) {
+	t.Run("the list of VMs names a leaving backend server for a while", func(t *testing.T) {
+		named := f.Backends[2]
+		vm := platform.VM{Name: named.Name, Role: "agent", Zone: named.Settings.Zone, Leaving: true}
+		f.PublishVMs(append(f.VMs(), vm))
+		f.Await(func() bool { return stateOf(f, named.Settings.Control) == "leaving" })
+		open.mustFlow(t, f)
+		f.PublishVMs(f.VMs())
+		f.Await(func() bool { return stateOf(f, named.Settings.Control) == "ready" })
+		open.mustFlow(t, f)
+	})
+	counts := sent.finish(t, f)
+	must.EqOp(t, 0, counts[unknown])
+	t.Logf("confirmations: %d confirmed, %d not run", counts[confirmed], counts[notRun])
+	t.Run("a backend server's agent stops", func(t *testing.T) {
 		stopped := f.Backends[1]
 		on, other := open.split(stopped.Name)
 		f.Signal(stopped.Name, syscall.SIGTERM)
 		f.Await(func() bool { return stateOf(f, stopped.Settings.Control) == "leaving" })
 		on.mustFlow(t, f)
-		sent.awaitMore(f, 100)
 		on.stop()
 		must.EqOp(t, 0, f.AwaitExit(stopped.Name))
 		other.mustFlow(t, f)
 	})
+}
+
+// An agent's planned stop under load leaves no caller without knowledge of
+// whether its confirmation was recorded.
+func TestStoppedAgentLeavesNothingUnknown(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, layout.Size{Balancers: 2, Services: []string{"orders"}, Backends: 4})
+	sent := startConfirmations(t, f, "orders", "stop")
+	sent.awaitMore(f, 50)
+	f.Signal("orders-2", syscall.SIGTERM)
+	must.EqOp(t, 0, f.AwaitExit("orders-2"))
+	sent.awaitMore(f, 100)
 	counts := sent.finish(t, f)
 	must.EqOp(t, 0, counts[unknown])
-	t.Logf("confirmations: %d confirmed, %d not run", counts[confirmed], counts[notRun])
 }
 
 // heldCaller keeps one connection as long as the other end lets it.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"cactustray/status/statuspb"
 	"cactustray/status/statuspb/statuspbconnect"
 	"cactustray/ticket"
+	tickets "cactustray/ticket/platform"
 
 	"github.com/shoenig/test/must"
 )
@@ -124,6 +125,9 @@
 	}
 }
 
+// PublishVMs writes the list of VMs, as the platform does.
+func (f *Fleet) PublishVMs(vms []tickets.VM) { f.put("vms", vms) }
+
 // Publish writes a ticket to the platform, as operators do.
 func (f *Fleet) Publish(tk *ticket.Ticket) { f.put("tickets/"+tk.Service, tk) }
 
@@ -145,6 +149,18 @@
 	return names
 }
 
+// Controls returns the control addresses of all daemons.
+func (f *Fleet) Controls() []netip.AddrPort {
+	var controls []netip.AddrPort
+	for _, b := range f.Balancers {
+		controls = append(controls, b.Control)
+	}
+	for _, b := range f.Backends {
+		controls = append(controls, b.Settings.Control)
+	}
+	return controls
+}
+
 // Run starts one daemon.
 func (f *Fleet) Run(name string) {
 	command := exec.Command(f.binary, filepath.Join(f.Dir, name+".json"))
@@ -239,6 +255,9 @@
 	return response.GetRequests() + response.GetQueued()
 }
 
+// Log writes a line to the test's log.
+func (f *Fleet) Log(values ...any) { f.t.Log(values...) }
+
 // Await waits until a condition holds.
 func (f *Fleet) Await(condition func() bool) {
 	f.t.Helper()
