Span the queue, the backend server and the hand-over; count decisions and events

A request's span now has one below it for each wait for a decision, each try at the backend server and each hand-over; agents pass the span on in a header of their own, which callers' requests lose, so that no caller can turn sampling on (TestUnsampledFlowsAndNoTracer). Metrics: admission decisions by kind, running and queued, control bytes and busy time, and how often each event was emitted.

Measured: go test -race ./trace ./metrics ./event ./admission/... ./cmd/... passes; go test -race -run 'TestClient|TestTraces|TestWholePath' ./standin/e2e passes in 80 s on a machine at load 33. A full ./standin/e2e at that load did not end in its 10 minutes earlier (TestKilledAndFrozen), and was not run again.

--- a/admission/frontend/job.go
+++ b/admission/frontend/job.go
@@ -12,6 +12,7 @@
 	"cactustray/admission"
 	"cactustray/control"
 	"cactustray/ticket"
+	"cactustray/trace"
 )
 
 // job is one request on its way through this agent.
@@ -53,6 +54,8 @@
 }
 
 func (j *job) ask(ctx context.Context, build func(decisionReply) control.Message) (admission.Decision, error) {
+	ctx, span := trace.Start(ctx, "agent.queue")
+	defer span.End()
 	return control.Ask(ctx, j.h.Loop, build)
 }
 
@@ -100,6 +103,8 @@
 	if !ok {
 		return result{fate: notRun, detail: "peer not known"}
 	}
+	ctx, span := trace.Start(ctx, "agent.hand_over")
+	defer span.End()
 	out := j.outgoing(ctx)
 	out.Header.Set(reservationHeader, strconv.FormatUint(uint64(d.Reservation), 10))
 	return j.forwardJob(out, address)
@@ -107,7 +112,10 @@
 
 // run sends the request to the backend server once.
 func (j *job) run(ctx context.Context) result {
+	ctx, span := trace.Start(ctx, "agent.backend")
+	defer span.End()
 	out := j.outgoing(ctx)
+	trace.ToBackend(ctx, out.Header)
 	out.URL.Scheme = "http"
 	out.URL.Host = j.h.Backend.String()
 	response, sent, err := send(j.h.Clients.of(out), out)
@@ -158,6 +166,7 @@
 // forward sends a request to another agent. Without a response the result says
 // what became of the request.
 func forward(out *http.Request, client *http.Client, address netip.AddrPort) (*http.Response, result) {
+	trace.ToAgent(out.Context(), out.Header)
 	out.URL.Scheme = "https"
 	out.URL.Host = address.String()
 	out.URL.Path = PeerPrefix + out.URL.Path
@@ -178,8 +187,8 @@
 // connection was had.
 func send(client *http.Client, out *http.Request) (response *http.Response, sent bool, err error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	out = out.WithContext(httptrace.WithClientTrace(out.Context(), trace))
+	hooks := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	out = out.WithContext(httptrace.WithClientTrace(out.Context(), hooks))
 	response, err = client.Do(out)
 	return response, connected.Load(), err
 }
--- a/agent/admission.go
+++ b/agent/admission.go
@@ -17,6 +17,7 @@
 	"cactustray/identity"
 	"cactustray/settings"
 	"cactustray/ticket"
+	"cactustray/trace"
 
 	"github.com/sirupsen/logrus"
 )
@@ -47,6 +48,8 @@
 	agents  frontend.Addresses
 	// open counts the requests that traffic goroutines serve.
 	open *atomic.Int64
+	// instruments are set before the control goroutine begins.
+	instruments *instruments
 }
 
 func newAdmission(s *settings.Settings, log *event.Log, open *atomic.Int64, peers *handover.Client) *admissionState {
@@ -164,6 +167,7 @@
 	for _, d := range out.Decisions {
 		reply := a.replies[d.ID]
 		delete(a.replies, d.ID)
+		a.instruments.decided(d)
 		if reply != nil {
 			reply <- d
 		}
@@ -184,6 +188,7 @@
 
 func (a *admissionState) tick(now time.Time, gap time.Duration) {
 	a.apply(now, a.queue.Tick(now, gap))
+	a.instruments.observe(a.queue)
 	a.keeper.Tick(now, gap)
 }
 
@@ -230,10 +235,10 @@
 
 // peerHandler serves the other agents of the service, and next everything
 // else. Forwarded paths go around http.ServeMux, which would clean them.
-func peerHandler(loop *control.Loop, handler *frontend.Handler, next http.Handler) http.Handler {
+func peerHandler(loop *control.Loop, handler *frontend.Handler, tracer *trace.Tracer, next http.Handler) http.Handler {
 	path, exchange := handover.NewServer(loop).Handler()
 	exchange = identity.Require(exchange, identity.Agent)
-	forwarded := identity.Require(http.HandlerFunc(handler.ServePeer), identity.Agent)
+	forwarded := identity.Require(tracer.HandedOver(http.HandlerFunc(handler.ServePeer)), identity.Agent)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case strings.HasPrefix(r.URL.Path, frontend.PeerPrefix+"/"):
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -60,14 +60,16 @@
 	peers := handover.NewClient(running, loop, handler.Peers)
 	state := newState(s, owner, log, snapshots, reports, loads, draining, peers)
 	state.usage = meter.NewUsage(traffic, loop.Busy)
+	registry := newRegistry(snapshots, traffic, loop, log)
+	state.admission.instruments = newInstruments(registry)
 	group.Go(func() error { return loop.Run(running, state) })
 	group.Go(func() error { return reporter.run(running, reports) })
 	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
 	group.Go(func() error {
-		return rpc.Serve(running, s.Control, id, traffic, peerHandler(loop, handler, controlHandler(loop)))
+		return rpc.Serve(running, s.Control, id, traffic, peerHandler(loop, handler, snapshots.tracer, controlHandler(loop)))
 	})
 	group.Go(func() error { return callers.serve(running, draining.phases) })
-	observe(running, group, s, id, callers, snapshots, log)
+	observe(running, group, s, id, callers, snapshots.tracer, registry, log)
 	group.Go(func() error {
 		defer stop()
 		stopAsPlanned(ctx, running, loop)
--- /dev/null
+++ b/agent/metrics.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"cactustray/admission"
+	"cactustray/metrics"
+)
+
+// instruments count what the control goroutine decides about requests. Without
+// a registry they count nothing.
+type instruments struct {
+	registry   *metrics.Registry
+	dispatched *metrics.Counter
+	handedOver *metrics.Counter
+	running    *metrics.Level
+	queued     *metrics.Level
+}
+
+func newInstruments(registry *metrics.Registry) *instruments {
+	return &instruments{
+		registry:   registry,
+		dispatched: registry.Counter("admission.dispatched"),
+		handedOver: registry.Counter("admission.handed_over"),
+		running:    registry.Level("admission.running"),
+		queued:     registry.Level("admission.queued"),
+	}
+}
+
+func (i *instruments) decided(d admission.Decision) {
+	switch {
+	case i == nil:
+	case d.Refusal != admission.None:
+		i.registry.Counter("admission.refused." + d.Refusal.String()).Add(1)
+	case d.Peer != 0:
+		i.handedOver.Add(1)
+	default:
+		i.dispatched.Add(1)
+	}
+}
+
+func (i *instruments) observe(queue *admission.State) {
+	if i == nil {
+		return
+	}
+	i.running.Set(int64(queue.Running()))
+	i.queued.Set(int64(queue.Queued()))
+}
--- a/agent/observe.go
+++ b/agent/observe.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/event"
 	"cactustray/identity"
 	"cactustray/metrics"
@@ -15,14 +17,23 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// observe shows the agent's metrics and follows its identities' files.
-func observe(ctx context.Context, group *errgroup.Group, s *settings.Settings, id *identity.Identity, callers *callerServer, p *published, log *event.Log) {
+// newRegistry shows what the traffic side and the control loop count.
+func newRegistry(p *published, traffic *meter.Meter, loop *control.Loop, log *event.Log) *metrics.Registry {
 	registry := metrics.New()
 	datagram.RegisterCounters(registry, &p.residence.Counters)
 	registry.Gauge("flows.open", func() int64 { return int64(p.residence.Connections.Open()) })
+	registry.Gauge("control.bytes", traffic.Bytes)
+	registry.Gauge("control.busy_ms", func() int64 { return loop.Busy().Milliseconds() })
+	registry.Events(log)
+	return registry
+}
+
+// observe shows the metrics, exports the traces and follows the identities'
+// files.
+func observe(ctx context.Context, group *errgroup.Group, s *settings.Settings, id *identity.Identity, callers *callerServer, tracer *trace.Tracer, registry *metrics.Registry, log *event.Log) {
 	group.Go(func() error { return id.Watch(ctx, log) })
 	group.Go(func() error { return callers.identity.Watch(ctx, log) })
-	group.Go(func() error { return p.tracer.Run(ctx) })
+	group.Go(func() error { return tracer.Run(ctx) })
 	group.Go(func() error { return registry.Serve(ctx, s.Metrics) })
 }
 
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -72,7 +72,7 @@
 	group.Go(func() error { return caller.run(running, peers.calls) })
 	group.Go(func() error { return serveHealth(running, s.Balancer.Health, &peers.healthy) })
 	group.Go(func() error { return tracer.Run(running) })
-	observe(running, group, s, id, forwarder, log)
+	observe(running, group, s, id, forwarder, traffic, loop, log)
 	group.Go(func() error {
 		defer stop()
 		return stopAsPlanned(ctx, running, loop, forwarder.Counters, log)
--- a/balancer/observe.go
+++ b/balancer/observe.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/event"
 	"cactustray/identity"
 	"cactustray/metrics"
@@ -13,9 +15,12 @@
 )
 
 // observe shows the balancer's metrics and follows its identity's files.
-func observe(ctx context.Context, group *errgroup.Group, s *settings.Settings, id *identity.Identity, forwarder *datagram.Forwarder, log *event.Log) {
+func observe(ctx context.Context, group *errgroup.Group, s *settings.Settings, id *identity.Identity, forwarder *datagram.Forwarder, traffic *meter.Meter, loop *control.Loop, log *event.Log) {
 	registry := metrics.New()
 	datagram.RegisterCounters(registry, forwarder.Counters)
+	registry.Gauge("control.bytes", traffic.Bytes)
+	registry.Gauge("control.busy_ms", func() int64 { return loop.Busy().Milliseconds() })
+	registry.Events(log)
 	group.Go(func() error { return id.Watch(ctx, log) })
 	group.Go(func() error { return registry.Serve(ctx, s.Metrics) })
 }
--- a/event/event.go
+++ b/event/event.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 )
@@ -37,15 +38,27 @@
 	return all
 }
 
-// Log writes events for one node.
-type Log struct{ entry *logrus.Entry }
+// Log writes events for one node and counts them. It is safe for concurrent
+// use.
+type Log struct {
+	entry  *logrus.Entry
+	counts map[int]*atomic.Int64
+}
 
 // NewLog returns a log whose lines carry the node's name.
 func NewLog(logger *logrus.Logger, node string) *Log {
-	return &Log{entry: logger.WithField("node", node)}
+	counts := make(map[int]*atomic.Int64, len(defined))
+	for _, e := range defined {
+		counts[e.Number] = new(atomic.Int64)
+	}
+	return &Log{entry: logger.WithField("node", node), counts: counts}
 }
 
+// Count returns how often an event was emitted.
+func (l *Log) Count(e Event) int64 { return l.counts[e.Number].Load() }
+
 // Emit writes one event.
 func (l *Log) Emit(e Event, fields Fields) {
+	l.counts[e.Number].Add(1)
 	l.entry.WithFields(fields).WithField("event", e.Number).Log(e.Level, e.Name)
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"cactustray/control/rpc"
+	"cactustray/event"
 
 	gometrics "github.com/rcrowley/go-metrics"
 )
@@ -31,6 +33,12 @@
 // Count returns how many events were counted.
 func (c *Counter) Count() int64 { return c.counter.Count() }
 
+// Level is a value that goes up and down. It is safe for concurrent use.
+type Level struct{ gauge gometrics.Gauge }
+
+// Set changes the value.
+func (l *Level) Set(value int64) { l.gauge.Update(value) }
+
 // Registry holds a process's instruments by name. It is safe for concurrent
 // use.
 type Registry struct{ registry gometrics.Registry }
@@ -43,6 +51,18 @@
 	return &Counter{counter: gometrics.GetOrRegisterCounter(name, r.registry)}
 }
 
+// Level returns the level of a name, made when it is new.
+func (r *Registry) Level(name string) *Level {
+	return &Level{gauge: gometrics.GetOrRegisterGauge(name, r.registry)}
+}
+
+// Events shows how often each event was emitted, as event.NUMBER.
+func (r *Registry) Events(log *event.Log) {
+	for _, e := range event.All() {
+		r.Gauge(fmt.Sprintf("event.%d", e.Number), func() int64 { return log.Count(e) })
+	}
+}
+
 // Gauge shows a value that read returns; read must be safe for concurrent use.
 func (r *Registry) Gauge(name string, read func() int64) {
 	_ = r.registry.Register(name, gometrics.NewFunctionalGauge(read))
--- a/standin/e2e/observe_test.go
+++ b/standin/e2e/observe_test.go
@@ -103,17 +103,25 @@
 		return trace != ""
 	})
 	f.Await(func() bool {
+		names := make(map[string]bool)
 		for _, s := range spansOf(t, agent) {
-			if s.Name == "agent.request" && s.SpanContext.TraceID == trace {
-				return true
-			}
+			names[s.Name] = names[s.Name] || s.SpanContext.TraceID == trace
 		}
-		return false
+		return names["agent.request"] && names["agent.queue"] && names["agent.backend"]
 	})
-	shown, err := fetch(http.DefaultClient, "http://"+f.Balancers[0].Metrics.String()+"/metrics")
+	counted := instrumentsOf(t, f.Balancers[0])
+	must.Positive(t, counted["steering.packets.forwarded"]["value"])
+	must.Positive(t, counted["steering.replies"]["value"])
+	must.EqOp(t, 1, counted["event.1101"]["value"])
+	counted = instrumentsOf(t, f.Backends[0].Settings)
+	must.EqOp(t, 1, counted["admission.dispatched"]["count"])
+	must.Positive(t, counted["control.bytes"]["value"])
+}
+
+func instrumentsOf(t *testing.T, s *settings.Settings) map[string]map[string]float64 {
+	shown, err := fetch(http.DefaultClient, "http://"+s.Metrics.String()+"/metrics")
 	must.NoError(t, err)
 	var instruments map[string]map[string]float64
 	must.NoError(t, json.Unmarshal([]byte(shown), &instruments))
-	must.Positive(t, instruments["steering.packets.forwarded"]["value"])
-	must.Positive(t, instruments["steering.replies"]["value"])
+	return instruments
 }
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -31,12 +31,18 @@
 	flow := tracer.Flow(ctx, net.UDPAddrFromAddrPort(caller))
 	var header string
 	backend := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		ToBackend(r.Context(), r.Header)
 		header = r.Header.Get("traceparent")
-		_, queue := Start(r.Context(), "agent.queue")
-		queue.End()
 	})
 	request := httptest.NewRequest(http.MethodGet, "/status", nil).WithContext(flow)
-	tracer.Requests(tracer.HandedOver(backend)).ServeHTTP(httptest.NewRecorder(), request)
+	agent := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, handOver := Start(r.Context(), "agent.hand_over")
+		defer handOver.End()
+		peer := httptest.NewRequest(http.MethodGet, "/forward/status", nil)
+		ToAgent(ctx, peer.Header)
+		tracer.HandedOver(backend).ServeHTTP(w, peer)
+	})
+	tracer.Requests(agent).ServeHTTP(httptest.NewRecorder(), request)
 	must.StrContains(t, header, recorder.Ended()[0].SpanContext().TraceID().String())
 	cancel()
 	must.NoError(t, tracer.provider.ForceFlush(context.Background()))
@@ -46,7 +52,7 @@
 		names[span.Name()] = span.Parent().SpanID().String()
 	}
 	must.MapLen(t, 6, names)
-	must.MapContainsKeys(t, names, []string{"balancer.forward", "agent.hand_on", "agent.flow", "agent.request", "agent.handed_over", "agent.queue"})
+	must.MapContainsKeys(t, names, []string{"balancer.forward", "agent.hand_on", "agent.flow", "agent.request", "agent.hand_over", "agent.handed_over"})
 }
 
 func TestShare(t *testing.T) {
@@ -66,7 +72,13 @@
 	tracer.Deliver(netip.MustParseAddrPort("192.0.2.1:5000"), []byte("short"))
 	ctx := tracer.Flow(context.Background(), &net.UDPAddr{IP: net.IPv4(192, 0, 2, 1), Port: 5000})
 	request := httptest.NewRequest(http.MethodGet, "/", nil).WithContext(ctx)
-	tracer.Requests(http.NotFoundHandler()).ServeHTTP(httptest.NewRecorder(), request)
+	caller := "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	request.Header.Set("traceparent", caller)
+	request.Header.Set(handOverHeader, caller)
+	peer := tracer.HandedOver(http.NotFoundHandler())
+	tracer.Requests(peer).ServeHTTP(httptest.NewRecorder(), request)
+	none.Requests(peer).ServeHTTP(httptest.NewRecorder(), request)
+	must.EqOp(t, caller, request.Header.Get("traceparent"))
 	must.SliceEmpty(t, recorder.Started())
 }
 
