Tell the submitter of a rival content under the number

submit said nothing when the operator's own content won. Progress counts the nodes that saw another.

--- a/status/fleet.go
+++ b/status/fleet.go
@@ -134,6 +134,9 @@
 type Progress struct {
 	Verdict   Verdict
 	Standings []Standing
+	// Conflicts is how many nodes have seen other content under the target's
+	// number.
+	Conflicts int
 }
 
 // Waiting returns the standings that are not in force.
@@ -148,6 +151,7 @@
 	for _, answer := range f.Answers {
 		if answer.concerns(target.Service) {
 			p.Standings = append(p.Standings, answer.standing(target))
+			count(&p.Conflicts, answer.conflicts(target))
 		}
 	}
 	p.Verdict = verdictOf(p.Standings)
@@ -189,6 +193,14 @@
 	return nil
 }
 
+func (a Answer) conflicts(target Target) bool {
+	if a.Report == nil {
+		return false
+	}
+	held := a.inForce(target.Service)
+	return held != nil && held.Number == target.Number && (held.Conflicts > 0 || held.Content != target.Content)
+}
+
 func (a Answer) standing(target Target) Standing {
 	verdict, reason := a.judge(target)
 	return Standing{Node: a.Name(), Verdict: verdict, Reason: reason}
