--- a/cmd/cactustray/submit.go
+++ b/cmd/cactustray/submit.go
@@ -48,6 +48,8 @@
 	After   time.Duration   `json:"after_ns"`
 	Changes []ticket.Change `json:"changes,omitempty"`
 	Waiting []waitingNode   `json:"waiting,omitempty"`
+	// Conflicts is how many nodes saw other content under the number.
+	Conflicts int `json:"conflicts"`
 }
 
 // Run hands the ticket over and follows it.
@@ -79,13 +81,14 @@
 	started := time.Now()
 	progress := c.follow(ctx, surveyor, held)
 	outcome := submitted{
-		Service: held.Ticket.Service,
-		Number:  held.Ticket.Number,
-		Verdict: progress.Verdict.String(),
-		Nodes:   len(progress.Standings),
-		After:   time.Since(started),
-		Changes: ticket.Changes(ticketOf(inForce), held.Ticket),
-		Waiting: waitingNodes(progress),
+		Service:   held.Ticket.Service,
+		Number:    held.Ticket.Number,
+		Verdict:   progress.Verdict.String(),
+		Nodes:     len(progress.Standings),
+		After:     time.Since(started),
+		Changes:   ticket.Changes(ticketOf(inForce), held.Ticket),
+		Waiting:   waitingNodes(progress),
+		Conflicts: progress.Conflicts,
 	}
 	if err := writeSubmitted(out, outcome, c.JSON); err != nil {
 		return err
--- a/status/fleet_test.go
+++ b/status/fleet_test.go
@@ -53,6 +53,19 @@
 	}
 }
 
+// The one whose ticket won is told of the rival, too.
+func TestFollowCountsConflicts(t *testing.T) {
+	won := orders(7, 70, true)
+	won.Conflicts = 1
+	lost := orders(7, 71, false)
+	progress := Fleet{Answers: []Answer{
+		answer("b1", membership.RoleBalancer, won),
+		answer("b2", membership.RoleBalancer, lost),
+		answer("b3", membership.RoleBalancer, orders(7, 70, true)),
+	}}.Follow(target)
+	must.EqOp(t, 2, progress.Conflicts)
+}
+
 func TestLinesMarkWhoDiffers(t *testing.T) {
 	fleet := Fleet{Answers: []Answer{
 		answer("b2", membership.RoleBalancer, orders(6, 60, true)),
