--- /dev/null
+++ b/status/survey/survey_test.go
@@ -0,0 +1,22 @@
+package survey
+
+import (
+	"testing"
+
+	"cactustray/status"
+
+	"github.com/shoenig/test/must"
+)
+
+// Every node is asked once, whoever names it, and seeds learn their own names.
+func TestDiscovered(t *testing.T) {
+	one := status.Known{Name: "entry-1", Control: "192.0.2.1:1"}
+	two := status.Known{Name: "entry-2", Control: "192.0.2.2:1"}
+	three := status.Known{Name: "orders-1", Control: "192.0.2.3:1", Service: "orders"}
+	answers := []status.Answer{
+		{Address: one.Control, Report: &status.Report{Nodes: []status.Known{one, two, three}}},
+		{Address: "192.0.2.9:1"},
+	}
+	must.Eq(t, []status.Known{two, three}, discovered(answers, []status.Known{three, two}))
+	must.Eq(t, one, answers[0].Known)
+}
