Refuse unknown keys in the client's settings

kong ignores them, so a misspelt cert was only missed. All are named at once. Measured: TestClientSettingsWithUnknownKeys failed without Validate's list (exit 1 for another reason, without the keys), passes with it.

--- a/cmd/cactustray/resolver.go
+++ b/cmd/cactustray/resolver.go
@@ -1,9 +1,13 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"io"
+	"maps"
 	"os"
 	"slices"
+	"strings"
 
 	"github.com/alecthomas/kong"
 )
@@ -11,14 +15,49 @@
 // loadClientSettings reads a file of flag values; values of the environment
 // replace it, where kong alone would let the file go first.
 func loadClientSettings(file io.Reader) (kong.Resolver, error) {
-	resolver, err := kong.JSON(file)
+	text, err := io.ReadAll(file)
 	if err != nil {
 		return nil, err
 	}
-	return &environmentFirst{Resolver: resolver}, nil
+	resolver, err := kong.JSON(bytes.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	var values map[string]json.RawMessage
+	if err := json.Unmarshal(text, &values); err != nil {
+		return nil, err
+	}
+	return &environmentFirst{Resolver: resolver, keys: slices.Sorted(maps.Keys(values))}, nil
 }
 
-type environmentFirst struct{ kong.Resolver }
+// UnknownKeysError reports client settings that are no flag of any command.
+type UnknownKeysError struct{ Keys []string }
+
+func (e *UnknownKeysError) Error() string {
+	return "client settings: no such flag: " + strings.Join(e.Keys, ", ")
+}
+
+type environmentFirst struct {
+	kong.Resolver
+	keys []string
+}
+
+// Validate fails with *UnknownKeysError, which names all unknown keys.
+func (r *environmentFirst) Validate(app *kong.Application) error {
+	known := make(map[string]bool)
+	for _, leaf := range app.Leaves(false) {
+		for _, group := range leaf.AllFlags(false) {
+			for _, flag := range group {
+				known[strings.ReplaceAll(flag.Name, "-", "_")] = true
+			}
+		}
+	}
+	unknown := slices.DeleteFunc(slices.Clone(r.keys), func(key string) bool { return known[key] })
+	if len(unknown) > 0 {
+		return &UnknownKeysError{Keys: unknown}
+	}
+	return nil
+}
 
 // Resolve returns the file's value of a flag, or nothing when the environment
 // has one.
--- a/cmd/cactustray/text_test.go
+++ b/cmd/cactustray/text_test.go
@@ -104,3 +104,11 @@
 	must.EqOp(t, "line.key", c.Status.Key)
 	must.EqOp(t, 7*time.Second, c.Status.Timeout)
 }
+
+func TestClientSettingsWithUnknownKeys(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "client.json")
+	must.NoError(t, os.WriteFile(file, []byte(`{"certt": "a", "nodes": ["192.0.2.1:1"], "kee": "b", "ignore_unreachable": true}`), 0o600))
+	var out bytes.Buffer
+	must.EqOp(t, exitFailure, run([]string{"status", "--config", file}, &out, &out))
+	must.StrContains(t, out.String(), "no such flag: certt, kee")
+}
