--- a/admission/frontend/job.go
+++ b/admission/frontend/job.go
@@ -12,6 +12,7 @@
 	"cactustray/admission"
 	"cactustray/control"
 	"cactustray/ticket"
+	"cactustray/trace"
 )
 
 // job is one request on its way through this agent.
@@ -52,7 +53,10 @@
 	}
 }
 
+// ask waits for the control goroutine's decision.
 func (j *job) ask(ctx context.Context, build func(decisionReply) control.Message) (admission.Decision, error) {
+	_, span := trace.Start(ctx, "agent.queue")
+	defer span.End()
 	return control.Ask(ctx, j.h.Loop, build)
 }
 
--- a/agent/admission.go
+++ b/agent/admission.go
@@ -17,6 +17,7 @@
 	"cactustray/identity"
 	"cactustray/settings"
 	"cactustray/ticket"
+	"cactustray/trace"
 
 	"github.com/sirupsen/logrus"
 )
@@ -230,10 +231,10 @@
 
 // peerHandler serves the other agents of the service, and next everything
 // else. Forwarded paths go around http.ServeMux, which would clean them.
-func peerHandler(loop *control.Loop, handler *frontend.Handler, next http.Handler) http.Handler {
+func peerHandler(loop *control.Loop, handler *frontend.Handler, tracer *trace.Tracer, next http.Handler) http.Handler {
 	path, exchange := handover.NewServer(loop).Handler()
 	exchange = identity.Require(exchange, identity.Agent)
-	forwarded := identity.Require(http.HandlerFunc(handler.ServePeer), identity.Agent)
+	forwarded := identity.Require(tracer.HandedOver(http.HandlerFunc(handler.ServePeer)), identity.Agent)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case strings.HasPrefix(r.URL.Path, frontend.PeerPrefix+"/"):
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,7 +13,7 @@
 	"cactustray/event"
 	"cactustray/identity"
 	"cactustray/settings"
-	"cactustray/status"
+	"cactustray/status/query"
 	"cactustray/steering"
 	"cactustray/ticket"
 
@@ -32,14 +32,17 @@
 	}
 	loop := control.NewLoop(tickInterval)
 	snapshots := new(published)
+	if err := snapshots.trace(ctx, s, log); err != nil {
+		return err
+	}
 	handler := newHandler(s, loop, snapshots, rpc.NewClient(id))
 	callers, err := newCallerServer(s, sealer, owner, loop, snapshots, handler)
 	if err != nil {
 		return err
 	}
 	reports := make(chan report)
-	loads := make(chan loadReport)
 	draining := newDraining()
+	loads := make(chan loadReport)
 	reporter := &reporter{
 		node:    s.Node,
 		service: ticket.ServiceKeyOf(s.Agent.Service),
@@ -53,26 +56,28 @@
 	defer stop()
 	group, running := errgroup.WithContext(running)
 	peers := handover.NewClient(running, loop, handler.Peers)
-	group.Go(func() error {
-		return loop.Run(running, newState(s, owner, log, snapshots, reports, loads, draining, peers))
-	})
+	state := newState(s, owner, log, snapshots, reports, loads, draining, peers)
+	group.Go(func() error { return loop.Run(running, state) })
 	group.Go(func() error { return reporter.run(running, reports) })
 	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
 	group.Go(func() error {
-		return rpc.Serve(running, s.Control, id, peerHandler(loop, handler, controlHandler(loop)))
+		return rpc.Serve(running, s.Control, id, peerHandler(loop, handler, snapshots.tracer, controlHandler(loop)))
 	})
 	group.Go(func() error { return callers.serve(running, draining.phases) })
+	observe(running, group, s, id, callers, snapshots, log)
 	group.Go(func() error {
 		defer stop()
 		stopAsPlanned(ctx, running, loop)
 		return nil
 	})
-	return group.Wait()
+	err = group.Wait()
+	reporter.sayGone(state)
+	return err
 }
 
 func controlHandler(loop *control.Loop) http.Handler {
 	mux := http.NewServeMux()
-	path, h := status.NewServer(loop).Handler()
+	path, h := query.NewServer(loop).Handler()
 	mux.Handle(path, identity.Require(h, identity.Balancer, identity.Agent, identity.Operator))
 	return mux
 }
--- a/agent/control.go
+++ b/agent/control.go
@@ -16,6 +16,7 @@
 	"cactustray/steering"
 	"cactustray/steering/datagram"
 	"cactustray/ticket"
+	"cactustray/trace"
 )
 
 // published are the snapshots that traffic goroutines read.
@@ -25,6 +26,8 @@
 	residence datagram.Residence
 	// open counts requests in progress.
 	open atomic.Int64
+	// tracer is set before traffic begins; nil means none.
+	tracer *trace.Tracer
 }
 
 // state is all control state of an agent. Only the control goroutine touches
@@ -74,12 +77,14 @@
 		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
 	case answered:
 		s.answered(now, m)
+	case stopRequested:
+		s.requestStop(now, m)
+	case gone:
+		s.sayGone(now)
 	case placement.Heard:
 		s.placement.Hear(now, m)
 	case steering.Behind:
 		s.behind(m)
-	case stopRequested:
-		s.requestStop(now, m)
 	case status.Asked:
 		m.Reply <- s.statusReport(now, m)
 	default:
@@ -91,9 +96,9 @@
 func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.admission.tick(now, gap)
 	s.tickets.Seal(now)
-	s.placeByLoad(now)
 	s.tickDrain(now)
 	s.tickReports(now, gap)
+	s.placeByLoad(now)
 }
 
 func (s *state) statusReport(now time.Time, asked status.Asked) status.Report {
@@ -104,7 +109,7 @@
 		State:   s.reporting.self.Fact().State.String(),
 		Uptime:  now.Sub(s.started),
 		Tickets: asked.InForceOf(now, s.tickets),
-		Load:    status.Load{Requests: int64(s.admission.queue.Running())},
+		Load:    s.work(),
 		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
--- /dev/null
+++ b/agent/observe.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"context"
+
+	"cactustray/event"
+	"cactustray/identity"
+	"cactustray/metrics"
+	"cactustray/settings"
+	"cactustray/status"
+	"cactustray/steering/datagram"
+	"cactustray/trace"
+
+	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/errgroup"
+)
+
+// observe shows the agent's metrics and follows its identities' files.
+func observe(ctx context.Context, group *errgroup.Group, s *settings.Settings, id *identity.Identity, callers *callerServer, p *published, log *event.Log) {
+	registry := metrics.New()
+	datagram.RegisterCounters(registry, &p.residence.Counters)
+	registry.Gauge("flows.open", func() int64 { return int64(p.residence.Connections.Open()) })
+	group.Go(func() error { return id.Watch(ctx, log) })
+	group.Go(func() error { return callers.identity.Watch(ctx, log) })
+	group.Go(func() error { return p.tracer.Run(ctx) })
+	group.Go(func() error { return registry.Serve(ctx, s.Metrics) })
+}
+
+// work is what operators see of the agent's work.
+func (s *state) work() status.Load {
+	_, queued := s.admission.queue.Jobs()
+	return status.Load{
+		Flows:    int64(s.published.residence.Connections.Open()),
+		Requests: int64(s.admission.queue.Running()),
+		Queued:   int64(queued),
+	}
+}
+
+// trace makes the tracer, before traffic begins. It fails with
+// *trace.ExporterError.
+func (p *published) trace(ctx context.Context, s *settings.Settings, log *event.Log) error {
+	tracer, err := trace.New(ctx, trace.OptionsOf(s), log)
+	if err != nil {
+		return err
+	}
+	p.tracer = tracer
+	p.residence.Tracer = tracer
+	return nil
+}
+
+// connContext makes the context of a new connection, or refuses it.
+type connContext = func(context.Context, *quic.ClientInfo) (context.Context, error)
+
+// traceFlows begins the span of each sampled connection that admit accepts.
+func traceFlows(tracer *trace.Tracer, admit connContext) connContext {
+	return func(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
+		admitted, err := admit(ctx, info)
+		if err != nil {
+			return nil, err
+		}
+		return tracer.Flow(admitted, info.RemoteAddr), nil
+	}
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -17,11 +17,12 @@
 	"cactustray/identity"
 	"cactustray/liveness/heartbeat"
 	"cactustray/settings"
-	"cactustray/status"
+	"cactustray/status/query"
 	"cactustray/steering"
 	"cactustray/steering/datagram"
 	"cactustray/ticket/exchange"
 	"cactustray/ticket/platform"
+	"cactustray/trace"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -43,13 +44,18 @@
 	if err != nil {
 		return err
 	}
+	tracer, err := trace.New(ctx, trace.OptionsOf(s), log)
+	if err != nil {
+		return err
+	}
+	forwarder.Tracer = tracer
 	reader := platform.NewReader(s.Platform.URL, s.Platform.Prefix)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	log.Emit(EventBalancerStarted, event.Fields{"edge": s.Balancer.Edge})
 	defer log.Emit(EventBalancerStopped, nil)
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	peers := newPeers(s.Node, table)
+	peers := newPeers(s.Node)
 	caller := &peerCaller{client: rpc.NewClient(id), loop: loop, log: log}
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return loop.Run(running, newState(s, log, table, peers)) })
@@ -58,6 +64,8 @@
 	group.Go(func() error { return rpc.Serve(running, s.Control, id, handler(loop)) })
 	group.Go(func() error { return caller.run(running, peers.calls) })
 	group.Go(func() error { return serveHealth(running, s.Balancer.Health, &peers.healthy) })
+	group.Go(func() error { return tracer.Run(running) })
+	observe(running, group, s, id, forwarder, log)
 	group.Go(func() error {
 		defer stop()
 		return stopAsPlanned(ctx, running, loop, forwarder.Counters, log)
@@ -74,7 +82,7 @@
 	mount(path, h, identity.Balancer, identity.Agent)
 	path, h = heartbeat.NewServer(loop).Handler()
 	mount(path, h, identity.Balancer, identity.Agent)
-	path, h = status.NewServer(loop).Handler()
+	path, h = query.NewServer(loop).Handler()
 	mount(path, h, identity.Balancer, identity.Agent, identity.Operator)
 	return mux
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -47,6 +47,7 @@
 		{Balancer, "metrics", func(s *Settings) { s.Metrics = s.Control }},
 		{Balancer, "balancer.edge", func(s *Settings) { s.Balancer.Edge = s.Datagram }},
 		{Balancer, "balancer.fabric", func(s *Settings) { s.Balancer.Fabric = s.Balancer.Edge }},
+		{Balancer, "balancer.health", func(s *Settings) { s.Balancer.Health = s.Control }},
 		{Balancer, "platform.url", func(s *Settings) { s.Platform.URL = "192.0.2.5:8500" }},
 		{Balancer, "agent", func(s *Settings) { s.Agent = new(AgentSettings) }},
 		{Agent, "agent.backend", func(s *Settings) { s.Agent.Backend = s.Control }},
--- a/steering/datagram/conn.go
+++ b/steering/datagram/conn.go
@@ -26,6 +26,8 @@
 	// Connections are counted by the transport.
 	Connections placement.Connections
 	Counters    steering.Counters
+	// Tracer is set before the first datagram; nil means none.
+	Tracer Tracer
 }
 
 // Conn is the agent's packet connection: callers' datagrams arrive in
@@ -57,7 +59,11 @@
 		}
 		if c.receiver.receive(time.Now(), c.receiver.buffer[:n], from) {
 			envelope := &c.receiver.envelope
-			return copy(p, envelope.Payload), net.UDPAddrFromAddrPort(envelope.Caller), nil
+			n := copy(p, envelope.Payload)
+			if c.receiver.reset {
+				n = padForReset(p, n)
+			}
+			return n, net.UDPAddrFromAddrPort(envelope.Caller), nil
 		}
 	}
 }
