--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,6 +9,7 @@
 
 	"cactustray/admission/handover"
 	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/control/rpc"
 	"cactustray/event"
 	"cactustray/identity"
@@ -35,7 +36,8 @@
 	if err := snapshots.trace(ctx, s, log); err != nil {
 		return err
 	}
-	handler := newHandler(s, loop, snapshots, rpc.NewClient(id))
+	traffic := new(meter.Meter)
+	handler := newHandler(s, loop, snapshots, rpc.NewMeteredClient(id, traffic))
 	callers, err := newCallerServer(s, sealer, owner, loop, snapshots, handler)
 	if err != nil {
 		return err
@@ -46,7 +48,7 @@
 	reporter := &reporter{
 		node:    s.Node,
 		service: ticket.ServiceKeyOf(s.Agent.Service),
-		client:  rpc.NewClient(id),
+		client:  rpc.NewMeteredClient(id, traffic),
 		loop:    loop,
 	}
 	log.Emit(EventAgentStarted, event.Fields{"service": s.Agent.Service, "endpoint": s.Agent.Endpoint})
@@ -57,11 +59,12 @@
 	group, running := errgroup.WithContext(running)
 	peers := handover.NewClient(running, loop, handler.Peers)
 	state := newState(s, owner, log, snapshots, reports, loads, draining, peers)
+	state.usage = meter.NewUsage(traffic, loop.Busy)
 	group.Go(func() error { return loop.Run(running, state) })
 	group.Go(func() error { return reporter.run(running, reports) })
 	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
 	group.Go(func() error {
-		return rpc.Serve(running, s.Control, id, peerHandler(loop, handler, snapshots.tracer, controlHandler(loop)))
+		return rpc.Serve(running, s.Control, id, traffic, peerHandler(loop, handler, snapshots.tracer, controlHandler(loop)))
 	})
 	group.Go(func() error { return callers.serve(running, draining.phases) })
 	observe(running, group, s, id, callers, snapshots, log)
--- a/agent/control.go
+++ b/agent/control.go
@@ -7,6 +7,7 @@
 	"cactustray/admission/frontend"
 	"cactustray/admission/handover"
 	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/event"
 	"cactustray/liveness"
 	"cactustray/membership"
@@ -24,10 +25,10 @@
 	ticket    atomic.Pointer[ticket.Ticket]
 	agents    atomic.Pointer[frontend.Addresses]
 	residence datagram.Residence
-	// open counts requests in progress.
-	open atomic.Int64
 	// tracer is set before traffic begins; nil means none.
 	tracer *trace.Tracer
+	// open counts requests in progress.
+	open atomic.Int64
 }
 
 // state is all control state of an agent. Only the control goroutine touches
@@ -49,6 +50,7 @@
 	report chan<- report
 	// loads asks the placement goroutine to send a load report.
 	loads chan<- loadReport
+	usage *meter.Usage
 }
 
 func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport, d *draining, peers *handover.Client) *state {
@@ -73,14 +75,12 @@
 	switch m := message.(type) {
 	case ticket.Offered:
 		s.offered(now, m)
-	case ticket.Compared:
-		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
+	case ticket.Asked:
+		m.Reply <- s.tickets.Answer(m.Request)
 	case answered:
 		s.answered(now, m)
 	case stopRequested:
 		s.requestStop(now, m)
-	case gone:
-		s.sayGone(now)
 	case placement.Heard:
 		s.placement.Hear(now, m)
 	case steering.Behind:
@@ -95,7 +95,7 @@
 // Tick refuses what waited too long and reports to the balancers.
 func (s *state) Tick(now time.Time, gap time.Duration) {
 	s.admission.tick(now, gap)
-	s.tickets.Seal(now)
+	s.usage.Sample(now)
 	s.tickDrain(now)
 	s.tickReports(now, gap)
 	s.placeByLoad(now)
@@ -110,6 +110,7 @@
 		Uptime:  now.Sub(s.started),
 		Tickets: asked.InForceOf(now, s.tickets),
 		Load:    s.work(),
+		Cost:    status.CostOf(s.usage.Rates(now)),
 		Nodes:   asked.KnownOf(nil, s.tickets),
 	}
 }
--- a/agent/observe.go
+++ b/agent/observe.go
@@ -28,11 +28,10 @@
 
 // work is what operators see of the agent's work.
 func (s *state) work() status.Load {
-	_, queued := s.admission.queue.Jobs()
 	return status.Load{
 		Flows:    int64(s.published.residence.Connections.Open()),
 		Requests: int64(s.admission.queue.Running()),
-		Queued:   int64(queued),
+		Queued:   int64(s.admission.queue.Queued()),
 	}
 }
 
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -24,27 +24,30 @@
 	started time.Time
 	log     *event.Log
 
-	tickets  *ticket.Register
+	tickets  *ticket.State
 	observer *liveness.Observer
 	members  *membership.State
 	peers    *peers
 	steering *steering.State
 
 	table *atomic.Pointer[steering.Table]
+	outside
 }
 
-func newState(s *settings.Settings, log *event.Log, table *atomic.Pointer[steering.Table], p *peers) *state {
+func newState(s *settings.Settings, log *event.Log, table *atomic.Pointer[steering.Table], p *peers, out outside) *state {
+	now := time.Now()
 	st := &state{
 		node:     s.Node,
 		zone:     s.Zone,
-		started:  time.Now(),
+		started:  now,
 		log:      log,
-		tickets:  ticket.NewRegister(),
+		tickets:  newTickets(now, s, newRandom()),
 		observer: liveness.NewObserver(),
 		members:  membership.NewState(),
 		peers:    p,
 		steering: steering.NewState(),
 		table:    table,
+		outside:  out,
 	}
 	st.members.SetSelf(selfNode(s))
 	return st
@@ -55,8 +58,10 @@
 	switch m := message.(type) {
 	case ticket.Offered:
 		s.offered(now, m)
-	case ticket.Compared:
-		m.Reply <- s.tickets.Compare(m.Digests, m.Services)
+	case ticket.Asked:
+		s.asked(now, m)
+	case ticket.Answered:
+		s.answered(now, m)
 	case membership.Listed:
 		s.listed(now, m)
 	case platform.Failed:
@@ -78,7 +83,7 @@
 
 // Tick seals tickets and suspects endpoints that have gone silent.
 func (s *state) Tick(now time.Time, gap time.Duration) {
-	s.tickets.Seal(now)
+	s.ticketsTick(now)
 	s.tickLiveness(now, gap)
 	s.forgetLeft(now)
 }
@@ -88,9 +93,10 @@
 		Node:    s.node,
 		Role:    membership.RoleBalancer,
 		Zone:    s.zone,
-		State:   s.peers.self.Fact().State.String(),
+		State:   s.stateName(),
 		Uptime:  now.Sub(s.started),
-		Tickets: asked.InForceOf(now, s.tickets),
-		Nodes:   asked.KnownOf(s.members.Nodes(), s.tickets),
+		Tickets: asked.InForceOf(now, s.tickets.Register),
+		Nodes:   asked.KnownOf(s.members.Nodes(), s.tickets.Register),
+		Cost:    status.CostOf(s.usage.Rates(now)),
 	}
 }
--- a/standin/e2e/wire_test.go
+++ b/standin/e2e/wire_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cactustray/control"
+	"cactustray/control/meter"
 	"cactustray/control/rpc"
 	"cactustray/identity"
 	"cactustray/liveness"
@@ -73,7 +74,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(path, identity.Require(handler, identity.Balancer))
 	go func() { _ = loop.Run(ctx, &answering{answer: answer}) }()
-	go func() { _ = rpc.Serve(ctx, b.Control, id, mux) }()
+	go func() { _ = rpc.Serve(ctx, b.Control, id, new(meter.Meter), mux) }()
 	w := new(wire)
 	client := rpc.NewClient(id)
 	client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/steering/datagram/bench_test.go
+++ b/steering/datagram/bench_test.go
@@ -7,7 +7,9 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
+	"cactustray/placement"
 	"cactustray/steering"
 	"cactustray/ticket"
 
@@ -124,3 +126,17 @@
 		}
 	})
 }
+
+// BenchmarkLoadReport gives the size of one load report on the wire.
+func BenchmarkLoadReport(b *testing.B) {
+	const headers = 20 + 8 // IPv4 and UDP, in bytes
+	report := Envelope{Service: ticket.ServiceKeyOf("orders"), Endpoint: ownerOf(0, 1).Endpoint, IsLoad: true, Load: placement.Load{
+		Incarnation: 1 << 31, Sequence: 1 << 20, Slots: 4, Running: 4, Queued: 30, Connections: 1500,
+		ConnectionLimit: 2000, Ramp: placement.FullRamp, ExpectedWait: time.Second,
+	}}
+	var raw []byte
+	for b.Loop() {
+		raw = report.Append(raw[:0])
+	}
+	b.ReportMetric(float64(len(raw)+headers), "B/report")
+}
--- a/steering/state.go
+++ b/steering/state.go
@@ -67,7 +67,7 @@
 // tickets and to the view, and returns the new table. Services that stand as
 // they did are shared with the table before.
 func (s *State) Update(now time.Time, register *ticket.Register, view View, services ...ticket.ServiceKey) *Table {
-	u := s.begin(now)
+	u := s.begin(now, register)
 	if len(services) == 0 {
 		register.Each(func(key ticket.ServiceKey, entry *ticket.Entry) { u.bring(key, entry.Ticket, view) })
 	}
@@ -116,7 +116,7 @@
 			continue
 		}
 		if u == nil {
-			u = s.begin(now)
+			u = s.begin(now, nil)
 		}
 		s.returned(first.service, first.endpoint)
 		u.endpoints.remove(first.endpoint)
--- a/steering/update.go
+++ b/steering/update.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"net/netip"
 	"time"
 
 	"cactustray/ticket"
@@ -9,15 +10,17 @@
 // update is one change of the table in progress.
 type update struct {
 	state     *State
+	register  *ticket.Register
 	now       time.Time
 	byAddress *editor[addressKey, *Service]
 	services  *editor[ticket.ServiceKey, *Service]
 	endpoints *editor[ticket.EndpointKey, *Endpoint]
 }
 
-func (s *State) begin(now time.Time) *update {
+func (s *State) begin(now time.Time, register *ticket.Register) *update {
 	return &update{
 		state:     s,
+		register:  register,
 		now:       now,
 		byAddress: edit(s.table.byAddress),
 		services:  edit(s.table.services),
@@ -32,6 +35,7 @@
 // bring makes one service anew, unless it stands as it did.
 func (u *update) bring(key ticket.ServiceKey, t *ticket.Ticket, view View) {
 	u.refreshLeft(key, view)
+	defer u.settle(t.Address)
 	before := u.services.next.get(key)
 	if before != nil && before.stands(t, view) {
 		return
@@ -51,21 +55,33 @@
 
 func (u *update) add(service *Service) {
 	u.services.set(service.Key, service)
-	holder := u.byAddress.next.get(addressKeyOf(service.Address))
-	if holder == nil || holder.Key >= service.Key {
-		u.byAddress.set(addressKeyOf(service.Address), service)
-	}
+	u.byAddress.set(addressKeyOf(service.Address), service)
+	u.settle(service.Address)
 	for _, endpoint := range service.endpoints {
 		u.endpoints.set(endpoint.Key, endpoint)
 		u.state.returned(service.Key, endpoint.Key)
 	}
 }
 
+// settle gives an address to the live service that the register says has it. A
+// removed service keeps its address until another claims it.
+func (u *update) settle(address netip.AddrPort) {
+	owner, owned := u.register.AddressOwner(address)
+	if !owned {
+		return
+	}
+	service := u.services.next.get(owner)
+	if service != nil && u.byAddress.next.get(addressKeyOf(address)) != service {
+		u.byAddress.set(addressKeyOf(address), service)
+	}
+}
+
 // release takes out what only the service before had. Its endpoints stay for
 // their open flows.
 func (u *update) release(before, service *Service) {
 	if before.Address != service.Address && u.byAddress.next.get(addressKeyOf(before.Address)) == before {
 		u.byAddress.remove(addressKeyOf(before.Address))
+		u.settle(before.Address)
 	}
 	for _, endpoint := range before.endpoints {
 		if u.endpoints.next.get(endpoint.Key) != endpoint {
