--- a/admission/frontend/job.go
+++ b/admission/frontend/job.go
@@ -53,8 +53,9 @@
 	}
 }
 
+// ask waits for the control goroutine's decision.
 func (j *job) ask(ctx context.Context, build func(decisionReply) control.Message) (admission.Decision, error) {
-	ctx, span := trace.Start(ctx, "agent.queue")
+	_, span := trace.Start(ctx, "agent.queue")
 	defer span.End()
 	return control.Ask(ctx, j.h.Loop, build)
 }
