--- a/ticket/platform/watch.go
+++ b/ticket/platform/watch.go
@@ -54,10 +54,10 @@
 	for ctx.Err() == nil {
 		reading, stop := context.WithCancel(ctx)
 		done := make(chan struct{})
-		go func() {
+		go func(current ticket.Reading) {
 			defer close(done)
-			w.read(reading, order)
-		}()
+			w.read(reading, current)
+		}(order)
 		select {
 		case order = <-w.orders:
 		case <-ctx.Done():
