--- a/agent/admission.go
+++ b/agent/admission.go
@@ -48,6 +48,8 @@
 	agents  frontend.Addresses
 	// open counts the requests that traffic goroutines serve.
 	open *atomic.Int64
+	// instruments are set before the control goroutine begins.
+	instruments *instruments
 }
 
 func newAdmission(s *settings.Settings, log *event.Log, open *atomic.Int64, peers *handover.Client) *admissionState {
@@ -165,6 +167,7 @@
 	for _, d := range out.Decisions {
 		reply := a.replies[d.ID]
 		delete(a.replies, d.ID)
+		a.instruments.decided(d)
 		if reply != nil {
 			reply <- d
 		}
@@ -185,6 +188,7 @@
 
 func (a *admissionState) tick(now time.Time, gap time.Duration) {
 	a.apply(now, a.queue.Tick(now, gap))
+	a.instruments.observe(a.queue)
 	a.keeper.Tick(now, gap)
 }
 
