Let daemons of a test end with it

Cause: e2e runs that were stopped by the 10 minutes' limit left 6 daemons each behind, which loaded the machine for the runs after them (load average 50). Change: the harness asks the kernel to kill a daemon when the test's process ends. Conclusion: a cut run no longer disturbs the next.

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -167,6 +167,8 @@
 	log, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must.NoError(f.t, err)
 	command.Stdout, command.Stderr = log, log
+	// A test that ends without its clean-up leaves no daemon behind.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	must.NoError(f.t, command.Start())
 	f.daemons[name] = command
 	f.t.Cleanup(func() {
