--- a/standin/e2e/load_test.go
+++ b/standin/e2e/load_test.go
@@ -162,6 +162,7 @@
 	defer from.Close()
 	response, err := from.Do(request)
 	if err != nil {
+		f.Log("confirmation", key, "failed:", err)
 		return unknown
 	}
 	defer response.Body.Close()
@@ -170,6 +171,7 @@
 	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil || response.StatusCode != http.StatusOK || string(body) != "confirmed "+key+"\n" {
+		f.Log("confirmation", key, "answered", response.StatusCode, string(body), err)
 		return unknown
 	}
 	return confirmed
@@ -185,10 +187,14 @@
 }
 
 // startConfirmations sends confirmations, several at once, until finish.
-func startConfirmations(f *fleet.Fleet, service string, name string) *confirmations {
+func startConfirmations(t *testing.T, f *fleet.Fleet, service, name string) *confirmations {
 	const senders, work, timeout = 4, 5, 5000
 	running, stop := context.WithCancel(context.Background())
 	c := &confirmations{outcomes: make(map[string]outcome), stop: stop}
+	t.Cleanup(func() {
+		stop()
+		c.group.Wait()
+	})
 	for s := range senders {
 		c.group.Go(func() {
 			for i := 0; running.Err() == nil; i++ {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"cactustray/status/statuspb"
 	"cactustray/status/statuspb/statuspbconnect"
 	"cactustray/ticket"
+	tickets "cactustray/ticket/platform"
 
 	"github.com/shoenig/test/must"
 )
@@ -124,6 +125,9 @@
 	}
 }
 
+// PublishVMs writes the list of VMs, as the platform does.
+func (f *Fleet) PublishVMs(vms []tickets.VM) { f.put("vms", vms) }
+
 // Publish writes a ticket to the platform, as operators do.
 func (f *Fleet) Publish(tk *ticket.Ticket) { f.put("tickets/"+tk.Service, tk) }
 
@@ -145,12 +149,26 @@
 	return names
 }
 
+// Controls returns the control addresses of all daemons.
+func (f *Fleet) Controls() []netip.AddrPort {
+	var controls []netip.AddrPort
+	for _, b := range f.Balancers {
+		controls = append(controls, b.Control)
+	}
+	for _, b := range f.Backends {
+		controls = append(controls, b.Settings.Control)
+	}
+	return controls
+}
+
 // Run starts one daemon.
 func (f *Fleet) Run(name string) {
 	command := exec.Command(f.binary, filepath.Join(f.Dir, name+".json"))
 	log, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must.NoError(f.t, err)
 	command.Stdout, command.Stderr = log, log
+	// A test that ends without its clean-up leaves no daemon behind.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	must.NoError(f.t, command.Start())
 	f.daemons[name] = command
 	f.t.Cleanup(func() {
@@ -230,15 +248,18 @@
 	return strings.Contains(string(raw), fmt.Sprintf(`"event":%d,`, e.Number))
 }
 
-// Queued returns how many requests wait on an agent.
-func (f *Fleet) Queued(control netip.AddrPort) int64 {
+// Work returns how many requests run or wait on an agent.
+func (f *Fleet) Work(control netip.AddrPort) int64 {
 	response, err := f.Status(control)
 	if err != nil {
 		return 0
 	}
-	return response.GetQueued()
+	return response.GetRequests() + response.GetQueued()
 }
 
+// Log writes a line to the test's log.
+func (f *Fleet) Log(values ...any) { f.t.Log(values...) }
+
 // Await waits until a condition holds.
 func (f *Fleet) Await(condition func() bool) {
 	f.t.Helper()
