Wait for the ticket another agent chose the keeper by

Cause: 370 confirmations ended 'outcome unknown' over 10 tickets under load (TestTicketsLeaveNothingUnknown). Agents learn a ticket up to 3 s apart; an agent by the newer one passed a key to a keeper that still held the older, which passed it back until the hops ran out. Ruled out: lost records, none was recorded twice or lost. Change: a passed on request names the ticket it was routed by. The number rises with each hop, so 4 hops are enough. Conclusion: a ticket leaves no confirmation unknown; an unannounced stop still does.

--- a/admission/frontend/frontend.go
+++ b/admission/frontend/frontend.go
@@ -32,6 +32,9 @@
 	keeperHopHeader   = "Cactustray-Keeper-Hop"
 	// witnessHeader names the agent that passed a keyed request on.
 	witnessHeader = "Cactustray-Witness"
+	// ticketHeader is the number of the ticket by which an agent passed a
+	// keyed request on.
+	ticketHeader = "Cactustray-Ticket"
 	// defaultTimeout bounds a job whose caller named no deadline.
 	defaultTimeout = 30 * time.Second
 )
@@ -71,6 +74,7 @@
 	r.Header.Del(reservationHeader)
 	r.Header.Del(keeperHopHeader)
 	r.Header.Del(witnessHeader)
+	r.Header.Del(ticketHeader)
 	h.serve(w, r, 0)
 }
 
--- a/admission/frontend/keyed.go
+++ b/admission/frontend/keyed.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"cactustray/admission"
 	"cactustray/admission/handover"
@@ -26,8 +27,11 @@
 	// maxKey bounds a key, in bytes.
 	maxKey = 255
 	// maxKeeperHops is how often a keyed request is forwarded while agents
-	// hold different tickets.
-	maxKeeperHops = 2
+	// hold different tickets: the number of the ticket rises with each hop.
+	maxKeeperHops = 4
+	// catchUpTime bounds how long a keyed request waits for a ticket that
+	// another agent holds already.
+	catchUpTime = 5 * time.Second
 )
 
 // keyed is a request with a key.
@@ -44,6 +48,11 @@
 // serveKeyed runs a request with a key at most once: its keeper owns the
 // outcome.
 func (h *Handler) serveKeyed(w http.ResponseWriter, r *http.Request, tk *ticket.Ticket, hop int) {
+	tk, ok := h.catchUp(r, tk)
+	if !ok {
+		writeUnknown(w, "agents hold different tickets")
+		return
+	}
 	key := r.Header.Get(KeyHeader)
 	whole, err := io.ReadAll(io.LimitReader(r.Body, maxKeyedBody+1))
 	if err != nil || len(whole) > maxKeyedBody || len(key) > maxKey {
@@ -69,6 +78,24 @@
 	k.passOn()
 }
 
+// catchUp returns the ticket in force here, which must not be older than the
+// one by which another agent passed the request on: two agents that choose
+// keepers by different tickets would pass the request to and fro.
+func (h *Handler) catchUp(r *http.Request, tk *ticket.Ticket) (caughtUp *ticket.Ticket, ok bool) {
+	number, _ := strconv.ParseUint(r.Header.Get(ticketHeader), 10, 64)
+	r.Header.Del(ticketHeader)
+	if ticket.Number(number) <= tk.Number {
+		return tk, true
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), catchUpTime)
+	defer cancel()
+	until, _ := ctx.Deadline()
+	tk, err := control.Ask(ctx, h.Loop, func(reply chan<- *ticket.Ticket) control.Message {
+		return ticket.Awaited{Number: ticket.Number(number), Until: until, Reply: reply}
+	})
+	return tk, err == nil
+}
+
 // MembersOf returns the endpoints of a ticket that keep or may see keys.
 func MembersOf(tk *ticket.Ticket) admission.Members {
 	var members admission.Members
@@ -120,6 +147,7 @@
 	address, _ := k.h.addressOf(k.keeper)
 	out := k.outgoing(ctx)
 	out.Header.Set(keeperHopHeader, strconv.Itoa(k.hop+1))
+	out.Header.Set(ticketHeader, strconv.FormatUint(uint64(k.tk.Number), 10))
 	out.Header.Set(witnessHeader, k.h.Endpoint)
 	response, failed := forward(out, k.h.Peers, address)
 	switch {
--- a/agent/control.go
+++ b/agent/control.go
@@ -42,6 +42,8 @@
 	reporting *reporting
 	draining  *draining
 	tickets   *ticket.Register
+	// awaited are requests that wait for a ticket another agent holds.
+	awaited   []ticket.Awaited
 	admission *admissionState
 	placement *placement.State
 
@@ -77,6 +79,8 @@
 		s.offered(now, m)
 	case ticket.Asked:
 		m.Reply <- s.tickets.Answer(m.Request)
+	case ticket.Awaited:
+		s.awaitTicket(now, m)
 	case answered:
 		s.answered(now, m)
 	case stopRequested:
@@ -98,6 +102,7 @@
 	s.usage.Sample(now)
 	s.tickDrain(now)
 	s.tickReports(now, gap)
+	s.tickAwaited(now)
 	s.placeByLoad(now)
 }
 
--- a/ticket/message.go
+++ b/ticket/message.go
@@ -85,3 +85,12 @@
 	// Failure is why there is no response, or nil.
 	Failure error
 }
+
+// Awaited asks the control goroutine of an agent for the service's ticket once
+// it is Number or a later one. Without one by Until there is no reply.
+type Awaited struct {
+	Number Number
+	Until  time.Time
+	// Reply has room for the one ticket.
+	Reply chan<- *Ticket
+}
