--- a/admission/keeper.go
+++ b/admission/keeper.go
@@ -147,21 +147,14 @@
 	since   time.Time
 	members Members
 	former  []formerMembers
-	// resigned are endpoints that gave up keeping, this one included.
-	resigned map[ticket.EndpointKey]resigned
-	records  map[Key]*record
-	kept     int
-	swept    time.Time
+	records map[Key]*record
+	kept    int
+	swept   time.Time
 }
 
 // NewKeeper returns a keeper that remembers nothing from before now.
 func NewKeeper(now time.Time, self ticket.EndpointKey) *Keeper {
-	return &Keeper{
-		self:     self,
-		since:    now,
-		resigned: make(map[ticket.EndpointKey]resigned),
-		records:  make(map[Key]*record),
-	}
+	return &Keeper{self: self, since: now, records: make(map[Key]*record)}
 }
 
 // SetMembers takes the service's endpoints in; those before stay known for
@@ -178,12 +171,7 @@
 
 // Claim decides on a request with a key.
 func (k *Keeper) Claim(now time.Time, key Key, fingerprint Fingerprint) Claim {
-	k.expire(now)
-	r := k.records[key]
-	if _, gone := k.resigned[k.self]; gone && (r == nil || r.state == notRun) {
-		return Claim{Verdict: Uncertain}
-	}
-	if r != nil {
+	if r := k.records[key]; r != nil {
 		return r.claim(fingerprint)
 	}
 	if len(k.records) >= maxRecords || k.kept >= maxKept {
@@ -224,8 +212,8 @@
 	}
 	var ask []ticket.EndpointKey
 	for _, f := range k.former {
-		keeper, ok := KeeperOf(key, k.without(f.Keepers))
-		if ok && now.Before(f.until) && keeper != k.self && !slices.Contains(ask, keeper) {
+		keeper, _ := KeeperOf(key, f.Keepers)
+		if now.Before(f.until) && keeper != k.self && !slices.Contains(ask, keeper) {
 			ask = append(ask, keeper)
 		}
 	}
@@ -238,7 +226,7 @@
 	var others []ticket.EndpointKey
 	sets := append([]formerMembers{{Members: k.members}}, k.former...)
 	for _, f := range sets {
-		for _, e := range k.without(f.All) {
+		for _, e := range f.All {
 			if e != k.self && !slices.Contains(others, e) {
 				others = append(others, e)
 			}
@@ -353,7 +341,6 @@
 	if gap > PauseLimit {
 		k.since = now
 	}
-	k.expire(now)
 	if now.Sub(k.swept) < sweepInterval {
 		return
 	}
