--- a/admission/frontend/keyed.go
+++ b/admission/frontend/keyed.go
@@ -41,8 +41,8 @@
 	fingerprint admission.Fingerprint
 	keeper      ticket.EndpointKey
 	hop         int
-	// witness names the agent that passed the request on first, or nobody.
-	witness string
+	// witness is the agent that passed the request on.
+	witness ticket.EndpointKey
 }
 
 // serveKeyed runs a request with a key at most once: its keeper owns the
@@ -60,7 +60,7 @@
 		return
 	}
 	k := &keyed{job: h.newJob(w, r, tk), key: admission.Key(key), fingerprint: fingerprint(r, whole), hop: hop}
-	k.witness = r.Header.Get(witnessHeader)
+	k.witness = ticket.EndpointKeyOf(tk.Service, r.Header.Get(witnessHeader))
 	r.Header.Del(witnessHeader)
 	k.body = newBody(bytes.NewReader(whole))
 	r.ContentLength = int64(len(whole))
@@ -127,9 +127,8 @@
 	return admission.Fingerprint(hash.Sum64())
 }
 
-// passOn forwards the request to its keeper. The agent that the caller reached
-// remembers the key as its witness; those after it, by newer tickets, only pass
-// the request on, so that a still newer ticket may bring it back to them. When the keeper can't be reached nobody knows whether an earlier
+// passOn forwards the request to its keeper, and remembers the key as a
+// witness. When the keeper can't be reached nobody knows whether an earlier
 // request with the key ran.
 func (k *keyed) passOn() {
 	ctx, cancel := k.limit(k.in.Context())
@@ -138,7 +137,10 @@
 		writeUnknown(k.out, "agents hold different tickets")
 		return
 	}
-	if k.hop == 0 && !k.beWitness(ctx) {
+	memory, err := control.Ask(ctx, k.h.Loop, func(reply chan<- admission.Memory) control.Message {
+		return admission.Witnessed{Key: k.key, Reply: reply}
+	})
+	if err != nil || memory.Unreached {
 		writeUnknown(k.out, "no room to remember the key")
 		return
 	}
@@ -146,7 +148,7 @@
 	out := k.outgoing(ctx)
 	out.Header.Set(keeperHopHeader, strconv.Itoa(k.hop+1))
 	out.Header.Set(ticketHeader, strconv.FormatUint(uint64(k.tk.Number), 10))
-	out.Header.Set(witnessHeader, k.witness)
+	out.Header.Set(witnessHeader, k.h.Endpoint)
 	response, failed := forward(out, k.h.Peers, address)
 	switch {
 	case response != nil:
@@ -159,15 +161,6 @@
 	}
 }
 
-// beWitness makes this agent remember the key, and tells whether it does.
-func (k *keyed) beWitness(ctx context.Context) bool {
-	memory, err := control.Ask(ctx, k.h.Loop, func(reply chan<- admission.Memory) control.Message {
-		return admission.Witnessed{Key: k.key, Reply: reply}
-	})
-	k.witness = k.h.Endpoint
-	return err == nil && !memory.Unreached
-}
-
 // keep serves the request as its key's keeper. The claim is asked for with no
 // deadline, since after Run the outcome must be settled.
 func (k *keyed) keep() {
@@ -231,7 +224,7 @@
 // has passed it on.
 func (k *keyed) askWitness(ctx context.Context) {
 	members := MembersOf(k.tk).All
-	if k.hop > 0 && slices.Contains(members, ticket.EndpointKeyOf(k.tk.Service, k.witness)) {
+	if k.hop > 0 && slices.Contains(members, k.witness) {
 		return
 	}
 	for _, other := range members {
--- a/admission/keeper_test.go
+++ b/admission/keeper_test.go
@@ -95,10 +95,8 @@
 			k.claimAt(at, key, witness)
 			return
 		}
-		if witness == 0 {
-			k.nodes[at].Witness(k.now, key)
-			witness = ticket.EndpointKey(at + 1)
-		}
+		k.nodes[at].Witness(k.now, key)
+		witness = ticket.EndpointKey(at + 1)
 		at = int(keeper - 1)
 	}
 }
