--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"time"
 
+	"cactustray/admission/frontend"
 	"cactustray/admission/handover"
 	"cactustray/control"
 	"cactustray/control/meter"
 	"cactustray/control/rpc"
 	"cactustray/event"
 	"cactustray/identity"
+	"cactustray/metrics"
 	"cactustray/settings"
 	"cactustray/status/query"
 	"cactustray/steering"
@@ -24,60 +26,93 @@
 // tickInterval is how often the control goroutine looks at the time.
 const tickInterval = 50 * time.Millisecond
 
+// process is an agent's parts: the control state and what goes on around it.
+type process struct {
+	settings  *settings.Settings
+	identity  *identity.Identity
+	log       *event.Log
+	loop      *control.Loop
+	state     *state
+	snapshots *published
+	callers   *callerServer
+	handler   *frontend.Handler
+	reporter  *reporter
+	registry  *metrics.Registry
+	traffic   *meter.Meter
+	reports   chan report
+	loads     chan loadReport
+}
+
 // Run runs an agent until the context ends, then stops it as planned: it takes
 // no new work, and the requests in progress finish.
 func Run(ctx context.Context, s *settings.Settings, sealer *steering.Sealer, id *identity.Identity, log *event.Log) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	p := &process{
+		settings:  s,
+		identity:  id,
+		log:       log,
+		loop:      control.NewLoop(tickInterval),
+		snapshots: new(published),
+		traffic:   new(meter.Meter),
+		reports:   make(chan report),
+		loads:     make(chan loadReport),
+	}
+	if err := p.assemble(running, sealer); err != nil {
+		return err
+	}
+	log.Emit(EventAgentStarted, event.Fields{"service": s.Agent.Service, "endpoint": s.Agent.Endpoint})
+	defer log.Emit(EventAgentStopped, nil)
+	err := p.run(ctx, running)
+	p.reporter.sayGone(p.state)
+	return err
+}
+
+// assemble makes the parts; nothing runs yet but the callers' socket, which is
+// bound.
+func (p *process) assemble(running context.Context, sealer *steering.Sealer) error {
+	s := p.settings
 	owner := steering.Owner{
 		Endpoint:    ticket.EndpointKeyOf(s.Agent.Service, s.Agent.Endpoint),
 		Incarnation: steering.Incarnation(time.Now().Unix()),
 	}
-	loop := control.NewLoop(tickInterval)
-	snapshots := new(published)
-	if err := snapshots.trace(ctx, s, log); err != nil {
+	if err := p.snapshots.trace(running, s, p.log); err != nil {
 		return err
 	}
-	traffic := new(meter.Meter)
-	handler := newHandler(s, loop, snapshots, rpc.NewMeteredClient(id, traffic))
-	callers, err := newCallerServer(s, sealer, owner, loop, snapshots, handler)
+	client := rpc.NewMeteredClient(p.identity, p.traffic)
+	p.handler = newHandler(s, p.loop, p.snapshots, client)
+	callers, err := newCallerServer(s, sealer, owner, p.loop, p.snapshots, p.handler)
 	if err != nil {
 		return err
 	}
-	reports := make(chan report)
-	draining := newDraining()
-	loads := make(chan loadReport)
-	reporter := &reporter{
-		node:    s.Node,
-		service: ticket.ServiceKeyOf(s.Agent.Service),
-		client:  rpc.NewMeteredClient(id, traffic),
-		loop:    loop,
-	}
-	log.Emit(EventAgentStarted, event.Fields{"service": s.Agent.Service, "endpoint": s.Agent.Endpoint})
-	defer log.Emit(EventAgentStopped, nil)
+	p.callers = callers
+	p.reporter = &reporter{node: s.Node, service: ticket.ServiceKeyOf(s.Agent.Service), client: client, loop: p.loop}
+	p.registry = newRegistry(p.snapshots, p.traffic, p.loop, p.log)
+	p.state = newState(s, owner, p.log, p.snapshots, p.reports, p.loads, handover.NewClient(running, p.loop, client))
+	p.state.usage = meter.NewUsage(p.traffic, p.loop.Busy)
+	p.state.admission.instruments = newInstruments(p.registry)
+	return nil
+}
 
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+// run runs the control goroutine and the others until the planned stop that
+// follows the end of ctx is over, or one of them fails.
+func (p *process) run(ctx, running context.Context) error {
+	running, stop := context.WithCancel(running)
 	defer stop()
 	group, running := errgroup.WithContext(running)
-	peers := handover.NewClient(running, loop, handler.Peers)
-	state := newState(s, owner, log, snapshots, reports, loads, draining, peers)
-	state.usage = meter.NewUsage(traffic, loop.Busy)
-	registry := newRegistry(snapshots, traffic, loop, log)
-	state.admission.instruments = newInstruments(registry)
-	group.Go(func() error { return loop.Run(running, state) })
-	group.Go(func() error { return reporter.run(running, reports) })
-	group.Go(func() error { return sendLoads(running, callers.conn, loads) })
-	group.Go(func() error {
-		return rpc.Serve(running, s.Control, id, traffic, peerHandler(loop, handler, snapshots.tracer, controlHandler(loop)))
-	})
-	group.Go(func() error { return callers.serve(running, draining.phases) })
-	observe(running, group, s, id, callers, snapshots.tracer, registry, log)
+	calls := peerHandler(p.loop, p.handler, p.snapshots.tracer, controlHandler(p.loop))
+	group.Go(func() error { return p.loop.Run(running, p.state) })
+	group.Go(func() error { return p.reporter.run(running, p.reports) })
+	group.Go(func() error { return sendLoads(running, p.callers.conn, p.loads) })
+	group.Go(func() error { return rpc.Serve(running, p.settings.Control, p.identity, p.traffic, calls) })
+	group.Go(func() error { return p.callers.serve(running, p.state.draining.phases) })
+	observe(running, group, p.settings, p.identity, p.callers, p.snapshots.tracer, p.registry, p.log)
 	group.Go(func() error {
 		defer stop()
-		stopAsPlanned(ctx, running, loop)
+		stopAsPlanned(ctx, running, p.loop)
 		return nil
 	})
-	err = group.Wait()
-	reporter.sayGone(state)
-	return err
+	return group.Wait()
 }
 
 func controlHandler(loop *control.Loop) http.Handler {
--- a/agent/control.go
+++ b/agent/control.go
@@ -55,14 +55,14 @@
 	usage *meter.Usage
 }
 
-func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport, d *draining, peers *handover.Client) *state {
+func newState(s *settings.Settings, owner steering.Owner, log *event.Log, p *published, reports chan<- report, loads chan<- loadReport, peers *handover.Client) *state {
 	return &state{
 		settings:  s,
 		service:   ticket.ServiceKeyOf(s.Agent.Service),
 		started:   time.Now(),
 		log:       log,
 		reporting: newReporting(liveness.NewSelf(liveness.EndpointSubject(owner.Endpoint), owner.Incarnation), s.Agent.Balancers),
-		draining:  d,
+		draining:  newDraining(),
 		tickets:   ticket.NewRegister(),
 		admission: newAdmission(s, log, &p.open, peers),
 		placement: placement.NewState(owner.Endpoint),
--- a/standin/e2e/load_test.go
+++ b/standin/e2e/load_test.go
@@ -104,7 +104,7 @@
 	return all
 }
 
-// onOther returns the feeds of all endpoints but one, and on the feeds of it.
+// split returns the feeds of one endpoint, and those of all others.
 func (all feeds) split(endpoint string) (on, other feeds) {
 	for _, fd := range all {
 		if fd.endpoint == endpoint {
