Split the balancer's start into parts and goroutines

Cause: balancer.Run made parts and started goroutines in one function. Change: Run, assemble and run over one struct of parts, as in the agent. Conclusion: behaviour is as before.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -37,45 +37,81 @@
 	socketBuffer = 4 << 20
 )
 
-// Run runs a balancer until the context ends.
+// process is a balancer's parts: the control state and what goes on around it.
+type process struct {
+	settings  *settings.Settings
+	identity  *identity.Identity
+	log       *event.Log
+	loop      *control.Loop
+	state     *state
+	forwarder *datagram.Forwarder
+	tracer    *trace.Tracer
+	peers     *peerCaller
+	traffic   *meter.Meter
+}
+
+// Run runs a balancer until the context ends, then stops it as planned: it
+// forwards until its traffic has moved.
 func Run(ctx context.Context, s *settings.Settings, sealer *steering.Sealer, id *identity.Identity, log *event.Log) error {
+	p := &process{
+		settings: s,
+		identity: id,
+		log:      log,
+		loop:     control.NewLoop(tickInterval),
+		traffic:  new(meter.Meter),
+	}
+	if err := p.assemble(ctx, sealer); err != nil {
+		return err
+	}
+	log.Emit(EventBalancerStarted, event.Fields{"edge": s.Balancer.Edge})
+	defer log.Emit(EventBalancerStopped, nil)
+	return p.run(ctx)
+}
+
+// assemble makes the parts; nothing runs yet but the sockets, which are bound.
+func (p *process) assemble(ctx context.Context, sealer *steering.Sealer) error {
+	s := p.settings
 	table := new(atomic.Pointer[steering.Table])
-	loop := control.NewLoop(tickInterval)
-	forwarder, err := newForwarder(s, sealer, table, loop)
+	forwarder, err := newForwarder(s, sealer, table, p.loop)
 	if err != nil {
 		return err
 	}
-	tracer, err := trace.New(ctx, trace.OptionsOf(s), log)
+	tracer, err := trace.New(ctx, trace.OptionsOf(s), p.log)
 	if err != nil {
 		return err
 	}
 	forwarder.Tracer = tracer
-	traffic := new(meter.Meter)
-	client := rpc.NewMeteredClient(id, traffic)
+	p.forwarder, p.tracer = forwarder, tracer
+	client := rpc.NewMeteredClient(p.identity, p.traffic)
+	reader := platform.NewReader(s.Platform.URL, s.Platform.Prefix, p.traffic)
 	out := outside{
-		caller:  exchange.NewCaller(client, loop),
-		watcher: platform.NewWatcher(platform.NewReader(s.Platform.URL, s.Platform.Prefix, traffic), loop, newRandom()),
-		usage:   meter.NewUsage(traffic, loop.Busy),
+		caller:  exchange.NewCaller(client, p.loop),
+		watcher: platform.NewWatcher(reader, p.loop, newRandom()),
+		usage:   meter.NewUsage(p.traffic, p.loop.Busy),
 	}
-	log.Emit(EventBalancerStarted, event.Fields{"edge": s.Balancer.Edge})
-	defer log.Emit(EventBalancerStopped, nil)
+	p.peers = &peerCaller{client: client, loop: p.loop, log: p.log}
+	p.state = newState(s, p.log, table, newPeers(s.Node), out)
+	return nil
+}
+
+// run runs the control goroutine and the others until the planned stop that
+// follows the end of ctx is over, or one of them fails.
+func (p *process) run(ctx context.Context) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	peers := newPeers(s.Node)
-	caller := &peerCaller{client: client, loop: loop, log: log}
 	group, running := errgroup.WithContext(running)
-	group.Go(func() error { return loop.Run(running, newState(s, log, table, peers, out)) })
-	group.Go(func() error { return forwarder.Run(running, workers) })
-	group.Go(func() error { return out.watcher.Run(running) })
-	group.Go(func() error { return out.caller.Run(running) })
-	group.Go(func() error { return rpc.Serve(running, s.Control, id, traffic, handler(loop)) })
-	group.Go(func() error { return caller.run(running, peers.calls) })
-	group.Go(func() error { return serveHealth(running, s.Balancer.Health, &peers.healthy) })
-	group.Go(func() error { return tracer.Run(running) })
-	observe(running, group, s, id, forwarder, traffic, loop, log)
+	group.Go(func() error { return p.loop.Run(running, p.state) })
+	group.Go(func() error { return p.forwarder.Run(running, workers) })
+	group.Go(func() error { return p.state.watcher.Run(running) })
+	group.Go(func() error { return p.state.caller.Run(running) })
+	group.Go(func() error { return rpc.Serve(running, p.settings.Control, p.identity, p.traffic, handler(p.loop)) })
+	group.Go(func() error { return p.peers.run(running, p.state.peers.calls) })
+	group.Go(func() error { return serveHealth(running, p.settings.Balancer.Health, &p.state.peers.healthy) })
+	group.Go(func() error { return p.tracer.Run(running) })
+	observe(running, group, p.settings, p.identity, p.forwarder, p.traffic, p.loop, p.log)
 	group.Go(func() error {
 		defer stop()
-		return stopAsPlanned(ctx, running, loop, forwarder.Counters, log)
+		return stopAsPlanned(ctx, running, p.loop, p.forwarder.Counters, p.log)
 	})
 	return group.Wait()
 }
