Tell the submitter when the ticket is in force, apart from accepted

Change: Progress.InForce; submit prints and writes to JSON when every node first went by the ticket. Conclusion: the client's figure now answers the users' question.

--- a/cmd/cactustray/submit.go
+++ b/cmd/cactustray/submit.go
@@ -41,13 +41,15 @@
 
 // submitted is the outcome of a submission.
 type submitted struct {
-	Service string          `json:"service"`
-	Number  ticket.Number   `json:"number"`
-	Verdict string          `json:"verdict"`
-	Nodes   int             `json:"nodes"`
-	After   time.Duration   `json:"after_ns"`
-	Changes []ticket.Change `json:"changes,omitempty"`
-	Waiting []waitingNode   `json:"waiting,omitempty"`
+	Service string        `json:"service"`
+	Number  ticket.Number `json:"number"`
+	Verdict string        `json:"verdict"`
+	Nodes   int           `json:"nodes"`
+	// InForceAfter is when every node first went by the ticket, or 0.
+	InForceAfter time.Duration   `json:"in_force_after_ns"`
+	After        time.Duration   `json:"after_ns"`
+	Changes      []ticket.Change `json:"changes,omitempty"`
+	Waiting      []waitingNode   `json:"waiting,omitempty"`
 	// Conflicts is how many nodes saw other content under the number.
 	Conflicts int `json:"conflicts"`
 }
@@ -79,16 +81,22 @@
 		return err
 	}
 	started := time.Now()
-	progress := c.follow(ctx, surveyor, held)
+	var inForceAfter time.Duration
+	progress := c.follow(ctx, surveyor, held, func(p status.Progress) {
+		if inForceAfter == 0 && p.InForce() {
+			inForceAfter = time.Since(started)
+		}
+	})
 	outcome := submitted{
-		Service:   held.Ticket.Service,
-		Number:    held.Ticket.Number,
-		Verdict:   progress.Verdict.String(),
-		Nodes:     len(progress.Standings),
-		After:     time.Since(started),
-		Changes:   ticket.Changes(ticketOf(inForce), held.Ticket),
-		Waiting:   waitingNodes(progress),
-		Conflicts: progress.Conflicts,
+		Service:      held.Ticket.Service,
+		Number:       held.Ticket.Number,
+		Verdict:      progress.Verdict.String(),
+		Nodes:        len(progress.Standings),
+		InForceAfter: inForceAfter,
+		After:        time.Since(started),
+		Changes:      ticket.Changes(ticketOf(inForce), held.Ticket),
+		Waiting:      waitingNodes(progress),
+		Conflicts:    progress.Conflicts,
 	}
 	if err := writeSubmitted(out, outcome, c.JSON); err != nil {
 		return err
@@ -96,8 +104,9 @@
 	return failureOf(outcome, progress)
 }
 
-// follow looks at the nodes until the verdict is final or the deadline passes.
-func (c *ticketSubmitCommand) follow(ctx context.Context, surveyor *survey.Surveyor, held ticket.Held) status.Progress {
+// follow looks at the nodes until the verdict is final or the deadline passes;
+// each look is shown to seen.
+func (c *ticketSubmitCommand) follow(ctx context.Context, surveyor *survey.Surveyor, held ticket.Held, seen func(status.Progress)) status.Progress {
 	ctx, cancel := context.WithTimeout(ctx, c.Deadline)
 	defer cancel()
 	target := status.Target{Service: held.Ticket.Service, Number: held.Ticket.Number, Content: held.Content}
@@ -114,6 +123,7 @@
 			fleet = fleet.Reachable()
 		}
 		last = fleet.Follow(target)
+		seen(last)
 		if last.Verdict != status.NotYet {
 			return last
 		}
--- a/cmd/cactustray/text.go
+++ b/cmd/cactustray/text.go
@@ -190,8 +190,12 @@
 	if s.Conflicts > 0 {
 		fmt.Fprintf(out, "conflict: %d nodes saw other content under number %d; somebody else used it\n", s.Conflicts, s.Number)
 	}
-	inForce := s.Nodes - len(s.Waiting)
+	if s.InForceAfter > 0 {
+		fmt.Fprintf(out, "ticket %d for service %s: in force on %d of %d nodes after %s\n",
+			s.Number, s.Service, s.Nodes, s.Nodes, s.InForceAfter.Round(time.Millisecond))
+	}
+	accepted := s.Nodes - len(s.Waiting)
 	_, err := fmt.Fprintf(out, "ticket %d for service %s: %s, accepted on %d of %d nodes after %s\n",
-		s.Number, s.Service, s.Verdict, inForce, s.Nodes, s.After.Round(10*time.Millisecond))
+		s.Number, s.Service, s.Verdict, accepted, s.Nodes, s.After.Round(10*time.Millisecond))
 	return err
 }
--- a/status/fleet.go
+++ b/status/fleet.go
@@ -126,8 +126,10 @@
 type Standing struct {
 	Node    string
 	Verdict Verdict
-	// Reason says why the target is not in force, or is empty.
+	// Reason says why the target is not in force or not accepted, or is empty.
 	Reason string
+	// InForce tells that the node goes by the target, accepted or not yet.
+	InForce bool
 }
 
 // Progress is how far a target has come on every node concerned.
@@ -139,6 +141,12 @@
 	Conflicts int
 }
 
+// InForce tells whether every node concerned goes by the target.
+func (p Progress) InForce() bool {
+	waits := func(s Standing) bool { return !s.InForce }
+	return len(p.Standings) > 0 && !slices.ContainsFunc(p.Standings, waits)
+}
+
 // Waiting returns the standings that are not in force.
 func (p Progress) Waiting() []Standing {
 	return slices.DeleteFunc(slices.Clone(p.Standings), func(s Standing) bool { return s.Verdict == Everywhere })
@@ -203,7 +211,15 @@
 
 func (a Answer) standing(target Target) Standing {
 	verdict, reason := a.judge(target)
-	return Standing{Node: a.Name(), Verdict: verdict, Reason: reason}
+	return Standing{Node: a.Name(), Verdict: verdict, Reason: reason, InForce: a.goesBy(target)}
+}
+
+func (a Answer) goesBy(target Target) bool {
+	if a.Report == nil {
+		return false
+	}
+	held := a.inForce(target.Service)
+	return held != nil && held.Number == target.Number && held.Content == target.Content
 }
 
 func (a Answer) judge(target Target) (Verdict, string) {
--- a/status/fleet_test.go
+++ b/status/fleet_test.go
@@ -53,6 +53,25 @@
 	}
 }
 
+// In force is told apart from accepted, which takes seconds longer.
+func TestInForceComesBeforeAccepted(t *testing.T) {
+	held := answer("b", membership.RoleBalancer, orders(7, 70, false))
+	behind := answer("c", membership.RoleBalancer, orders(6, 60, true))
+	rival := answer("d", membership.RoleBalancer, orders(7, 71, false))
+	for _, c := range []struct {
+		answers []Answer
+		want    bool
+	}{
+		{nil, false},
+		{[]Answer{held, held}, true},
+		{[]Answer{held, behind}, false},
+		{[]Answer{held, rival}, false},
+		{[]Answer{held, {Address: "e"}}, false},
+	} {
+		must.EqOp(t, c.want, Fleet{Answers: c.answers}.Follow(target).InForce())
+	}
+}
+
 // The one whose ticket won is told of the rival, too.
 func TestFollowCountsConflicts(t *testing.T) {
 	won := orders(7, 70, true)
