--- /dev/null
+++ b/standin/e2e/latency_test.go
@@ -0,0 +1,46 @@
+package e2e
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"cactustray/admission/frontend"
+	"cactustray/control/rpc"
+	"cactustray/identity"
+	"cactustray/standin/fleet"
+	"cactustray/standin/layout"
+
+	"github.com/shoenig/test/must"
+)
+
+// BenchmarkRequest takes one request on an open connection through the whole
+// path (HTTP/3, fabric, balancer, agent), and the same by a direct call to the
+// agent (HTTP/2), in one run.
+func BenchmarkRequest(b *testing.B) {
+	const path = "/drawing?work=0"
+	f := fleet.Start(b, layout.Size{Balancers: 3, Services: []string{"drawings"}, Backends: 2})
+	id, err := identity.Load(identity.Files(f.Backends[1].Settings.TLS))
+	must.NoError(b, err)
+	agent := rpc.Base(f.Backends[0].Settings.Control.String()) + frontend.PeerPrefix + path
+	b.Run("whole path", func(b *testing.B) { repeat(b, f.Caller().Do, f.URL("drawings", path)) })
+	b.Run("direct to the agent", func(b *testing.B) { repeat(b, rpc.NewClient(id).Do, agent) })
+}
+
+// repeat sends the request once to open the connection, then b.N times.
+func repeat(b *testing.B, do func(*http.Request) (*http.Response, error), url string) {
+	send := func() {
+		request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+		must.NoError(b, err)
+		response, err := do(request)
+		must.NoError(b, err)
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		must.EqOp(b, http.StatusOK, response.StatusCode)
+	}
+	send()
+	for b.Loop() {
+		send()
+	}
+}
--- /dev/null
+++ b/standin/e2e/memory_test.go
@@ -0,0 +1,50 @@
+package e2e
+
+import (
+	"encoding/json"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"cactustray/standin/fleet"
+	"cactustray/standin/layout"
+	"cactustray/standin/spread"
+
+	"github.com/shoenig/test/must"
+)
+
+// BenchmarkFullTable reports the resident memory, in MB, of a balancer process
+// that holds 2,100 services with 11 endpoints each: once as soon as it has them
+// all, once 20 s later.
+func BenchmarkFullTable(b *testing.B) {
+	const services, endpoints, settle = 2100, 11, 20 * time.Second
+	f := fleet.New(b, layout.Size{Balancers: 1})
+	for i := range services {
+		t := spread.Ticket(i, 1, 0, endpoints)
+		raw, err := json.Marshal(t)
+		must.NoError(b, err)
+		f.Platform.Put(layout.Prefix+"tickets/"+t.Service, raw)
+	}
+	f.Run("entry-1")
+	control := f.Balancers[0].Control
+	f.Await(func() bool {
+		response, err := f.Status(control)
+		return err == nil && len(response.Tickets) == services
+	})
+	b.ReportMetric(resident(b, f.PID("entry-1")), "MB-first")
+	time.Sleep(settle) // the length of the measurement
+	b.ReportMetric(resident(b, f.PID("entry-1")), "MB-later")
+}
+
+// resident returns the resident memory of a process in MB.
+func resident(b *testing.B, pid int) float64 {
+	raw, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
+	must.NoError(b, err)
+	_, after, found := strings.Cut(string(raw), "VmRSS:")
+	must.True(b, found)
+	kilobytes, err := strconv.Atoi(strings.Fields(after)[0])
+	must.NoError(b, err)
+	return float64(kilobytes) / 1024
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -183,6 +183,9 @@
 	must.NoError(f.t, f.daemons[name].Process.Signal(signal))
 }
 
+// PID returns the process id of one daemon.
+func (f *Fleet) PID(name string) int { return f.daemons[name].Process.Pid }
+
 // AwaitExit waits until a daemon has ended and returns its exit code.
 func (f *Fleet) AwaitExit(name string) int {
 	_ = f.daemons[name].Wait()
