Bind datagram sockets in one place

Cause: agent and balancer each bound UDP sockets with the same buffer and error. Change: datagram.Listen serves both; it fails with the package's own type. Result: agent, balancer, steering and cmd pass under the race detector, TestWholePath and the client's e2e tests pass. Conclusion: one twin less; behaviour is as before.

--- a/agent/callers.go
+++ b/agent/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/hex"
-	"net"
 	"net/http"
 	"time"
 
@@ -19,8 +18,6 @@
 )
 
 const (
-	// socketBuffer is the receive buffer of the socket, in bytes.
-	socketBuffer = 4 << 20
 	// idleTimeout ends connections whose caller has gone silent.
 	idleTimeout = 30 * time.Second
 	// keepAlive keeps feeds open that say nothing for long.
@@ -43,11 +40,10 @@
 	if err != nil {
 		return nil, err
 	}
-	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Datagram))
+	socket, err := datagram.Listen(s.Datagram)
 	if err != nil {
-		return nil, &rpc.ListenError{Address: s.Datagram, Cause: err}
+		return nil, err
 	}
-	_ = socket.SetReadBuffer(socketBuffer)
 	p.residence.Steering.Store(&steering.Residence{Owner: owner, Service: ticket.ServiceKeyOf(s.Agent.Service)})
 	conn := datagram.NewConn(socket, sealer, &p.residence, loop.Offer)
 	transport := &quic.Transport{
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -5,9 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -33,8 +31,6 @@
 	tickInterval = 100 * time.Millisecond
 	// workers is how many goroutines forward in each direction.
 	workers = 2
-	// socketBuffer is the receive buffer of each socket, in bytes.
-	socketBuffer = 4 << 20
 )
 
 // process is a balancer's parts: the control state and what goes on around it.
@@ -133,11 +129,11 @@
 }
 
 func newForwarder(s *settings.Settings, sealer *steering.Sealer, table *atomic.Pointer[steering.Table], loop *control.Loop) (*datagram.Forwarder, error) {
-	edge, err := listen(s.Balancer.Edge)
+	edge, err := datagram.Listen(s.Balancer.Edge)
 	if err != nil {
 		return nil, err
 	}
-	agents, err := listen(s.Datagram)
+	agents, err := datagram.Listen(s.Datagram)
 	if err != nil {
 		return nil, err
 	}
@@ -151,12 +147,3 @@
 		Offer:    loop.Offer,
 	}, nil
 }
-
-func listen(address netip.AddrPort) (*net.UDPConn, error) {
-	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, &rpc.ListenError{Address: address, Cause: err}
-	}
-	_ = socket.SetReadBuffer(socketBuffer)
-	return socket, nil
-}
