Measure an agent's memory for each open flow

Cause: 54 million open flows had no measured slope. Change: BenchmarkFlowMemory opens 500 connections at a real agent process.

--- a/standin/e2e/memory_test.go
+++ b/standin/e2e/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -38,6 +39,27 @@
 	b.ReportMetric(resident(b, f.PID("entry-1")), "MB-later")
 }
 
+// BenchmarkFlowMemory reports how much an agent process grows, in kB, with each
+// open connection that has carried one request.
+func BenchmarkFlowMemory(b *testing.B) {
+	const flows = 500
+	f := fleet.Start(b, layout.Size{Balancers: 1, Services: []string{"drawings"}, Backends: 1})
+	pid := f.PID(f.Backends[0].Name)
+	ask := func() {
+		request, err := http.NewRequest(http.MethodGet, f.URL("drawings", "/drawing?work=0"), nil)
+		must.NoError(b, err)
+		response, err := f.Caller().Do(request)
+		must.NoError(b, err)
+		_ = response.Body.Close()
+	}
+	ask()
+	before := resident(b, pid)
+	for range flows {
+		ask()
+	}
+	b.ReportMetric((resident(b, pid)-before)*1024/flows, "kB/flow")
+}
+
 // resident returns the resident memory of a process in MB.
 func resident(b *testing.B, pid int) float64 {
 	raw, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
