Read the change once more: one sleep, one order, one expiry

Cause: the last reading found twins: a context-bound sleep in agent and in the platform's watcher; ticket.Compare and backend.Recorded, which only tests used beside Digest.Compare and Records; waits for a ticket expired in two places. Change: control.Sleep serves both; the order's comment stands on Digest.Compare; the tests' assertions are as before, by the pieces that remain; only tickAwaited gives up old waits.

--- a/agent/drain.go
+++ b/agent/drain.go
@@ -125,16 +125,7 @@
 	case <-running.Done():
 		return
 	}
-	wait(running, closeTime)
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	control.Sleep(running, closeTime)
 }
 
 // generation is the HTTP/3 server of the connections accepted between two
--- a/agent/tickets.go
+++ b/agent/tickets.go
@@ -32,7 +32,7 @@
 	s.published.ticket.Store(entry.Ticket)
 	s.steerBy(entry.Ticket)
 	s.followTicket(now, entry.Ticket)
-	s.answerAwaited(now, entry.Ticket)
+	s.answerAwaited(entry.Ticket)
 }
 
 // awaitTicket answers at once, or asks the balancers for the ticket.
@@ -46,18 +46,18 @@
 	s.tickAwaited(now)
 }
 
-func (s *state) answerAwaited(now time.Time, t *ticket.Ticket) {
+func (s *state) answerAwaited(t *ticket.Ticket) {
 	s.awaited = slices.DeleteFunc(s.awaited, func(m ticket.Awaited) bool {
-		if t.Number >= m.Number {
+		reached := t.Number >= m.Number
+		if reached {
 			m.Reply <- t
-			return true
 		}
-		return now.After(m.Until)
+		return reached
 	})
 }
 
-// tickAwaited reports early while another agent holds a newer ticket: the
-// answer brings it.
+// tickAwaited gives up what has waited too long, and reports early while another
+// agent holds a newer ticket: the answer brings it.
 func (s *state) tickAwaited(now time.Time) {
 	s.awaited = slices.DeleteFunc(s.awaited, func(m ticket.Awaited) bool { return now.After(m.Until) })
 	if len(s.awaited) > 0 && now.Sub(s.reporting.sent) >= catchUpInterval {
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -130,10 +130,3 @@
 		return false
 	}
 }
-
-// Recorded returns how often a confirmation was recorded.
-func (s *Server) Recorded(key string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.recorded[key]
-}
--- a/standin/e2e/admission_test.go
+++ b/standin/e2e/admission_test.go
@@ -59,7 +59,7 @@
 func recorded(f *fleet.Fleet, key string) int {
 	sum := 0
 	for _, server := range f.Servers {
-		sum += server.Recorded(key)
+		sum += server.Records()[key]
 	}
 	return sum
 }
--- a/ticket/digest.go
+++ b/ticket/digest.go
@@ -21,7 +21,10 @@
 	return Digest{Service: h.Ticket.Key(), Number: h.Ticket.Number, Index: h.Index, Sealed: h.Sealed, Content: h.Content}
 }
 
-// Compare orders digests as the tickets they name.
+// Compare orders digests as the tickets they name; of one service's the greater
+// is in force. The order is total, so joining by it is commutative, associative
+// and idempotent: a higher number wins; under one number a sealed ticket, then
+// the earlier publication, then the greater content hash.
 func (d Digest) Compare(other Digest) int {
 	return cmp.Or(
 		cmp.Compare(d.Number, other.Number),
--- a/ticket/platform/watch.go
+++ b/ticket/platform/watch.go
@@ -90,7 +90,7 @@
 		if err != nil {
 			after = 0
 			w.failed(ctx, err)
-			sleep(ctx, w.jitter(backoff))
+			control.Sleep(ctx, w.jitter(backoff))
 			backoff = min(2*backoff, lastBackoff)
 		}
 	}
@@ -98,9 +98,9 @@
 
 func (w *Watcher) list(ctx context.Context, interval time.Duration) {
 	if w.listed {
-		sleep(ctx, w.jitter(interval))
+		control.Sleep(ctx, w.jitter(interval))
 	} else {
-		sleep(ctx, time.Duration(w.random.Int64N(int64(firstListWithin))))
+		control.Sleep(ctx, time.Duration(w.random.Int64N(int64(firstListWithin))))
 	}
 	for ctx.Err() == nil {
 		pairs, err := w.reader.ReadList(ctx)
@@ -110,7 +110,7 @@
 		if err != nil {
 			w.failed(ctx, err)
 		}
-		sleep(ctx, w.jitter(interval))
+		control.Sleep(ctx, w.jitter(interval))
 	}
 }
 
@@ -141,12 +141,3 @@
 func (w *Watcher) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(w.random.Int64N(int64(d)))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/ticket/register.go
+++ b/ticket/register.go
@@ -41,12 +41,6 @@
 	return Held{Ticket: t, Document: document, Index: index, Content: xxhash.Sum64(document), Sealed: sealed}, nil
 }
 
-// Compare orders two tickets of one service; the greater one is in force. The
-// order is total, so joining by it is commutative, associative and idempotent:
-// a higher number wins; under one number a sealed ticket, then the earlier
-// publication, then the greater content hash.
-func Compare(a, b Held) int { return DigestOf(a).Compare(DigestOf(b)) }
-
 // Outcome is what joining one ticket did.
 type Outcome int
 
--- a/ticket/register_test.go
+++ b/ticket/register_test.go
@@ -49,6 +49,9 @@
 	return held(t, sample(number, variant), index, sealed)
 }
 
+// compare orders two tickets as the register does.
+func compare(a, b Held) int { return DigestOf(a).Compare(DigestOf(b)) }
+
 func drawHeld(t *rapid.T) Held {
 	return heldSample(t,
 		Number(rapid.Uint64Range(1, 3).Draw(t, "number")),
@@ -76,7 +79,7 @@
 		held := rapid.SliceOfN(rapid.Custom(drawHeld), 1, 8).Draw(t, "held")
 		shuffled := rapid.Permutation(append(held, held...)).Draw(t, "shuffled")
 		one, two := joinAll(held), joinAll(shuffled)
-		must.EqOp(t, 0, Compare(one.Entry(orders).Held, two.Entry(orders).Held))
+		must.EqOp(t, 0, compare(one.Entry(orders).Held, two.Entry(orders).Held))
 		must.EqOp(t, one.Summary(), two.Summary())
 		must.Eq(t, one.Sums(), two.Sums())
 	})
@@ -105,7 +108,7 @@
 			must.GreaterEq(t, before.Ticket.Number, after.Ticket.Number)
 			displaced := after.Ticket.Number == before.Ticket.Number && after.Content != before.Content
 			must.False(t, displaced && before.Sealed && !after.Sealed)
-			must.GreaterEq(t, 0, Compare(after, before))
+			must.GreaterEq(t, 0, compare(after, before))
 		}
 	})
 }
