--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -14,6 +14,7 @@
 	"cactustray/control/rpc"
 	"cactustray/event"
 	"cactustray/identity"
+	"cactustray/liveness/health"
 	"cactustray/liveness/heartbeat"
 	"cactustray/settings"
 	"cactustray/status/query"
@@ -102,7 +103,7 @@
 	group.Go(func() error { return p.state.caller.Run(running) })
 	group.Go(func() error { return rpc.Serve(running, p.settings.Control, p.identity, p.traffic, handler(p.loop)) })
 	group.Go(func() error { return p.peers.run(running, p.state.peers.calls) })
-	group.Go(func() error { return serveHealth(running, p.settings.Balancer.Health, &p.state.peers.healthy) })
+	group.Go(func() error { return health.Serve(running, p.settings.Balancer.Health, &p.state.peers.healthy) })
 	group.Go(func() error { return p.tracer.Run(running) })
 	observe(running, group, p.settings, p.identity, p.forwarder, p.traffic, p.loop, p.log)
 	group.Go(func() error {
--- a/balancer/drain.go
+++ b/balancer/drain.go
@@ -2,27 +2,17 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"net/http"
-	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"cactustray/control"
-	"cactustray/control/rpc"
 	"cactustray/event"
 	"cactustray/liveness"
 	"cactustray/steering"
 )
 
 const (
-	// HealthPath is where the fabric asks whether to send datagrams.
-	HealthPath = "/healthz"
 	// quietInterval is how often a leaving balancer looks at its traffic.
 	quietInterval = 100 * time.Millisecond
-	// healthTimeout bounds one health check.
-	healthTimeout = 2 * time.Second
 )
 
 // leave tells the control goroutine that the process stops as planned.
@@ -68,24 +58,3 @@
 		}
 	}
 }
-
-// serveHealth answers the fabric's health checks until the context ends.
-func serveHealth(ctx context.Context, address netip.AddrPort, healthy *atomic.Bool) error {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return &rpc.ListenError{Address: address, Cause: err}
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+HealthPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !healthy.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	server := &http.Server{Handler: mux, ReadTimeout: healthTimeout, WriteTimeout: healthTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
--- a/cmd/cactustrayd/main.go
+++ b/cmd/cactustrayd/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +15,9 @@
 	"cactustray/balancer"
 	"cactustray/event"
 	"cactustray/identity"
+	"cactustray/packetagent"
+	"cactustray/packetbalancer"
+	"cactustray/platform"
 	"cactustray/settings"
 	"cactustray/steering"
 
@@ -26,7 +30,7 @@
 const exitFailed = 1
 
 type options struct {
-	Settings string `arg:"" type:"existingfile" help:"JSON file with the settings."`
+	Settings string `arg:"" optional:"" help:"JSON file with the settings; without it the file that CACTUSTRAY_SETTINGS names."`
 }
 
 func main() {
@@ -34,12 +38,15 @@
 	kong.Parse(&o, kong.Name("cactustrayd"), kong.Description(description), kong.UsageOnError())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := run(ctx, o.Settings); err != nil {
+	if err := run(ctx, cmp.Or(o.Settings, os.Getenv(settingsVariable))); err != nil {
 		report(err)
 		os.Exit(exitFailed)
 	}
 }
 
+// settingsVariable names the settings file where no argument does.
+const settingsVariable = "CACTUSTRAY_SETTINGS"
+
 const description = `Layer-4 load balancer daemon. Its settings say whether it is a balancer or an agent.
 SIGTERM stops it as planned. docs/OPERATIONS.md tells how to run it.`
 
@@ -60,6 +67,10 @@
 	if err != nil {
 		return eris.Wrap(err, "settings")
 	}
+	log := event.NewLog(newLogger(s.LogLevel), s.Node)
+	if s.Role.Packets() {
+		return eris.Wrap(runPackets(ctx, s, log), "packets")
+	}
 	id, err := identity.Load(identity.Files(s.TLS))
 	if err != nil {
 		return eris.Wrap(err, "identity")
@@ -68,13 +79,24 @@
 	if err != nil {
 		return eris.Wrap(err, "keys")
 	}
-	log := event.NewLog(newLogger(s.LogLevel), s.Node)
 	if s.Role == settings.Agent {
 		return eris.Wrap(agent.Run(ctx, s, sealer, id, log), "agent")
 	}
 	return eris.Wrap(balancer.Run(ctx, s, sealer, id, log), "balancer")
 }
 
+// runPackets runs a role whose packets and registry are the platform's.
+func runPackets(ctx context.Context, s *settings.Settings, log *event.Log) error {
+	if s.Role == settings.PacketAgent {
+		return packetagent.Run(ctx, s, platform.Header{}, log)
+	}
+	refuse := func(key string, cause error) {
+		log.Emit(packetbalancer.EventEntryRefused, event.Fields{"key": key, "cause": cause.Error()})
+	}
+	store := platform.NewStore(s.Packets.Registry, refuse)
+	return packetbalancer.Run(ctx, s, store, platform.Header{}, log)
+}
+
 func newSealer(keys []settings.Key) (*steering.Sealer, error) {
 	var parsed []steering.Key
 	for _, k := range keys {
--- /dev/null
+++ b/directory/exchange/codec.go
@@ -0,0 +1,81 @@
+package exchange
+
+import (
+	"net/netip"
+	"time"
+
+	"cactustray/directory"
+	"cactustray/directory/directorypb"
+)
+
+func encode(c directory.Change, now time.Duration) *directorypb.FetchResponse {
+	r := &directorypb.FetchResponse{
+		Revision: uint64(c.Revision),
+		AgeUs:    uint64(max(now-c.AsOf, 0).Microseconds()),
+		Desired:  encodeDesired(c.Desired),
+	}
+	for _, e := range c.Endpoints {
+		r.Endpoints = append(r.Endpoints, &directorypb.Endpoint{
+			Id: e.ID, Born: e.Born, Service: e.Service, Address: e.Address.String(), Zone: e.Zone,
+			Slots: uint32(e.Slots), Draining: e.Draining,
+			ColdUs: uint64(e.ColdFor.Microseconds()), Changed: uint64(e.Changed),
+		})
+	}
+	return r
+}
+
+func encodeDesired(d *directory.Desired) *directorypb.Desired {
+	encoded := &directorypb.Desired{
+		Version: d.Version, Changed: uint64(d.Changed), IdleUs: uint64(d.IdleTime.Microseconds()),
+	}
+	for _, route := range d.Routes {
+		r := &directorypb.Route{Name: route.Name, Address: route.Address.String()}
+		for _, share := range route.Shares {
+			r.Shares = append(r.Shares, &directorypb.Share{Service: share.Service, Weight: share.Weight})
+		}
+		encoded.Routes = append(encoded.Routes, r)
+	}
+	return encoded
+}
+
+// decode leaves out what names no address: the sender's version is newer.
+func decode(r *directorypb.FetchResponse, asked time.Duration) directory.Change {
+	c := directory.Change{
+		Revision: directory.Revision(r.GetRevision()),
+		Whole:    true,
+		AsOf:     asked - microseconds(r.GetAgeUs()),
+		Desired:  decodeDesired(r.GetDesired()),
+	}
+	for _, e := range r.GetEndpoints() {
+		address, err := netip.ParseAddrPort(e.GetAddress())
+		if err != nil {
+			continue
+		}
+		c.Endpoints = append(c.Endpoints, directory.Endpoint{
+			ID: e.GetId(), Born: e.GetBorn(), Service: e.GetService(), Address: address, Zone: e.GetZone(),
+			Slots: int(e.GetSlots()), Draining: e.GetDraining(),
+			ColdFor: microseconds(e.GetColdUs()), Changed: directory.Revision(e.GetChanged()),
+		})
+	}
+	return c
+}
+
+func decodeDesired(d *directorypb.Desired) *directory.Desired {
+	decoded := &directory.Desired{
+		Version: d.GetVersion(), Changed: directory.Revision(d.GetChanged()), IdleTime: microseconds(d.GetIdleUs()),
+	}
+	for _, route := range d.GetRoutes() {
+		address, err := netip.ParseAddrPort(route.GetAddress())
+		if err != nil {
+			continue
+		}
+		r := directory.Route{Name: route.GetName(), Address: address}
+		for _, share := range route.GetShares() {
+			r.Shares = append(r.Shares, directory.Share{Service: share.GetService(), Weight: share.GetWeight()})
+		}
+		decoded.Routes = append(decoded.Routes, r)
+	}
+	return decoded
+}
+
+func microseconds(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/event/event.go
+++ b/event/event.go
@@ -57,6 +57,10 @@
 // Count returns how often an event was emitted.
 func (l *Log) Count(e Event) int64 { return l.counts[e.Number].Load() }
 
+// Enabled tells whether an event's level is logged, so that fields need not be
+// made in vain.
+func (l *Log) Enabled(e Event) bool { return l.entry.Logger.IsLevelEnabled(e.Level) }
+
 // Emit writes one event.
 func (l *Log) Emit(e Event, fields Fields) {
 	l.counts[e.Number].Add(1)
--- /dev/null
+++ b/flow/picks.go
@@ -0,0 +1,289 @@
+package flow
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cactustray/placement"
+)
+
+const (
+	// maxTried bounds how many endpoints an opening packet is offered to
+	// through one balancer.
+	maxTried = 3
+	// lastCopy is the last repetition of an opening packet that callers send.
+	lastCopy = 2
+	// maxPicks bounds the table of a balancer: 40 bytes of content each.
+	maxPicks = 1 << 18
+	// currentFor is how old the map may be for a refusal: twice the longest
+	// pause between two readings.
+	currentFor = 2 * time.Second
+	// searchTime bounds how long answers to a search are put together.
+	searchTime = 2 * time.Second
+	// endedKeep is how long a flow that was reset is answered by resets.
+	endedKeep = 3 * time.Second
+)
+
+// pick is where a balancer placed or found a flow.
+type pick struct {
+	agent Address
+	// placed is when the flow was offered to the agent.
+	placed Stamp
+	last   Stamp
+	tried  [maxTried]Address
+	tries  uint8
+	ended  bool
+}
+
+type search struct {
+	// denied are the agents that don't hold the flow.
+	denied       map[Address]bool
+	acknowledged uint32
+	began        Stamp
+	last         Stamp
+}
+
+// Picks is what a balancer remembers of the flows that came by. It is only a
+// memory: without it flows are found by a search.
+type Picks struct {
+	flows    map[Key]pick
+	searches map[Key]*search
+	lifetime time.Duration
+	random   *rand.Rand
+}
+
+// NewPicks returns an empty memory; lifetime is the longest life of a flow.
+func NewPicks(lifetime time.Duration, random *rand.Rand) *Picks {
+	return &Picks{
+		flows: make(map[Key]pick), searches: make(map[Key]*search), lifetime: lifetime, random: random,
+	}
+}
+
+// Len returns how many flows are remembered.
+func (p *Picks) Len() int { return len(p.flows) }
+
+// Decision is made at a balancer: to which agents a caller's packet goes, or
+// that the flow ends.
+type Decision struct {
+	// To are the agents: one, none, or all that may hold the flow.
+	To []Address
+	// Tag is the service's, or 0 when the flow was placed before.
+	Tag uint16
+	// Alternative is the agent for an opening packet if To's endpoint is busy.
+	Alternative Address
+	Search      bool
+	// End tells that the caller gets the reset.
+	End    bool
+	Reset  Reset
+	Reason Reason
+}
+
+// FromCaller decides on a packet that the fabric brought.
+func (p *Picks) FromCaller(now Stamp, packet Packet, m *Map) Decision {
+	if packet.Opening {
+		return p.open(now, packet, m)
+	}
+	known, ok := p.flows[packet.Flow]
+	switch {
+	case ok && known.ended:
+		return Decision{End: true, Reset: resetOf(packet), Reason: EndpointLost}
+	case ok:
+		known.last = now
+		p.flows[packet.Flow] = known
+		return Decision{To: []Address{known.agent}, Reason: Known}
+	case packet.Reset:
+		return Decision{Reason: NotHeld}
+	}
+	return p.search(now, packet, m, Address{})
+}
+
+func resetOf(packet Packet) Reset {
+	return Reset{Flow: packet.Flow, Acknowledged: packet.Acknowledged}
+}
+
+// open places a new flow, or a copy of its opening packet.
+func (p *Picks) open(now Stamp, packet Packet, m *Map) Decision {
+	known, ok := p.flows[packet.Flow]
+	if ok && !known.ended {
+		if site := m.Agents[known.agent]; packet.Copy == 0 || site == nil || site.Gauge.Heard() > known.placed {
+			known.last = now
+			p.flows[packet.Flow] = known
+			return p.again(packet, m, known)
+		}
+	}
+	route := m.Routes[packet.Flow.Service]
+	if route == nil {
+		return Decision{End: now-m.Current() < currentFor, Reset: resetOf(packet), Reason: UnknownAddress}
+	}
+	d := p.place(now, packet, route.Service(packet.Flow), known)
+	if len(d.To) == 0 && ok && !known.ended {
+		return p.again(packet, m, known)
+	}
+	return d
+}
+
+// again repeats an opening packet at the agent that has it already.
+func (p *Picks) again(packet Packet, m *Map, known pick) Decision {
+	site := m.Agents[known.agent]
+	if site == nil {
+		return Decision{Reason: NoEndpoint}
+	}
+	return Decision{To: []Address{known.agent}, Tag: site.Service.Tag, Reason: Repeated}
+}
+
+// place offers the flow to the best endpoint that it was not offered to.
+func (p *Picks) place(now Stamp, packet Packet, service *Service, known pick) Decision {
+	if service == nil || int(known.tries) >= maxTried || len(p.flows) >= maxPicks {
+		return p.unplaced(packet, known)
+	}
+	first, second := placement.Choose(now, p.random, service.Candidates, func(i int) bool {
+		return known.triedBefore(service.Takers[i].Agent)
+	})
+	if first < 0 {
+		return p.unplaced(packet, known)
+	}
+	site := service.Takers[first]
+	known.agent, known.placed, known.last, known.ended = site.Agent, now, now, false
+	known.tried[known.tries] = site.Agent
+	known.tries++
+	p.flows[packet.Flow] = known
+	d := Decision{To: []Address{site.Agent}, Tag: service.Tag, Reason: Opened}
+	if second >= 0 {
+		d.Alternative = service.Takers[second].Agent
+	}
+	return d
+}
+
+// unplaced drops a packet that no endpoint takes: a copy of it follows. When
+// endpoints have refused the flow, or no copy follows, the caller is refused at
+// once: the flow has not opened, so nothing of it has run.
+func (p *Picks) unplaced(packet Packet, known pick) Decision {
+	return Decision{End: packet.Copy >= lastCopy || known.tries > 0, Reset: resetOf(packet), Reason: NoEndpoint}
+}
+
+func (k pick) triedBefore(agent Address) bool {
+	for _, tried := range k.tried[:k.tries] {
+		if tried == agent {
+			return true
+		}
+	}
+	return false
+}
+
+// search sends a packet to all endpoints that may hold its flow. except has
+// said already that it does not.
+func (p *Picks) search(now Stamp, packet Packet, m *Map, except Address) Decision {
+	route := m.Routes[packet.Flow.Service]
+	if route == nil {
+		return Decision{Reason: UnknownAddress}
+	}
+	s := p.searches[packet.Flow]
+	if s == nil || now-s.began > searchTime {
+		s = &search{denied: make(map[Address]bool), began: now}
+		p.searches[packet.Flow] = s
+	}
+	s.acknowledged, s.last = packet.Acknowledged, now
+	if !except.IsZero() {
+		s.denied[except] = true
+	}
+	d := Decision{Search: true, Reason: Searched}
+	for _, share := range route.Shares {
+		d.Tag = share.Service.Tag
+		for _, site := range share.Service.Holders {
+			if !s.denied[site.Agent] {
+				d.To = append(d.To, site.Agent)
+			}
+		}
+	}
+	if len(route.Shares) != 1 {
+		d.Tag = 0
+	}
+	if len(d.To) == 0 {
+		return p.conclude(now, packet.Flow, m)
+	}
+	return d
+}
+
+// Denied takes in that an agent does not hold a flow that was searched for.
+// When none does, the flow is over.
+func (p *Picks) Denied(now Stamp, key Key, agent Address, m *Map) Decision {
+	s := p.searches[key]
+	if s == nil {
+		return Decision{Reason: NotHeld}
+	}
+	s.denied[agent] = true
+	return p.conclude(now, key, m)
+}
+
+// conclude ends a flow once every endpoint that may hold it has denied it.
+func (p *Picks) conclude(now Stamp, key Key, m *Map) Decision {
+	s, route := p.searches[key], m.Routes[key.Service]
+	if route == nil {
+		return Decision{Reason: UnknownAddress}
+	}
+	holders := 0
+	for _, share := range route.Shares {
+		for _, site := range share.Service.Holders {
+			if !s.denied[site.Agent] {
+				return Decision{Reason: Searched}
+			}
+			holders++
+		}
+	}
+	if holders == 0 {
+		return Decision{Reason: NoEndpoint}
+	}
+	delete(p.searches, key)
+	p.flows[key] = pick{ended: true, last: now}
+	return Decision{End: true, Reset: Reset{Flow: key, Acknowledged: s.acknowledged}, Reason: NobodyHolds}
+}
+
+// Found takes in that a flow is at an agent.
+func (p *Picks) Found(now Stamp, key Key, agent Address) {
+	delete(p.searches, key)
+	known := p.flows[key]
+	known.agent, known.last, known.ended = agent, now, false
+	if known.placed == 0 {
+		known.placed = now
+	}
+	if len(p.flows) < maxPicks {
+		p.flows[key] = known
+	}
+}
+
+// Returned decides on a packet that an agent gave back: an opening packet goes
+// to another endpoint, any other is searched for.
+func (p *Picks) Returned(now Stamp, packet Packet, agent Address, m *Map) Decision {
+	known, ok := p.flows[packet.Flow]
+	if !packet.Opening {
+		if ok && known.agent != agent && !known.ended {
+			return Decision{To: []Address{known.agent}, Reason: Known}
+		}
+		delete(p.flows, packet.Flow)
+		return p.search(now, packet, m, agent)
+	}
+	route := m.Routes[packet.Flow.Service]
+	if route == nil {
+		return Decision{Reason: UnknownAddress}
+	}
+	if !ok || known.tries == 0 {
+		known = pick{tries: 1, tried: [maxTried]Address{agent}}
+	}
+	return p.place(now, packet, route.Service(packet.Flow), known)
+}
+
+// Sweep forgets flows that were not seen for their lifetime; every few seconds
+// is enough.
+func (p *Picks) Sweep(now Stamp) {
+	for key, known := range p.flows {
+		age := now - known.last
+		if age > p.lifetime || known.ended && age > endedKeep {
+			delete(p.flows, key)
+		}
+	}
+	for key, s := range p.searches {
+		if now-s.last > searchTime {
+			delete(p.searches, key)
+		}
+	}
+}
--- /dev/null
+++ b/flow/reason.go
@@ -0,0 +1,51 @@
+package flow
+
+// Reason is why a packet went where it did.
+type Reason uint8
+
+// Reasons; docs/OPERATIONS.md says what each means.
+const (
+	Known Reason = iota
+	Opened
+	Repeated
+	Tried
+	HandedOn
+	EndpointBusy
+	EndpointSilent
+	EndpointRefused
+	EndpointLost
+	NotHeld
+	Closed
+	TableFull
+	UnknownAddress
+	NoEndpoint
+	Searched
+	NobodyHolds
+	ForeignService
+	// ReasonCount is the number of reasons.
+	ReasonCount
+)
+
+var reasonNames = [ReasonCount]string{
+	Known: "known", Opened: "opened", Repeated: "repeated", Tried: "tried", HandedOn: "handed-on",
+	EndpointBusy: "endpoint-busy", EndpointSilent: "endpoint-silent", EndpointRefused: "endpoint-refused",
+	EndpointLost: "endpoint-lost", NotHeld: "not-held", Closed: "closed", TableFull: "table-full",
+	UnknownAddress: "unknown-address", NoEndpoint: "no-endpoint", Searched: "searched", NobodyHolds: "nobody-holds",
+	ForeignService: "foreign-service",
+}
+
+func (r Reason) String() string {
+	if r >= ReasonCount {
+		return "unknown"
+	}
+	return reasonNames[r]
+}
+
+// Reasons returns every reason.
+func Reasons() []Reason {
+	all := make([]Reason, ReasonCount)
+	for i := range all {
+		all[i] = Reason(i)
+	}
+	return all
+}
--- /dev/null
+++ b/flow/wire/wire.go
@@ -0,0 +1,258 @@
+// Package wire encodes what balancers and agents say to each other about flows:
+// callers' packets with an envelope around them, and notices.
+package wire
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"cactustray/directory"
+	"cactustray/flow"
+	"cactustray/flow/flowpb"
+	"cactustray/placement"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Kind is the first byte of a datagram between nodes.
+type Kind byte
+
+const (
+	// Forward carries a caller's packet to an agent.
+	Forward Kind = 1
+	// Return carries a caller's packet from an agent back to a balancer.
+	Return Kind = 2
+	// Notice carries a message.
+	Notice Kind = 3
+)
+
+const (
+	// EnvelopeSize is the length of what stands before a caller's packet.
+	EnvelopeSize = 16
+	addressSize  = 6
+	searchFlag   = 1
+	// maxBalancers bounds the balancers that a report names.
+	maxBalancers = 32
+)
+
+// Envelope goes before a caller's packet between nodes.
+type Envelope struct {
+	// Tag is the service's, or 0 when it does not matter.
+	Tag uint16
+	flow.Delivery
+}
+
+// DecodeError reports a datagram that is none of this protocol's.
+type DecodeError struct {
+	Length int
+	Cause  error
+}
+
+func (e *DecodeError) Error() string {
+	return fmt.Sprintf("datagram of %d bytes between nodes: %v", e.Length, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Cause }
+
+// ShortError reports a datagram that ends too early, or of an unknown kind.
+type ShortError struct{ Kind Kind }
+
+func (e *ShortError) Error() string { return fmt.Sprintf("kind %d, cut short or unknown", e.Kind) }
+
+// PutEnvelope writes an envelope into the first EnvelopeSize bytes of b.
+func PutEnvelope(b []byte, kind Kind, e Envelope) {
+	b[0], b[1] = byte(kind), 0
+	if e.Search {
+		b[1] = searchFlag
+	}
+	binary.BigEndian.PutUint16(b[2:], e.Tag)
+	putAddress(b[4:], e.Balancer)
+	putAddress(b[4+addressSize:], e.Alternative)
+}
+
+// OpenEnvelope returns the envelope and the caller's packet in a datagram of
+// the kind Forward or Return.
+func OpenEnvelope(b []byte) (Envelope, []byte, error) {
+	if len(b) < EnvelopeSize {
+		return Envelope{}, nil, &DecodeError{Length: len(b), Cause: &ShortError{}}
+	}
+	e := Envelope{Tag: binary.BigEndian.Uint16(b[2:])}
+	e.Search = b[1]&searchFlag != 0
+	e.Balancer = address(b[4:])
+	e.Alternative = address(b[4+addressSize:])
+	return e, b[EnvelopeSize:], nil
+}
+
+// KindOf returns the kind of a datagram, or 0.
+func KindOf(b []byte) Kind {
+	if len(b) == 0 {
+		return 0
+	}
+	return Kind(b[0])
+}
+
+func putAddress(b []byte, a flow.Address) {
+	copy(b, a.IP[:])
+	binary.BigEndian.PutUint16(b[4:], a.Port)
+}
+
+func address(b []byte) (a flow.Address) {
+	copy(a.IP[:], b)
+	a.Port = binary.BigEndian.Uint16(b[4:])
+	return a
+}
+
+// Message is one of the typed messages below.
+type Message interface{}
+
+// Hello tells an agent that the sender may send it flows.
+type Hello struct {
+	Slots   int
+	Leaving bool
+}
+
+// Report tells a balancer the load of the sender's endpoint, and which balancers
+// greet the sender.
+type Report struct {
+	placement.Usage
+	Balancers []flow.Address
+}
+
+// Owner tells a balancer which agent has a flow; a zero Agent is the sender.
+type Owner struct {
+	Flow  flow.Key
+	Agent flow.Address
+}
+
+// Denied tells a balancer that the sender's endpoint does not hold a flow.
+type Denied struct{ Flow flow.Key }
+
+// News tells a balancer what the sender's directory is.
+type News struct {
+	Revision directory.Revision
+	Digest   uint64
+	// Age is how long ago the revision was known to be the newest.
+	Age time.Duration
+	// Control is where the sender's directory can be fetched.
+	Control flow.Address
+}
+
+// Encode returns the datagram of a message.
+func Encode(m Message) []byte {
+	b, err := proto.MarshalOptions{}.MarshalAppend([]byte{byte(Notice)}, notice(m))
+	if err != nil {
+		// The messages above hold no text, the only cause of a failure.
+		return nil
+	}
+	return b
+}
+
+func notice(m Message) *flowpb.Notice {
+	switch m := m.(type) {
+	case Hello:
+		hello := &flowpb.Hello{Slots: uint32(m.Slots), Leaving: m.Leaving}
+		return &flowpb.Notice{Kind: &flowpb.Notice_Hello{Hello: hello}}
+	case Report:
+		return &flowpb.Notice{Kind: &flowpb.Notice_Report{Report: encodeReport(m)}}
+	case Owner:
+		owner := &flowpb.Owner{Flow: encodeFlow(m.Flow)}
+		if !m.Agent.IsZero() {
+			owner.Agent = appendAddress(nil, m.Agent)
+		}
+		return &flowpb.Notice{Kind: &flowpb.Notice_Owner{Owner: owner}}
+	case Denied:
+		return &flowpb.Notice{Kind: &flowpb.Notice_Denied{Denied: &flowpb.Denied{Flow: encodeFlow(m.Flow)}}}
+	case News:
+		news := &flowpb.News{
+			Revision: uint64(m.Revision), Digest: m.Digest,
+			AgeUs: uint64(max(m.Age, 0).Microseconds()), Control: appendAddress(nil, m.Control),
+		}
+		return &flowpb.Notice{Kind: &flowpb.Notice_News{News: news}}
+	default:
+		return &flowpb.Notice{}
+	}
+}
+
+func appendAddress(b []byte, a flow.Address) []byte {
+	b = append(b, a.IP[:]...)
+	return binary.BigEndian.AppendUint16(b, a.Port)
+}
+
+func encodeReport(m Report) *flowpb.Report {
+	r := &flowpb.Report{
+		Flows: uint32(m.Flows), Running: uint32(m.Running), MeanMilli: uint32(m.Mean * 1000),
+		Silent: m.Silent, Leaving: m.Leaving,
+	}
+	for _, b := range m.Balancers[:min(len(m.Balancers), maxBalancers)] {
+		r.Balancers = appendAddress(r.Balancers, b)
+	}
+	return r
+}
+
+func encodeFlow(k flow.Key) *flowpb.Flow {
+	return &flowpb.Flow{
+		CallerIp: binary.BigEndian.Uint32(k.Caller.IP[:]), CallerPort: uint32(k.Caller.Port),
+		ServiceIp: binary.BigEndian.Uint32(k.Service.IP[:]), ServicePort: uint32(k.Service.Port),
+	}
+}
+
+func decodeFlow(f *flowpb.Flow) flow.Key {
+	var k flow.Key
+	binary.BigEndian.PutUint32(k.Caller.IP[:], f.GetCallerIp())
+	binary.BigEndian.PutUint32(k.Service.IP[:], f.GetServiceIp())
+	k.Caller.Port, k.Service.Port = uint16(f.GetCallerPort()), uint16(f.GetServicePort())
+	return k
+}
+
+// Decode returns the message in a datagram of the kind Notice; nil for one that
+// this version does not know.
+func Decode(b []byte) (Message, error) {
+	var n flowpb.Notice
+	if KindOf(b) != Notice {
+		return nil, &DecodeError{Length: len(b), Cause: &ShortError{Kind: KindOf(b)}}
+	}
+	if err := proto.Unmarshal(b[1:], &n); err != nil {
+		return nil, &DecodeError{Length: len(b), Cause: err}
+	}
+	switch kind := n.GetKind().(type) {
+	case *flowpb.Notice_Hello:
+		return Hello{Slots: int(kind.Hello.GetSlots()), Leaving: kind.Hello.GetLeaving()}, nil
+	case *flowpb.Notice_Report:
+		return decodeReport(kind.Report), nil
+	case *flowpb.Notice_Owner:
+		owner := Owner{Flow: decodeFlow(kind.Owner.GetFlow())}
+		if agent := kind.Owner.GetAgent(); len(agent) == addressSize {
+			owner.Agent = address(agent)
+		}
+		return owner, nil
+	case *flowpb.Notice_Denied:
+		return Denied{Flow: decodeFlow(kind.Denied.GetFlow())}, nil
+	case *flowpb.Notice_News:
+		return decodeNews(kind.News)
+	default:
+		return nil, nil
+	}
+}
+
+func decodeNews(n *flowpb.News) (Message, error) {
+	if len(n.GetControl()) != addressSize {
+		return nil, &DecodeError{Length: len(n.GetControl()), Cause: &ShortError{Kind: Notice}}
+	}
+	age := time.Duration(n.GetAgeUs()) * time.Microsecond
+	return News{
+		Revision: directory.Revision(n.GetRevision()), Digest: n.GetDigest(), Age: age, Control: address(n.GetControl()),
+	}, nil
+}
+
+func decodeReport(r *flowpb.Report) Report {
+	m := Report{Usage: placement.Usage{
+		Flows: int(r.GetFlows()), Running: int(r.GetRunning()), Mean: float64(r.GetMeanMilli()) / 1000,
+		Silent: r.GetSilent(), Leaving: r.GetLeaving(),
+	}}
+	for b := r.GetBalancers(); len(b) >= addressSize; b = b[addressSize:] {
+		m.Balancers = append(m.Balancers, address(b))
+	}
+	return m
+}
--- /dev/null
+++ b/packetagent/agent.go
@@ -0,0 +1,96 @@
+// Package packetagent assembles the slices into the process beside an endpoint
+// that ends flows itself: one control goroutine, and traffic goroutines that hand
+// packets between the system and the endpoint.
+package packetagent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"cactustray/control"
+	"cactustray/event"
+	"cactustray/flow"
+	"cactustray/liveness/health"
+	"cactustray/metrics"
+	"cactustray/placement"
+	"cactustray/settings"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Run runs an agent until the context ends, then stops it as planned: flows go
+// on until no request is in progress.
+func Run(ctx context.Context, s *settings.Settings, codec flow.Codec, log *event.Log) error {
+	loop := control.NewLoop(placement.ReportInterval)
+	traffic, err := newTraffic(s, codec, loop, log)
+	if err != nil {
+		return err
+	}
+	state := newState(log, traffic)
+	healthy := new(atomic.Bool)
+	healthy.Store(true)
+	log.Emit(EventStarted, event.Fields{"service": s.Packets.Service, "endpoint": s.Packets.Endpoint, "zone": s.Zone})
+	defer log.Emit(EventStopped, nil)
+
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return loop.Run(running, state) })
+	group.Go(func() error { return traffic.servePeers(running) })
+	group.Go(func() error { return traffic.serveEndpoint(running) })
+	group.Go(func() error { return health.Serve(running, s.Packets.Health, healthy) })
+	group.Go(func() error { return observe(traffic, log).Serve(running, s.Metrics) })
+	group.Go(func() error {
+		defer stop()
+		return stopAsPlanned(ctx, running, loop, traffic, s.Packets.StopTime())
+	})
+	return group.Wait()
+}
+
+// observe shows what the process counts.
+func observe(t *traffic, log *event.Log) *metrics.Registry {
+	registry := metrics.New()
+	for _, reason := range flow.Reasons() {
+		registry.Gauge("packets."+reason.String(), t.counters[reason].Load)
+	}
+	registry.Gauge("packets.malformed", t.malformed.Load)
+	registry.Gauge("packets.unsent", t.unsent.Load)
+	registry.Gauge("resets", t.resets.Load)
+	registry.Gauge("flows", func() int64 { return int64(t.usage().Flows) })
+	registry.Gauge("requests", func() int64 { return int64(t.usage().Running) })
+	registry.Events(log)
+	return registry
+}
+
+const (
+	// minLeaveTime gives balancers the time to place new flows elsewhere.
+	minLeaveTime = 300 * time.Millisecond
+	// stopReserve is left of the time that a planned stop may take.
+	stopReserve = time.Second
+	// idleInterval is how often a leaving agent looks for a moment without
+	// requests.
+	idleInterval = 10 * time.Millisecond
+)
+
+// leave tells the control goroutine that the process stops as planned.
+type leave struct{}
+
+// stopAsPlanned waits for the stop and goes on until no request is in progress,
+// or the time for it is over. The endpoint's flows go on with the next agent.
+func stopAsPlanned(ctx, running context.Context, loop *control.Loop, t *traffic, limit time.Duration) error {
+	select {
+	case <-running.Done():
+		return nil
+	case <-ctx.Done():
+	}
+	if err := loop.Send(running, leave{}); err != nil {
+		return nil
+	}
+	control.Sleep(running, minLeaveTime)
+	began := time.Now()
+	for time.Since(began) < limit-stopReserve && t.usage().Running > 0 && running.Err() == nil {
+		control.Sleep(running, idleInterval)
+	}
+	return nil
+}
--- /dev/null
+++ b/packetagent/events.go
@@ -0,0 +1,47 @@
+package packetagent
+
+import (
+	"cactustray/event"
+	"cactustray/flow"
+
+	"github.com/sirupsen/logrus"
+)
+
+// The agent's events; docs/EVENTS.md explains each.
+var (
+	EventStarted        = event.Define(3301, logrus.InfoLevel, "packet agent started")
+	EventStopped        = event.Define(3302, logrus.InfoLevel, "packet agent stopped")
+	EventLeaving        = event.Define(3303, logrus.InfoLevel, "packet agent leaving")
+	EventSocketFailed   = event.Define(3304, logrus.WarnLevel, "agent's socket failed")
+	EventPaused         = event.Define(3305, logrus.WarnLevel, "packet agent was paused")
+	EventBalancerMet    = event.Define(3306, logrus.InfoLevel, "balancer greeted the agent")
+	EventBalancerLeft   = event.Define(3307, logrus.InfoLevel, "balancer said that it stops")
+	EventBalancerLost   = event.Define(3308, logrus.WarnLevel, "balancer no longer greets the agent")
+	EventEndpointSilent = event.Define(3309, logrus.WarnLevel, "endpoint does not answer")
+	EventEndpointBack   = event.Define(3310, logrus.InfoLevel, "endpoint answers again")
+	EventFlowPassed     = event.Define(3401, logrus.InfoLevel, "flow handed to another agent")
+	EventFlowReturned   = event.Define(3402, logrus.InfoLevel, "packet returned to its balancer")
+	EventFlowEnded      = event.Define(3403, logrus.InfoLevel, "flow lost by the endpoint ended by a reset")
+	EventFlowTried      = event.Define(3404, logrus.InfoLevel, "unknown flow tried at the endpoint")
+)
+
+// explain logs a decision that an operator may ask about.
+func (t *traffic) explain(key flow.Key, v flow.Verdict) {
+	var e event.Event
+	switch {
+	case v.Move == flow.End:
+		e = EventFlowEnded
+	case v.Move == flow.Pass && v.Reason != flow.HandedOn:
+		e = EventFlowPassed
+	case v.Move == flow.Return:
+		e = EventFlowReturned
+	case v.Reason == flow.Tried:
+		e = EventFlowTried
+	default:
+		return
+	}
+	if !t.log.Enabled(e) {
+		return
+	}
+	t.log.Emit(e, event.Fields{"flow": key.String(), "reason": v.Reason.String(), "to": v.To.String()})
+}
--- /dev/null
+++ b/packetagent/traffic.go
@@ -0,0 +1,222 @@
+package packetagent
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactustray/control"
+	"cactustray/control/clock"
+	"cactustray/event"
+	"cactustray/flow"
+	"cactustray/flow/wire"
+	"cactustray/settings"
+	"cactustray/steering/datagram"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// initialSlots is assumed until a balancer says how many requests the endpoint
+// works on at once.
+const initialSlots = 2
+
+// traffic is what the traffic goroutines share. held is guarded by mu.
+type traffic struct {
+	peers    *net.UDPConn
+	outbound *net.UDPConn
+	codec    flow.Codec
+	endpoint netip.AddrPort
+	// tag is the endpoint's service's.
+	tag uint16
+	// callerPort is the port at which callers take packets.
+	callerPort uint16
+	loop       *control.Loop
+	log        *event.Log
+
+	mu     sync.Mutex
+	held   *flow.Held
+	silent bool
+
+	counters  [flow.ReasonCount]atomic.Int64
+	malformed atomic.Int64
+	unsent    atomic.Int64
+	resets    atomic.Int64
+}
+
+func newTraffic(s *settings.Settings, codec flow.Codec, loop *control.Loop, log *event.Log) (*traffic, error) {
+	p := s.Packets
+	peers, err := datagram.Listen(p.Peer)
+	if err != nil {
+		return nil, err
+	}
+	outbound, err := datagram.Listen(p.Outbound)
+	if err != nil {
+		_ = peers.Close()
+		return nil, err
+	}
+	return &traffic{
+		peers: peers, outbound: outbound, codec: codec, loop: loop, log: log,
+		endpoint: p.Endpoint, tag: flow.TagOf(xxhash.Sum64String(p.Service)), callerPort: p.Edge.Port(),
+		held: flow.NewHeld(clock.Now(), initialSlots, p.FlowLifetime(), p.FirstStart),
+	}, nil
+}
+
+func (t *traffic) usage() flow.Usage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.held.Usage(clock.Now())
+}
+
+func (t *traffic) setSlots(slots int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.held.Slots(slots)
+}
+
+func (t *traffic) sweep() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.held.Sweep(clock.Now())
+}
+
+// servePeers takes in what balancers and other agents send.
+func (t *traffic) servePeers(ctx context.Context) error {
+	return datagram.Receive(ctx, t.peers, 0, t.socketFailed, func(buffer []byte, from netip.AddrPort) {
+		if wire.KindOf(buffer) == wire.Forward {
+			t.forwarded(buffer)
+			return
+		}
+		message, err := wire.Decode(buffer)
+		if err != nil {
+			t.malformed.Add(1)
+			return
+		}
+		if hello, ok := message.(wire.Hello); ok {
+			t.loop.Offer(greeted{Hello: hello, balancer: flow.AddressOf(from)})
+		}
+	})
+}
+
+func (t *traffic) socketFailed(socket string, err error) {
+	t.log.Emit(EventSocketFailed, event.Fields{"socket": socket, "cause": err.Error()})
+}
+
+// forwarded takes in a caller's packet.
+func (t *traffic) forwarded(buffer []byte) {
+	envelope, payload, err := wire.OpenEnvelope(buffer)
+	if err != nil {
+		t.malformed.Add(1)
+		return
+	}
+	packet, err := t.codec.Decode(payload)
+	if err != nil {
+		t.malformed.Add(1)
+		return
+	}
+	verdict := t.decide(packet, envelope, payload)
+	t.carryOut(packet.Flow, verdict, envelope.Balancer, buffer)
+	if verdict.Reason == flow.Opened {
+		time.AfterFunc(flow.AnswerTime, t.tick)
+	}
+}
+
+// decide asks the table of flows, unless the packet is for another service: the
+// balancer does not know yet that the address has changed hands.
+func (t *traffic) decide(packet flow.Packet, e wire.Envelope, payload []byte) flow.Verdict {
+	if e.Tag != 0 && e.Tag != t.tag {
+		return flow.Verdict{Move: flow.Return, To: e.Balancer, Reason: flow.ForeignService}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.held.FromBalancer(clock.Now(), packet, e.Delivery, payload)
+}
+
+// serveEndpoint takes in what the endpoint sends or gives back.
+func (t *traffic) serveEndpoint(ctx context.Context) error {
+	return datagram.Receive(ctx, t.outbound, wire.EnvelopeSize, t.socketFailed, func(buffer []byte, _ netip.AddrPort) {
+		payload := buffer[wire.EnvelopeSize:]
+		packet, err := t.codec.Decode(payload)
+		if err != nil {
+			t.malformed.Add(1)
+			return
+		}
+		if packet.Bounced {
+			t.codec.Unbounce(payload)
+		} else {
+			packet.Flow = flow.Key{Caller: packet.Flow.Service, Service: packet.Flow.Caller}
+		}
+		t.mu.Lock()
+		verdict := t.held.FromEndpoint(clock.Now(), packet)
+		t.mu.Unlock()
+		t.noteSilence()
+		t.carryOut(packet.Flow, verdict, verdict.Balancer, buffer)
+	})
+}
+
+// tick hands opening packets on that the endpoint has not answered.
+func (t *traffic) tick() {
+	t.mu.Lock()
+	overdue := t.held.Tick(clock.Now())
+	t.mu.Unlock()
+	t.noteSilence()
+	for _, u := range overdue {
+		buffer := append(make([]byte, wire.EnvelopeSize), u.Datagram...)
+		t.carryOut(u.Flow, u.Verdict, u.Verdict.Balancer, buffer)
+	}
+}
+
+// noteSilence tells the control goroutine when the endpoint falls silent or
+// answers again.
+func (t *traffic) noteSilence() {
+	t.mu.Lock()
+	silent := t.held.Silent()
+	changed := silent != t.silent
+	t.silent = silent
+	t.mu.Unlock()
+	if changed {
+		t.loop.Offer(silenceChanged{silent: silent})
+	}
+}
+
+// carryOut sends a packet where it was decided. buffer has the room of an
+// envelope before the packet; balancer is the one to answer to.
+func (t *traffic) carryOut(key flow.Key, v flow.Verdict, balancer flow.Address, buffer []byte) {
+	t.counters[v.Reason].Add(1)
+	t.explain(key, v)
+	payload := buffer[wire.EnvelopeSize:]
+	switch v.Move {
+	case flow.Deliver:
+		t.send(t.outbound, payload, t.endpoint)
+	case flow.ToCaller:
+		t.send(t.outbound, payload, t.callerAt(key))
+	case flow.Pass:
+		wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer}})
+		t.send(t.peers, buffer, v.To.AddrPort())
+	case flow.Return:
+		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer}})
+		t.send(t.peers, buffer, v.To.AddrPort())
+	case flow.Deny:
+		t.send(t.peers, wire.Encode(wire.Denied{Flow: key}), v.To.AddrPort())
+	case flow.End:
+		t.resets.Add(1)
+		t.send(t.outbound, t.codec.AppendReset(nil, v.Reset), t.callerAt(key))
+	}
+	if !v.Tell.IsZero() {
+		t.send(t.peers, wire.Encode(wire.Owner{Flow: key, Agent: v.Owner}), v.Tell.AddrPort())
+	}
+}
+
+func (t *traffic) callerAt(key flow.Key) netip.AddrPort {
+	caller := key.Caller
+	caller.Port = t.callerPort
+	return caller.AddrPort()
+}
+
+func (t *traffic) send(socket *net.UDPConn, b []byte, to netip.AddrPort) {
+	if _, err := socket.WriteToUDPAddrPort(b, to); err != nil {
+		t.unsent.Add(1)
+	}
+}
--- /dev/null
+++ b/packetbalancer/control.go
@@ -0,0 +1,273 @@
+package packetbalancer
+
+import (
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"cactustray/control"
+	"cactustray/control/clock"
+	"cactustray/directory"
+	"cactustray/directory/exchange"
+	"cactustray/event"
+	"cactustray/flow"
+	"cactustray/flow/wire"
+	"cactustray/placement"
+	"cactustray/settings"
+)
+
+const (
+	// helloInterval is how often agents are greeted; they report to balancers
+	// that greeted them within the last two seconds.
+	helloInterval = 500 * time.Millisecond
+	// seedDelay is how long the registry may take at the start before other
+	// balancers are asked: many times its usual 4 ms.
+	seedDelay = 150 * time.Millisecond
+	// pauseLimit is the gap between two ticks that shows that the process did
+	// not run.
+	pauseLimit = time.Second
+	// remapInterval is how often the map is made anew while endpoints that are
+	// gone may still be in use.
+	remapInterval = 250 * time.Millisecond
+)
+
+// reported tells which balancers an agent knows.
+type reported struct{ balancers []flow.Address }
+
+// heardNews brings another balancer's news.
+type heardNews struct {
+	wire.News
+	from flow.Address
+}
+
+// state is the control state. The control goroutine owns it.
+type state struct {
+	settings  *settings.Settings
+	log       *event.Log
+	traffic   *traffic
+	reader    *reader
+	healthy   *atomic.Bool
+	directory *directory.State
+	turn      *directory.Turn
+	gauges    map[flow.Address]*placement.Gauge
+
+	started time.Duration
+	ticked  time.Duration
+	greeted time.Duration
+	mapped  time.Duration
+	// whole tells that the next reading is of everything.
+	whole bool
+	// away tells that the last reading failed.
+	away     bool
+	fetching bool
+	seeds    []netip.AddrPort
+	leaving  bool
+	// asOf is when the directory was known to be the newest, for traffic.
+	asOf atomic.Int64
+	// unsettled tells that endpoints that are gone may still be in use.
+	unsettled bool
+}
+
+func newState(s *settings.Settings, log *event.Log, t *traffic, r *reader, healthy *atomic.Bool) *state {
+	now := clock.Now()
+	return &state{
+		settings: s, log: log, traffic: t, reader: r, healthy: healthy,
+		directory: directory.NewState(), turn: directory.NewTurn(s.Packets.Peer),
+		gauges:  make(map[flow.Address]*placement.Gauge),
+		started: now, ticked: now, whole: true, seeds: s.Packets.SeedAddresses(),
+	}
+}
+
+func (s *state) ageMillis() int64 {
+	return (clock.Now() - time.Duration(s.asOf.Load())).Milliseconds()
+}
+
+// Handle applies one message.
+func (s *state) Handle(_ time.Time, message control.Message) {
+	now := clock.Now()
+	switch m := message.(type) {
+	case readEnded:
+		s.readEnded(now, m)
+	case fetchEnded:
+		s.fetchEnded(now, m)
+	case heardNews:
+		s.heardNews(now, m)
+	case reported:
+		for _, b := range m.balancers {
+			s.turn.Met(now, b.AddrPort())
+		}
+	case exchange.Asked:
+		m.Reply <- exchange.Held{Change: s.directory.Whole(), Known: s.directory.Known()}
+	case leave:
+		s.leave(now)
+	}
+}
+
+// Tick does what time alone brings about.
+func (s *state) Tick(_ time.Time, _ time.Duration) {
+	now := clock.Now()
+	if gap := now - s.ticked; gap > pauseLimit {
+		s.log.Emit(EventPaused, event.Fields{"gap_ms": gap.Milliseconds()})
+	}
+	s.ticked = now
+	s.readIfDue(now)
+	s.askSeeds(now)
+	if now-s.greeted >= helloInterval {
+		s.greet(now)
+	}
+	if s.unsettled && now-s.mapped >= remapInterval {
+		s.publish(now)
+	}
+}
+
+func (s *state) readIfDue(now time.Duration) {
+	if !s.turn.Due(now, s.directory.AsOf(), s.directory.Known()) {
+		return
+	}
+	// The reader is idle, so that its queue has room.
+	s.reader.orders <- readOrder{whole: s.whole, after: s.directory.Revision()}
+}
+
+// askSeeds fetches from other balancers while nothing is known and the registry
+// does not answer.
+func (s *state) askSeeds(now time.Duration) {
+	if s.directory.Known() || len(s.seeds) == 0 || now-s.started < seedDelay {
+		return
+	}
+	if s.fetch(s.seeds[0]) {
+		s.seeds = append(s.seeds[1:], s.seeds[0])
+	}
+}
+
+func (s *state) fetch(peer netip.AddrPort) bool {
+	if s.fetching {
+		return false
+	}
+	s.fetching = true
+	// The fetching goroutine is idle, so that its queue has room.
+	s.reader.fetches <- peer
+	return true
+}
+
+func (s *state) readEnded(now time.Duration, m readEnded) {
+	gone := errors.Is(m.err, directory.ErrHistoryGone)
+	s.turn.Ended(now, m.err != nil && !gone)
+	if gone {
+		s.log.Emit(EventHistoryGone, event.Fields{"revision": s.directory.Revision()})
+		s.whole = true
+		s.readIfDue(now)
+		return
+	}
+	s.noteSource(m.err)
+	if m.err != nil {
+		return
+	}
+	changed, ok := s.directory.Apply(now, m.change)
+	s.whole = !ok
+	if ok {
+		s.renew(now, changed, "registry")
+		s.tell(now)
+	}
+}
+
+// noteSource logs when the registry is lost or back.
+func (s *state) noteSource(err error) {
+	if err != nil && !s.away {
+		s.log.Emit(EventSourceLost, event.Fields{"cause": err.Error(), "age_ms": s.ageMillis()})
+	}
+	if err == nil && s.away {
+		s.log.Emit(EventSourceBack, event.Fields{"age_ms": s.ageMillis()})
+	}
+	s.away = err != nil
+}
+
+func (s *state) fetchEnded(now time.Duration, m fetchEnded) {
+	s.fetching = false
+	if m.err != nil {
+		s.log.Emit(EventPeerFailed, event.Fields{"peer": m.from, "cause": m.err.Error()})
+		return
+	}
+	changed, ok := s.directory.Apply(now, m.change)
+	if !ok {
+		return
+	}
+	s.whole = false
+	s.renew(now, changed, m.from.String())
+	if changed {
+		s.tell(now)
+	}
+}
+
+func (s *state) heardNews(now time.Duration, m heardNews) {
+	s.turn.Met(now, m.from.AddrPort())
+	if !s.directory.Current(m.Revision, m.Digest, now-m.Age) {
+		s.fetch(m.Control.AddrPort())
+		return
+	}
+	s.asOf.Store(int64(s.directory.AsOf()))
+}
+
+// renew brings traffic up to the directory.
+func (s *state) renew(now time.Duration, changed bool, source string) {
+	s.asOf.Store(int64(s.directory.AsOf()))
+	if changed {
+		s.logChange(source)
+		s.publish(now)
+		s.greet(now)
+	}
+	if !s.leaving && !s.healthy.Load() {
+		s.healthy.Store(true)
+		s.log.Emit(EventReady, event.Fields{"after_ms": (now - s.started).Milliseconds(), "source": source})
+	}
+}
+
+func (s *state) logChange(source string) {
+	desired := s.directory.Desired()
+	fields := event.Fields{"revision": s.directory.Revision(), "version": desired.Version, "source": source}
+	if desired.Changed == s.directory.Revision() {
+		s.log.Emit(EventDesired, fields)
+		return
+	}
+	ready, draining, gone := 0, 0, 0
+	s.directory.Each(func(e *directory.Entry) {
+		switch {
+		case e.GoneAt != 0:
+			gone++
+		case e.Draining:
+			draining++
+		default:
+			ready++
+		}
+	})
+	fields["ready"], fields["draining"], fields["gone"] = ready, draining, gone
+	s.log.Emit(EventEndpoints, fields)
+}
+
+// tell sends the news to the other balancers.
+func (s *state) tell(now time.Duration) {
+	news := wire.Encode(wire.News{
+		Revision: s.directory.Revision(), Digest: s.directory.Digest(), Age: now - s.directory.AsOf(),
+		Control: flow.AddressOf(s.settings.Packets.Control),
+	})
+	for _, peer := range s.turn.Peers(now) {
+		s.traffic.send(s.traffic.peers, news, peer)
+	}
+}
+
+// greet tells the agents that this balancer may send them flows.
+func (s *state) greet(now time.Duration) {
+	s.greeted = now
+	for agent, site := range s.traffic.table.Load().Agents {
+		hello := wire.Encode(wire.Hello{Slots: site.Slots, Leaving: s.leaving})
+		s.traffic.send(s.traffic.peers, hello, agent.AddrPort())
+	}
+}
+
+func (s *state) publish(now time.Duration) {
+	s.mapped = now
+	s.directory.Forget(now, s.settings.Packets.FlowLifetime())
+	builder := newMapBuilder(now, s)
+	s.traffic.table.Store(builder.build())
+	s.unsettled = builder.unsettled
+}
--- /dev/null
+++ b/packetbalancer/events.go
@@ -0,0 +1,55 @@
+package packetbalancer
+
+import (
+	"cactustray/event"
+	"cactustray/flow"
+
+	"github.com/sirupsen/logrus"
+)
+
+// The balancer's events; docs/EVENTS.md explains each.
+var (
+	EventStarted      = event.Define(3001, logrus.InfoLevel, "packet balancer started")
+	EventStopped      = event.Define(3002, logrus.InfoLevel, "packet balancer stopped")
+	EventLeaving      = event.Define(3003, logrus.InfoLevel, "packet balancer leaving")
+	EventSocketFailed = event.Define(3004, logrus.WarnLevel, "socket failed")
+	EventReady        = event.Define(3005, logrus.InfoLevel, "packet balancer ready")
+	EventDesired      = event.Define(3101, logrus.InfoLevel, "desired state in force")
+	EventEndpoints    = event.Define(3102, logrus.InfoLevel, "endpoints changed")
+	EventSourceLost   = event.Define(3103, logrus.WarnLevel, "registry does not answer")
+	EventSourceBack   = event.Define(3104, logrus.InfoLevel, "registry answers again")
+	EventPeerFailed   = event.Define(3105, logrus.WarnLevel, "directory not fetched from a balancer")
+	EventHistoryGone  = event.Define(3106, logrus.InfoLevel, "registry forgot its history")
+	EventEntryRefused = event.Define(3108, logrus.WarnLevel, "entry of the registry refused")
+	EventPaused       = event.Define(3107, logrus.WarnLevel, "packet balancer was paused")
+	EventFlowPlaced   = event.Define(3201, logrus.DebugLevel, "flow placed")
+	EventFlowReplaced = event.Define(3202, logrus.InfoLevel, "flow offered to another endpoint")
+	EventFlowSearched = event.Define(3203, logrus.InfoLevel, "flow searched for")
+	EventFlowEnded    = event.Define(3204, logrus.InfoLevel, "flow ended by a reset")
+	EventFlowUnplaced = event.Define(3205, logrus.InfoLevel, "flow not placed")
+)
+
+// explain logs a decision that an operator may ask about.
+func (t *traffic) explain(key flow.Key, d flow.Decision) {
+	var e event.Event
+	switch {
+	case d.End:
+		e = EventFlowEnded
+	case d.Reason == flow.Opened:
+		e = EventFlowPlaced
+	case d.Reason == flow.Searched && len(d.To) > 0:
+		e = EventFlowSearched
+	case d.Reason == flow.NoEndpoint || d.Reason == flow.UnknownAddress:
+		e = EventFlowUnplaced
+	default:
+		return
+	}
+	if !t.log.Enabled(e) {
+		return
+	}
+	fields := event.Fields{"flow": key.String(), "reason": d.Reason.String(), "directory_age_ms": t.age().Milliseconds()}
+	if len(d.To) == 1 {
+		fields["agent"] = d.To[0].String()
+	}
+	t.log.Emit(e, fields)
+}
--- /dev/null
+++ b/packetbalancer/traffic.go
@@ -0,0 +1,198 @@
+package packetbalancer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactustray/control"
+	"cactustray/control/clock"
+	"cactustray/event"
+	"cactustray/flow"
+	"cactustray/flow/wire"
+	"cactustray/settings"
+	"cactustray/steering/datagram"
+)
+
+const (
+	// sweepInterval is how often old flows are forgotten.
+	sweepInterval = 2 * time.Second
+)
+
+// traffic is what the traffic goroutines share. picks is guarded by mu.
+type traffic struct {
+	edge  *net.UDPConn
+	peers *net.UDPConn
+	codec flow.Codec
+	// self is where agents and balancers reach this balancer.
+	self flow.Address
+	// callerPort is the port at which callers take packets.
+	callerPort uint16
+	table      atomic.Pointer[flow.Map]
+	loop       *control.Loop
+	log        *event.Log
+
+	mu    sync.Mutex
+	picks *flow.Picks
+	swept time.Duration
+
+	counters  [flow.ReasonCount]atomic.Int64
+	malformed atomic.Int64
+	unsent    atomic.Int64
+	resets    atomic.Int64
+	// received counts callers' packets.
+	received atomic.Int64
+}
+
+func newTraffic(s *settings.Settings, codec flow.Codec, loop *control.Loop, log *event.Log) (*traffic, error) {
+	p := s.Packets
+	edge, err := datagram.Listen(p.Edge)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := datagram.Listen(p.Peer)
+	if err != nil {
+		_ = edge.Close()
+		return nil, err
+	}
+	t := &traffic{
+		edge: edge, peers: peers, codec: codec, loop: loop, log: log,
+		self: flow.AddressOf(p.Peer), callerPort: p.Edge.Port(),
+		picks: flow.NewPicks(p.FlowLifetime(), newRandom()),
+	}
+	t.table.Store(flow.NewMap())
+	return t, nil
+}
+
+func (t *traffic) socketFailed(socket string, err error) {
+	t.log.Emit(EventSocketFailed, event.Fields{"socket": socket, "cause": err.Error()})
+}
+
+// serveEdge forwards callers' packets.
+func (t *traffic) serveEdge(ctx context.Context) error {
+	return datagram.Receive(ctx, t.edge, wire.EnvelopeSize, t.socketFailed, func(buffer []byte, _ netip.AddrPort) {
+		t.received.Add(1)
+		now := clock.Now()
+		packet, err := t.codec.Decode(buffer[wire.EnvelopeSize:])
+		if err != nil {
+			t.malformed.Add(1)
+			return
+		}
+		table := t.table.Load()
+		t.mu.Lock()
+		t.sweep(now)
+		decision := t.picks.FromCaller(now, packet, table)
+		t.mu.Unlock()
+		t.carryOut(packet.Flow, decision, buffer)
+	})
+}
+
+// age returns how old the directory is that flows are placed by.
+func (t *traffic) age() time.Duration { return clock.Now() - t.table.Load().Current() }
+
+func (t *traffic) sweep(now time.Duration) {
+	if now-t.swept >= sweepInterval {
+		t.swept = now
+		t.picks.Sweep(now)
+	}
+}
+
+// carryOut sends a packet where it was decided. buffer has room for an envelope
+// before the packet; it is empty when there is only a reset to send.
+func (t *traffic) carryOut(key flow.Key, d flow.Decision, buffer []byte) {
+	t.counters[d.Reason].Add(1)
+	t.explain(key, d)
+	if d.End {
+		t.reset(d.Reset)
+		return
+	}
+	if len(d.To) == 0 || len(buffer) < wire.EnvelopeSize {
+		return
+	}
+	wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{
+		Tag:      d.Tag,
+		Delivery: flow.Delivery{Balancer: t.self, Alternative: d.Alternative, Search: d.Search},
+	})
+	for _, agent := range d.To {
+		t.send(t.peers, buffer, agent.AddrPort())
+	}
+}
+
+func (t *traffic) reset(r flow.Reset) {
+	t.resets.Add(1)
+	caller := r.Flow.Caller
+	caller.Port = t.callerPort
+	t.send(t.edge, t.codec.AppendReset(nil, r), caller.AddrPort())
+}
+
+func (t *traffic) send(socket *net.UDPConn, b []byte, to netip.AddrPort) {
+	if _, err := socket.WriteToUDPAddrPort(b, to); err != nil {
+		t.unsent.Add(1)
+	}
+}
+
+// servePeers takes in what agents and other balancers send.
+func (t *traffic) servePeers(ctx context.Context) error {
+	return datagram.Receive(ctx, t.peers, 0, t.socketFailed, func(buffer []byte, from netip.AddrPort) {
+		sender := flow.AddressOf(from)
+		if wire.KindOf(buffer) == wire.Return {
+			t.returned(buffer, sender)
+			return
+		}
+		message, err := wire.Decode(buffer)
+		if err != nil {
+			t.malformed.Add(1)
+			return
+		}
+		t.notice(message, sender)
+	})
+}
+
+// returned takes in a caller's packet that an agent does not deliver.
+func (t *traffic) returned(buffer []byte, agent flow.Address) {
+	_, payload, err := wire.OpenEnvelope(buffer)
+	if err != nil {
+		t.malformed.Add(1)
+		return
+	}
+	packet, err := t.codec.Decode(payload)
+	if err != nil {
+		t.malformed.Add(1)
+		return
+	}
+	table := t.table.Load()
+	t.mu.Lock()
+	decision := t.picks.Returned(clock.Now(), packet, agent, table)
+	t.mu.Unlock()
+	t.carryOut(packet.Flow, decision, buffer)
+}
+
+func (t *traffic) notice(message wire.Message, sender flow.Address) {
+	now := clock.Now()
+	switch m := message.(type) {
+	case wire.Report:
+		if site := t.table.Load().Agents[sender]; site != nil {
+			site.Gauge.Report(now, m.Usage)
+		}
+		t.loop.Offer(reported{balancers: m.Balancers})
+	case wire.Owner:
+		if m.Agent.IsZero() {
+			m.Agent = sender
+		}
+		t.mu.Lock()
+		t.picks.Found(now, m.Flow, m.Agent)
+		t.mu.Unlock()
+	case wire.Denied:
+		t.mu.Lock()
+		decision := t.picks.Denied(now, m.Flow, sender, t.table.Load())
+		t.mu.Unlock()
+		if decision.End {
+			t.carryOut(m.Flow, decision, nil)
+		}
+	case wire.News:
+		t.loop.Offer(heardNews{News: m, from: sender})
+	}
+}
--- /dev/null
+++ b/placement/balance.go
@@ -0,0 +1,169 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// ReportInterval is how often an agent reports its endpoint's load to the
+	// balancers: a few times a caller's latency target of 100 ms or more.
+	ReportInterval = 100 * time.Millisecond
+	// reportedFor is how long an endpoint counts as reachable after a report:
+	// three are lost in a row once in 40,000 at 3% loss.
+	reportedFor = 350 * time.Millisecond
+	// newFor is how long a new endpoint may take to send its first report.
+	newFor = time.Second
+	// remoteCost is what a failure domain away costs, in shares of all slots:
+	// traffic between failure domains is billed and takes a millisecond.
+	remoteCost = 0.15
+	// coldCost is how much more a cold endpoint's slots are worth; started
+	// endpoints work at about half their speed.
+	coldCost = 2.0
+	// flowCost is the share of a slot that an open flow takes on average: a
+	// feed has a request a second that runs for some 10 ms.
+	flowCost = 0.01
+	// jitter keeps balancers with equal reports from one choice, in shares of
+	// all slots.
+	jitter = 0.1
+)
+
+// Gauge is the load of one endpoint as its agent reports it to a balancer. All
+// of it is safe for concurrent use: reports arrive on one goroutine and new
+// flows are placed on another.
+type Gauge struct {
+	heard   atomic.Int64
+	running atomic.Int64
+	// mean is the mean number of running requests, in thousandths.
+	mean    atomic.Int64
+	flows   atomic.Int64
+	silent  atomic.Bool
+	leaving atomic.Bool
+	// placed counts flows placed here since the last report.
+	placed atomic.Int64
+}
+
+// Usage is one report of an endpoint's load.
+type Usage struct {
+	Flows   int
+	Running int
+	// Mean is the mean number of running requests since the report before.
+	Mean float64
+	// Silent tells that the endpoint does not answer its agent.
+	Silent bool
+	// Leaving tells that the agent stops soon.
+	Leaving bool
+}
+
+// Report takes an agent's report in.
+func (g *Gauge) Report(now time.Duration, u Usage) {
+	g.running.Store(int64(u.Running))
+	g.mean.Store(int64(u.Mean * 1000))
+	g.flows.Store(int64(u.Flows))
+	g.silent.Store(u.Silent)
+	g.leaving.Store(u.Leaving)
+	g.placed.Store(0)
+	g.heard.Store(int64(max(now, 1)))
+}
+
+// Heard returns when the last report came, or 0.
+func (g *Gauge) Heard() time.Duration { return time.Duration(g.heard.Load()) }
+
+// Alive tells whether the agent has reported lately.
+func (g *Gauge) Alive(now time.Duration) bool {
+	heard := g.Heard()
+	return heard > 0 && now-heard <= reportedFor
+}
+
+// Candidate is an endpoint that may take a new flow.
+type Candidate struct {
+	Gauge *Gauge
+	Slots int
+	// Remote tells that it stands in another failure domain.
+	Remote bool
+	// ColdUntil is when a started endpoint reaches its full speed.
+	ColdUntil time.Duration
+	// Learned is when this process learned of the endpoint.
+	Learned time.Duration
+}
+
+// standing ranks candidates before their load counts.
+type standing int
+
+const (
+	usable standing = iota
+	unheard
+	suspected
+)
+
+func (c *Candidate) standing(now time.Duration) standing {
+	g := c.Gauge
+	switch {
+	case g.leaving.Load():
+		return suspected
+	case g.Alive(now):
+		if g.silent.Load() {
+			return suspected
+		}
+		return usable
+	case g.Heard() == 0 && now-c.Learned < newFor:
+		return unheard
+	default:
+		return suspected
+	}
+}
+
+func (c *Candidate) cost(now time.Duration, random *rand.Rand) float64 {
+	g := c.Gauge
+	load := (float64(g.running.Load()) + float64(g.mean.Load())/1000) / 2
+	load += float64(g.placed.Load()) + flowCost*float64(g.flows.Load())
+	cost := load / float64(max(c.Slots, 1))
+	if now < c.ColdUntil {
+		cost = cost*coldCost + 1/float64(max(c.Slots, 1))
+	}
+	if c.Remote {
+		cost += remoteCost
+	}
+	return cost + jitter*random.Float64()
+}
+
+// Choose returns the indexes of the best candidate for a new flow and of the
+// next best, or -1. Candidates that exclude names come last: a suspicion never
+// leaves a service without an endpoint.
+func Choose(now time.Duration, random *rand.Rand, candidates []*Candidate, exclude func(int) bool) (first, second int) {
+	first, second = -1, -1
+	var best, next rank
+	for i, c := range candidates {
+		if exclude != nil && exclude(i) {
+			continue
+		}
+		r := rank{standing: c.standing(now), cost: c.cost(now, random)}
+		switch {
+		case first < 0 || r.before(best):
+			second, next = first, best
+			first, best = i, r
+		case second < 0 || r.before(next):
+			second, next = i, r
+		}
+	}
+	if second >= 0 && next.standing == suspected {
+		second = -1
+	}
+	if first >= 0 {
+		candidates[first].Gauge.placed.Add(1)
+	}
+	return first, second
+}
+
+type rank struct {
+	standing standing
+	cost     float64
+}
+
+func (r rank) before(other rank) bool {
+	if r.standing != other.standing {
+		return r.standing < other.standing
+	}
+	return r.cost < other.cost
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -54,6 +54,11 @@
 	var c checker
 	c.name("node", s.Node)
 	c.name("zone", s.Zone)
+	if s.Role.Packets() {
+		c.packets(s)
+		return c.Problems
+	}
+	c.Require(s.Packets == nil, "packets", "present", "nothing in this role")
 	c.keys(s.Keys)
 	c.resetKey(s)
 	c.tls("tls", s.TLS)
@@ -65,7 +70,7 @@
 	case Agent:
 		c.agent(s)
 	default:
-		c.Require(false, "role", s.Role, "balancer or agent")
+		c.Require(false, "role", s.Role, "balancer, agent, packet-balancer or packet-agent")
 	}
 	c.addresses(s)
 	return c.Problems
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,11 @@
 	Balancer Role = "balancer"
 	// Agent ends the flows of the backend server beside it.
 	Agent Role = "agent"
+	// PacketBalancer hands callers' packets to the agents of endpoints that
+	// speak the packet protocol themselves.
+	PacketBalancer Role = "packet-balancer"
+	// PacketAgent hands packets between the system and the endpoint beside it.
+	PacketAgent Role = "packet-agent"
 )
 
 // Settings are the settings of one daemon.
@@ -33,6 +38,7 @@
 	Platform  *Platform         `json:"platform,omitempty"`
 	Balancer  *BalancerSettings `json:"balancer,omitempty"`
 	Agent     *AgentSettings    `json:"agent,omitempty"`
+	Packets   *PacketSettings   `json:"packets,omitempty"`
 	LogLevel  string            `json:"log_level,omitempty"`
 	Metrics   netip.AddrPort    `json:"metrics,omitzero"`
 	TraceFile string            `json:"trace_file,omitempty"`
@@ -113,6 +119,9 @@
 
 // missingFiles reports every named file that cannot be opened.
 func missingFiles(s *Settings) []document.Problem {
+	if s.Packets != nil {
+		return nil // these roles have no identity
+	}
 	var c document.Checker
 	readable := func(field, file string) {
 		if file == "" {
