Let a keyed request that comes back to its witness run

Change: requests carry a number between agents; a record that only this request made is forgotten when it comes back. A second request with the key, or a keeper that asks, makes the record binding as before. The random test now moves requests hop by hop with tickets arriving between hops. Ruled out: lost memory through a pause, and agents not reached: neither was traced.

--- a/admission/frontend/frontend.go
+++ b/admission/frontend/frontend.go
@@ -32,6 +32,8 @@
 	keeperHopHeader   = "Cactustray-Keeper-Hop"
 	// witnessHeader names the agent that passed a keyed request on.
 	witnessHeader = "Cactustray-Witness"
+	// passHeader tells a keyed request from others while agents pass it on.
+	passHeader = "Cactustray-Pass"
 	// ticketHeader is the number of the ticket by which an agent passed a
 	// keyed request on.
 	ticketHeader = "Cactustray-Ticket"
@@ -75,6 +77,7 @@
 	r.Header.Del(keeperHopHeader)
 	r.Header.Del(witnessHeader)
 	r.Header.Del(ticketHeader)
+	r.Header.Del(passHeader)
 	h.serve(w, r, 0)
 }
 
--- a/admission/frontend/keyed.go
+++ b/admission/frontend/keyed.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -41,6 +42,7 @@
 	fingerprint admission.Fingerprint
 	keeper      ticket.EndpointKey
 	hop         int
+	pass        admission.PassID
 	// witness is the agent that passed the request on.
 	witness ticket.EndpointKey
 }
@@ -62,6 +64,7 @@
 	k := &keyed{job: h.newJob(w, r, tk), key: admission.Key(key), fingerprint: fingerprint(r, whole), hop: hop}
 	k.witness = ticket.EndpointKeyOf(tk.Service, r.Header.Get(witnessHeader))
 	r.Header.Del(witnessHeader)
+	k.pass = passOf(r)
 	k.body = newBody(bytes.NewReader(whole))
 	r.ContentLength = int64(len(whole))
 	keeper, ok := admission.KeeperOf(k.key, MembersOf(tk).Keepers)
@@ -78,6 +81,17 @@
 	k.passOn()
 }
 
+// passOf returns what names a request on its way between agents; the first agent
+// chooses it.
+func passOf(r *http.Request) admission.PassID {
+	pass, err := strconv.ParseUint(r.Header.Get(passHeader), 10, 64)
+	r.Header.Del(passHeader)
+	if err != nil {
+		pass = rand.Uint64()
+	}
+	return admission.PassID(pass)
+}
+
 // catchUp returns the ticket in force here, which must not be older than the
 // one by which another agent passed the request on: two agents that choose
 // keepers by different tickets would pass the request to and fro.
@@ -138,7 +152,7 @@
 		return
 	}
 	memory, err := control.Ask(ctx, k.h.Loop, func(reply chan<- admission.Memory) control.Message {
-		return admission.Witnessed{Key: k.key, Reply: reply}
+		return admission.Witnessed{Key: k.key, Pass: k.pass, Reply: reply}
 	})
 	if err != nil || memory.Unreached {
 		writeUnknown(k.out, "no room to remember the key")
@@ -148,6 +162,7 @@
 	out := k.outgoing(ctx)
 	out.Header.Set(keeperHopHeader, strconv.Itoa(k.hop+1))
 	out.Header.Set(ticketHeader, strconv.FormatUint(uint64(k.tk.Number), 10))
+	out.Header.Set(passHeader, strconv.FormatUint(uint64(k.pass), 10))
 	out.Header.Set(witnessHeader, k.h.Endpoint)
 	response, failed := forward(out, k.h.Peers, address)
 	switch {
@@ -166,7 +181,7 @@
 func (k *keyed) keep() {
 	ctx, cancel := k.limit(context.WithoutCancel(k.in.Context()))
 	defer cancel()
-	claim, err := k.claim(admission.Claimed{Key: k.key, Fingerprint: k.fingerprint})
+	claim, err := k.claim(admission.Claimed{Key: k.key, Fingerprint: k.fingerprint, Pass: k.pass})
 	if err == nil && claim.Verdict == admission.AskOthers {
 		claim, err = k.recall(ctx, claim.Ask)
 	} else if err == nil && claim.Verdict == admission.Run {
--- a/admission/keeper.go
+++ b/admission/keeper.go
@@ -32,6 +32,9 @@
 // Key is the caller's name for a request that must run at most once.
 type Key string
 
+// PassID tells requests apart that agents pass on to keepers; 0 is none.
+type PassID uint64
+
 // Fingerprint tells whether two requests with one key are the same request.
 type Fingerprint uint64
 
@@ -117,7 +120,10 @@
 	fingerprint Fingerprint
 	// asked is when others were asked about the key, or when it was first
 	// witnessed.
-	asked   time.Time
+	asked time.Time
+	// pass is the request that a witnessed record is of, if no other one and
+	// no keeper has named the key to this agent.
+	pass    PassID
 	answer  Answer
 	expires time.Time
 }
@@ -321,6 +327,7 @@
 	case r.state == witnessed:
 		memory.Known = true
 		memory.Age = now.Sub(r.asked)
+		r.pass = 0
 		k.settle(now, r, witnessed)
 	default:
 		memory.Known = true
@@ -329,6 +336,26 @@
 	return memory
 }
 
+// PassOn remembers a key as Witness does, for a request that this agent passes on
+// to the key's keeper.
+func (k *Keeper) PassOn(now time.Time, key Key, pass PassID) Memory {
+	memory := k.Witness(now, key)
+	if r := k.records[key]; r != nil && !memory.Known {
+		r.pass = pass
+	}
+	return memory
+}
+
+// CameBack takes in that a request that this agent passed on has come back,
+// since a ticket made this agent the key's keeper. What the agent knows of the
+// key by that request alone is forgotten: it does not tell that the key ran.
+func (k *Keeper) CameBack(key Key, pass PassID) {
+	r := k.records[key]
+	if r != nil && r.state == witnessed && pass != 0 && r.pass == pass {
+		delete(k.records, key)
+	}
+}
+
 func (k *Keeper) newWitness(now time.Time) *record {
 	r := &record{asked: now}
 	k.settle(now, r, witnessed)
--- a/admission/keeper_test.go
+++ b/admission/keeper_test.go
@@ -7,6 +7,7 @@
 
 	"cactustray/ticket"
 
+	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 )
 
@@ -42,6 +43,8 @@
 	runs map[Key][]time.Time
 	// lostAt is when each agent was killed.
 	lostAt []time.Time
+	moving []moving
+	passes PassID
 }
 
 const (
@@ -80,25 +83,50 @@
 
 func (k *keepers) draw(name string, n int) int { return rapid.IntRange(0, n-1).Draw(k.t, name) }
 
-// claim sends a caller's request in through an agent, which passes it on to
-// the keeper by its own ticket.
+// moving is a request on its way to its key's keeper.
+type moving struct {
+	key     Key
+	at      int
+	hops    int
+	pass    PassID
+	witness ticket.EndpointKey
+}
+
+// claim sends a caller's request in through an agent.
 func (k *keepers) claim() {
-	key := Key(fmt.Sprint("key-", k.draw("key", keeperKeys)))
-	at := k.draw("entry", keeperAgents)
-	witness := ticket.EndpointKey(0)
-	for range 3 {
-		if k.down[at] {
-			return
-		}
-		keeper, _ := KeeperOf(key, k.tickets[k.holds[at]])
-		if keeper == ticket.EndpointKey(at+1) {
-			k.claimAt(at, key, witness)
-			return
-		}
-		k.nodes[at].Witness(k.now, key)
-		witness = ticket.EndpointKey(at + 1)
-		at = int(keeper - 1)
+	k.passes++
+	k.moving = append(k.moving, moving{
+		key: Key(fmt.Sprint("key-", k.draw("key", keeperKeys))), at: k.draw("entry", keeperAgents), pass: k.passes,
+	})
+}
+
+// hop lets one request reach an agent, which passes it on to the keeper by its
+// own ticket, or claims the key. The agent waits for the ticket by which the
+// one before passed the request on.
+func (k *keepers) hop() {
+	if len(k.moving) == 0 {
+		return
+	}
+	i := k.draw("moving", len(k.moving))
+	m := k.moving[i]
+	k.moving = append(k.moving[:i], k.moving[i+1:]...)
+	if k.down[m.at] || m.hops > 3 {
+		return
+	}
+	if m.hops > 0 && k.holds[m.at] < k.holds[int(m.witness-1)] {
+		k.learnAt(m.at)
+	}
+	keeper, _ := KeeperOf(m.key, k.tickets[k.holds[m.at]])
+	if keeper == ticket.EndpointKey(m.at+1) {
+		k.nodes[m.at].CameBack(m.key, m.pass)
+		k.claimAt(m.at, m.key, m.witness)
+		return
 	}
+	k.nodes[m.at].PassOn(k.now, m.key, m.pass)
+	m.witness = ticket.EndpointKey(m.at + 1)
+	m.at = int(keeper - 1)
+	m.hops++
+	k.moving = append(k.moving, m)
 }
 
 func (k *keepers) claimAt(at int, key Key, witness ticket.EndpointKey) {
@@ -250,10 +278,47 @@
 func TestKeyRunsAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		k := newKeepers(t)
-		actions := []func(){k.claim, k.claim, k.claim, k.recall, k.recall, k.recall, k.recall, k.recall,
+		actions := []func(){k.claim, k.claim, k.claim, k.hop, k.hop, k.hop, k.hop, k.hop, k.recall, k.recall, k.recall, k.recall, k.recall,
 			k.settle, k.pass, k.kill, k.restart, k.publish, k.learn, k.learn}
 		for range rapid.IntRange(1, caseSteps()).Draw(t, "steps") {
 			actions[k.draw("action", len(actions))]()
 		}
 	})
 }
+
+// A request that comes back to an agent that passed it on, since a ticket made
+// that agent the key's keeper meanwhile, runs: nobody else has seen the key.
+func TestRequestThatComesBackRuns(t *testing.T) {
+	all := []ticket.EndpointKey{1, 2, 3, 4}
+	first := func(pass PassID) *Keeper {
+		k := NewKeeper(start, 1)
+		k.SetMembers(start, membersOf(all))
+		now := start.Add(2 * KeepTime)
+		k.Tick(now, time.Second)
+		must.False(t, k.PassOn(now, "key", pass).Known)
+		return k
+	}
+	now := start.Add(2*KeepTime + time.Second)
+	t.Run("by the same request", func(t *testing.T) {
+		k := first(7)
+		k.CameBack("key", 7)
+		must.EqOp(t, Run, k.Claim(now, "key", 1).Verdict)
+	})
+	t.Run("not by another request", func(t *testing.T) {
+		k := first(7)
+		k.CameBack("key", 8)
+		must.EqOp(t, Uncertain, k.Claim(now, "key", 1).Verdict)
+	})
+	t.Run("not after a second request was passed on", func(t *testing.T) {
+		k := first(7)
+		must.True(t, k.PassOn(now, "key", 8).Known)
+		k.CameBack("key", 7)
+		must.EqOp(t, Uncertain, k.Claim(now, "key", 1).Verdict)
+	})
+	t.Run("not after a keeper asked for the key", func(t *testing.T) {
+		k := first(7)
+		must.True(t, k.Witness(now, "key").Known)
+		k.CameBack("key", 7)
+		must.EqOp(t, Uncertain, k.Claim(now, "key", 1).Verdict)
+	})
+}
--- a/admission/message.go
+++ b/admission/message.go
@@ -79,7 +79,9 @@
 type Claimed struct {
 	Key         Key
 	Fingerprint Fingerprint
-	Reply       chan<- Claim
+	// Pass names the request, which this agent may have passed on before.
+	Pass  PassID
+	Reply chan<- Claim
 }
 
 // OutcomeAwaited asks what became of a key's first request. The answer comes
@@ -109,6 +111,8 @@
 // Witnessed asks to remember a key that another agent keeps, and what was
 // known of it before.
 type Witnessed struct {
-	Key   Key
+	Key Key
+	// Pass names the request that this agent passes on; 0 when a keeper asks.
+	Pass  PassID
 	Reply chan<- Memory
 }
--- a/agent/admission.go
+++ b/agent/admission.go
@@ -128,6 +128,7 @@
 func (a *admissionState) handleKeeper(now time.Time, message control.Message) {
 	switch m := message.(type) {
 	case admission.Claimed:
+		a.keeper.CameBack(m.Key, m.Pass)
 		m.Reply <- a.keeper.Claim(now, m.Key, m.Fingerprint)
 	case admission.Recollected:
 		m.Reply <- a.keeper.Recalled(now, m.Key, m.Memories)
@@ -138,7 +139,7 @@
 	case admission.OutcomeSettled:
 		a.settle(now, m)
 	case admission.Witnessed:
-		m.Reply <- a.keeper.Witness(now, m.Key)
+		m.Reply <- a.keeper.PassOn(now, m.Key, m.Pass)
 	}
 }
 
