--- a/cmd/cactustrayd/main.go
+++ b/cmd/cactustrayd/main.go
@@ -24,8 +24,12 @@
 	"github.com/alecthomas/kong"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 )
 
+// EventSettingsRefused is logged for changed settings that cannot be used.
+var EventSettingsRefused = event.Define(3006, logrus.WarnLevel, "changed settings refused")
+
 // exitFailed is the exit code of a daemon that could not start or go on.
 const exitFailed = 1
 
@@ -69,7 +73,7 @@
 	}
 	log := event.NewLog(newLogger(s.LogLevel), s.Node)
 	if s.Role.Packets() {
-		return eris.Wrap(runPackets(ctx, s, log), "packets")
+		return eris.Wrap(runPackets(ctx, file, s, log), "packets")
 	}
 	id, err := identity.Load(identity.Files(s.TLS))
 	if err != nil {
@@ -85,16 +89,39 @@
 	return eris.Wrap(balancer.Run(ctx, s, sealer, id, log), "balancer")
 }
 
-// runPackets runs a role whose packets and registry are the platform's.
-func runPackets(ctx context.Context, s *settings.Settings, log *event.Log) error {
+// runPackets runs a role whose packets and registry are the platform's, and
+// follows the settings file meanwhile.
+func runPackets(ctx context.Context, file string, s *settings.Settings, log *event.Log) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	changes := make(chan *settings.Settings, 1)
+	failed := func(err error) { log.Emit(EventSettingsRefused, event.Fields{"cause": err.Error()}) }
+	followed, stop := context.WithCancel(ctx)
+	defer stop()
+	group, running := errgroup.WithContext(followed)
+	changed := func(s *settings.Settings) {
+		select {
+		case changes <- s:
+		case <-running.Done():
+		}
+	}
+	group.Go(func() error { return settings.Follow(running, file, signals, changed, failed) })
+	group.Go(func() error {
+		defer stop()
+		return runPacketRole(ctx, s, changes, log)
+	})
+	return group.Wait()
+}
+
+func runPacketRole(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings, log *event.Log) error {
 	if s.Role == settings.PacketAgent {
-		return packetagent.Run(ctx, s, platform.Header{}, log)
+		return packetagent.Run(ctx, s, changes, platform.Header{}, log)
 	}
 	refuse := func(key string, cause error) {
 		log.Emit(packetbalancer.EventEntryRefused, event.Fields{"key": key, "cause": cause.Error()})
 	}
 	store := platform.NewStore(s.Packets.Registry, refuse)
-	return packetbalancer.Run(ctx, s, store, platform.Header{}, log)
+	return packetbalancer.Run(ctx, s, changes, store, platform.Header{}, log)
 }
 
 func newSealer(keys []settings.Key) (*steering.Sealer, error) {
--- a/control/loop.go
+++ b/control/loop.go
@@ -101,3 +101,17 @@
 		return none, context.Cause(ctx)
 	}
 }
+
+// Forward sends what comes from a channel to a loop until the context ends.
+func Forward[M any](ctx context.Context, l *Loop, messages <-chan M) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-messages:
+			if err := l.Send(ctx, m); err != nil {
+				return nil
+			}
+		}
+	}
+}
--- a/flow/held.go
+++ b/flow/held.go
@@ -158,6 +158,9 @@
 // Slots sets how many requests the endpoint works on at once.
 func (h *Held) Slots(slots int) { h.slots = max(slots, 1) }
 
+// SetLifetime sets the longest life of a flow.
+func (h *Held) SetLifetime(lifetime time.Duration) { h.lifetime = lifetime }
+
 // knowsAll tells whether a flow without a record cannot be at the endpoint.
 func (h *Held) knowsAll(now Stamp) bool { return h.complete || now-h.since > h.lifetime }
 
--- a/flow/picks.go
+++ b/flow/picks.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// SetLifetime sets the longest life of a flow.
+func (p *Picks) SetLifetime(lifetime time.Duration) { p.lifetime = lifetime }
+
 // Len returns how many flows are remembered.
 func (p *Picks) Len() int { return len(p.flows) }
 
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -20,8 +20,8 @@
 )
 
 // Run runs an agent until the context ends, then stops it as planned: flows go
-// on until no request is in progress.
-func Run(ctx context.Context, s *settings.Settings, codec flow.Codec, log *event.Log) error {
+// on until no request is in progress. changes brings changed settings.
+func Run(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings, codec flow.Codec, log *event.Log) error {
 	loop := control.NewLoop(placement.ReportInterval)
 	traffic, err := newTraffic(s, codec, loop, log)
 	if err != nil {
@@ -38,12 +38,13 @@
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return loop.Run(running, state) })
 	group.Go(func() error { return traffic.servePeers(running) })
+	group.Go(func() error { return control.Forward(running, loop, changes) })
 	group.Go(func() error { return traffic.serveEndpoint(running) })
 	group.Go(func() error { return health.Serve(running, s.Packets.Health, healthy) })
 	group.Go(func() error { return observe(traffic, log).Serve(running, s.Metrics) })
 	group.Go(func() error {
 		defer stop()
-		return stopAsPlanned(ctx, running, loop, traffic, s.Packets.StopTime())
+		return stopAsPlanned(ctx, running, loop, traffic)
 	})
 	return group.Wait()
 }
@@ -78,7 +79,7 @@
 
 // stopAsPlanned waits for the stop and goes on until no request is in progress,
 // or the time for it is over. The endpoint's flows go on with the next agent.
-func stopAsPlanned(ctx, running context.Context, loop *control.Loop, t *traffic, limit time.Duration) error {
+func stopAsPlanned(ctx, running context.Context, loop *control.Loop, t *traffic) error {
 	select {
 	case <-running.Done():
 		return nil
@@ -89,7 +90,7 @@
 	}
 	control.Sleep(running, minLeaveTime)
 	began := time.Now()
-	for time.Since(began) < limit-stopReserve && t.usage().Running > 0 && running.Err() == nil {
+	for time.Since(began) < t.stopTime()-stopReserve && t.usage().Running > 0 && running.Err() == nil {
 		control.Sleep(running, idleInterval)
 	}
 	return nil
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -9,6 +9,7 @@
 	"cactustray/flow"
 	"cactustray/flow/wire"
 	"cactustray/placement"
+	"cactustray/settings"
 )
 
 const (
@@ -61,6 +62,8 @@
 		s.greeted(now, m)
 	case silenceChanged:
 		s.silenceChanged(now, m.silent)
+	case *settings.Settings:
+		s.apply(m)
 	case leave:
 		s.leaving = true
 		s.log.Emit(EventLeaving, event.Fields{"requests": s.traffic.usage().Running, "flows": s.traffic.usage().Flows})
@@ -142,3 +145,9 @@
 	s.last, s.lastAt = usage, now
 	return mean
 }
+
+// apply takes changed settings in: addresses stay as they are until a restart.
+func (s *state) apply(changed *settings.Settings) {
+	s.traffic.apply(changed.Packets)
+	s.log.Emit(EventSettings, event.Fields{"flow_seconds": changed.Packets.FlowSeconds, "stop_ms": changed.Packets.StopMillis})
+}
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -40,6 +40,9 @@
 	held   *flow.Held
 	silent bool
 
+	// stop is how long a planned stop may take, in nanoseconds.
+	stop atomic.Int64
+
 	counters  [flow.ReasonCount]atomic.Int64
 	malformed atomic.Int64
 	unsent    atomic.Int64
@@ -57,11 +60,13 @@
 		_ = peers.Close()
 		return nil, err
 	}
-	return &traffic{
+	t := &traffic{
 		peers: peers, outbound: outbound, codec: codec, loop: loop, log: log,
 		endpoint: p.Endpoint, tag: flow.TagOf(xxhash.Sum64String(p.Service)), callerPort: p.Edge.Port(),
 		held: flow.NewHeld(clock.Now(), initialSlots, p.FlowLifetime(), p.FirstStart),
-	}, nil
+	}
+	t.stop.Store(int64(p.StopTime()))
+	return t, nil
 }
 
 func (t *traffic) usage() flow.Usage {
@@ -220,3 +225,14 @@
 		t.unsent.Add(1)
 	}
 }
+
+// apply takes changed settings in.
+func (t *traffic) apply(p *settings.PacketSettings) {
+	t.stop.Store(int64(p.StopTime()))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.held.SetLifetime(p.FlowLifetime())
+}
+
+// stopTime returns how long a planned stop may take.
+func (t *traffic) stopTime() time.Duration { return time.Duration(t.stop.Load()) }
--- a/packetbalancer/balancer.go
+++ b/packetbalancer/balancer.go
@@ -35,8 +35,8 @@
 )
 
 // Run runs a balancer until the context ends, then stops it as planned: it
-// forwards until its traffic has moved.
-func Run(ctx context.Context, s *settings.Settings, source directory.Source, codec flow.Codec, log *event.Log) error {
+// forwards until its traffic has moved. changes brings changed settings.
+func Run(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings, source directory.Source, codec flow.Codec, log *event.Log) error {
 	loop := control.NewLoop(tickInterval)
 	traffic, err := newTraffic(s, codec, loop, log)
 	if err != nil {
@@ -48,6 +48,7 @@
 	log.Emit(EventStarted, event.Fields{"edge": s.Packets.Edge, "registry": s.Packets.Registry, "zone": s.Zone})
 	defer log.Emit(EventStopped, nil)
 
+	loop.Offer(begin{})
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
@@ -55,13 +56,15 @@
 	group.Go(func() error { return reader.run(running) })
 	group.Go(func() error { return reader.runFetches(running) })
 	group.Go(func() error { return traffic.serveEdge(running) })
+	group.Go(func() error { return traffic.serveEarly(running) })
 	group.Go(func() error { return traffic.servePeers(running) })
+	group.Go(func() error { return control.Forward(running, loop, changes) })
 	group.Go(func() error { return health.Serve(running, s.Packets.Health, healthy) })
 	group.Go(func() error { return serveExchange(running, s.Packets.Control, loop) })
 	group.Go(func() error { return observe(traffic, state, log).Serve(running, s.Metrics) })
 	group.Go(func() error {
 		defer stop()
-		return stopAsPlanned(ctx, running, loop, traffic, s.Packets.StopTime())
+		return stopAsPlanned(ctx, running, loop, traffic)
 	})
 	return group.Wait()
 }
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -83,10 +83,15 @@
 	return (clock.Now() - time.Duration(s.asOf.Load())).Milliseconds()
 }
 
+// begin is the first message: the directory is read at once.
+type begin struct{}
+
 // Handle applies one message.
 func (s *state) Handle(_ time.Time, message control.Message) {
 	now := clock.Now()
 	switch m := message.(type) {
+	case begin:
+		s.readIfDue(now)
 	case readEnded:
 		s.readEnded(now, m)
 	case fetchEnded:
@@ -99,6 +104,8 @@
 		}
 	case exchange.Asked:
 		m.Reply <- exchange.Held{Change: s.directory.Whole(), Known: s.directory.Known()}
+	case *settings.Settings:
+		s.apply(m)
 	case leave:
 		s.leave(now)
 	}
@@ -269,5 +276,13 @@
 	s.directory.Forget(now, s.settings.Packets.FlowLifetime())
 	builder := newMapBuilder(now, s)
 	s.traffic.table.Store(builder.build())
+	s.traffic.early.end()
 	s.unsettled = builder.unsettled
 }
+
+// apply takes changed settings in: addresses stay as they are until a restart.
+func (s *state) apply(changed *settings.Settings) {
+	s.seeds = changed.Packets.SeedAddresses()
+	s.traffic.apply(changed.Packets)
+	s.log.Emit(EventSettings, event.Fields{"seeds": len(s.seeds), "flow_seconds": changed.Packets.FlowSeconds, "stop_ms": changed.Packets.StopMillis})
+}
--- a/packetbalancer/stop.go
+++ b/packetbalancer/stop.go
@@ -31,7 +31,7 @@
 
 // stopAsPlanned waits for the stop and forwards until the traffic has moved to
 // other balancers, or the time for it is over.
-func stopAsPlanned(ctx, running context.Context, loop *control.Loop, t *traffic, limit time.Duration) error {
+func stopAsPlanned(ctx, running context.Context, loop *control.Loop, t *traffic) error {
 	select {
 	case <-running.Done():
 		return nil
@@ -42,7 +42,7 @@
 	}
 	began := time.Now()
 	last, changed := t.received.Load(), began
-	for time.Since(began) < limit-stopReserve {
+	for time.Since(began) < t.stopTime()-stopReserve {
 		control.Sleep(running, quietInterval)
 		if running.Err() != nil {
 			return nil
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -32,6 +32,7 @@
 	// callerPort is the port at which callers take packets.
 	callerPort uint16
 	table      atomic.Pointer[flow.Map]
+	early      *early
 	loop       *control.Loop
 	log        *event.Log
 
@@ -39,6 +40,9 @@
 	picks *flow.Picks
 	swept time.Duration
 
+	// stop is how long a planned stop may take, in nanoseconds.
+	stop atomic.Int64
+
 	counters  [flow.ReasonCount]atomic.Int64
 	malformed atomic.Int64
 	unsent    atomic.Int64
@@ -59,11 +63,12 @@
 		return nil, err
 	}
 	t := &traffic{
-		edge: edge, peers: peers, codec: codec, loop: loop, log: log,
+		edge: edge, peers: peers, codec: codec, loop: loop, log: log, early: newEarly(),
 		self: flow.AddressOf(p.Peer), callerPort: p.Edge.Port(),
 		picks: flow.NewPicks(p.FlowLifetime(), newRandom()),
 	}
 	t.table.Store(flow.NewMap())
+	t.stop.Store(int64(p.StopTime()))
 	return t, nil
 }
 
@@ -76,20 +81,28 @@
 	return datagram.Receive(ctx, t.edge, wire.EnvelopeSize, t.socketFailed, func(buffer []byte, _ netip.AddrPort) {
 		t.received.Add(1)
 		now := clock.Now()
-		packet, err := t.codec.Decode(buffer[wire.EnvelopeSize:])
-		if err != nil {
-			t.malformed.Add(1)
-			return
+		if !t.early.keep(now, buffer) {
+			t.forward(now, buffer)
 		}
-		table := t.table.Load()
-		t.mu.Lock()
-		t.sweep(now)
-		decision := t.picks.FromCaller(now, packet, table)
-		t.mu.Unlock()
-		t.carryOut(packet.Flow, decision, buffer)
 	})
 }
 
+// forward decides on a caller's packet. buffer has room for an envelope before
+// the packet.
+func (t *traffic) forward(now time.Duration, buffer []byte) {
+	packet, err := t.codec.Decode(buffer[wire.EnvelopeSize:])
+	if err != nil {
+		t.malformed.Add(1)
+		return
+	}
+	table := t.table.Load()
+	t.mu.Lock()
+	t.sweep(now)
+	decision := t.picks.FromCaller(now, packet, table)
+	t.mu.Unlock()
+	t.carryOut(packet.Flow, decision, buffer)
+}
+
 // age returns how old the directory is that flows are placed by.
 func (t *traffic) age() time.Duration { return clock.Now() - t.table.Load().Current() }
 
@@ -196,3 +209,14 @@
 		t.loop.Offer(heardNews{News: m, from: sender})
 	}
 }
+
+// apply takes changed settings in.
+func (t *traffic) apply(p *settings.PacketSettings) {
+	t.stop.Store(int64(p.StopTime()))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.picks.SetLifetime(p.FlowLifetime())
+}
+
+// stopTime returns how long a planned stop may take.
+func (t *traffic) stopTime() time.Duration { return time.Duration(t.stop.Load()) }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -28,6 +28,8 @@
 func TestExamplesAreValid(t *testing.T) {
 	must.SliceEmpty(t, Check(example(t, Balancer)))
 	must.SliceEmpty(t, Check(example(t, Agent)))
+	must.SliceEmpty(t, Check(example(t, PacketBalancer)))
+	must.SliceEmpty(t, Check(example(t, PacketAgent)))
 }
 
 func TestCheck(t *testing.T) {
@@ -36,6 +38,15 @@
 		field string
 		spoil func(*Settings)
 	}{
+		{PacketBalancer, "packets", func(s *Settings) { s.Packets = nil }},
+		{PacketBalancer, "packets.edge", func(s *Settings) { s.Packets.Edge = netip.MustParseAddrPort("[::1]:1") }},
+		{PacketBalancer, "packets.registry", func(s *Settings) { s.Packets.Registry = netip.AddrPort{} }},
+		{PacketBalancer, "packets.peer", func(s *Settings) { s.Packets.Peer = s.Packets.Edge }},
+		{PacketBalancer, "packets.flow_seconds", func(s *Settings) { s.Packets.FlowSeconds = 0 }},
+		{PacketAgent, "packets.stop_ms", func(s *Settings) { s.Packets.StopMillis = -1 }},
+		{PacketAgent, "packets.service", func(s *Settings) { s.Packets.Service = "" }},
+		{PacketAgent, "packets.outbound", func(s *Settings) { s.Packets.Outbound = s.Packets.Peer }},
+		{Balancer, "packets", func(s *Settings) { s.Packets = new(PacketSettings) }},
 		{Balancer, "zone", func(s *Settings) { s.Zone = "" }},
 		{Balancer, "role", func(s *Settings) { s.Role = "foreman" }},
 		{Balancer, "keys", func(s *Settings) { s.Keys = nil }},
