Bound a packet's hops, never reset a flow by mistake, log each request

Cause: a random test of balancers, agents and endpoints (flow/world_test.go) found three faults: a refusal reset a flow that another copy had opened; a restarted agent took a late copy of an opening packet for all it had to know; two agents that handed copies to each other passed packets round without end, past the agent that had the flow. Change: a refusal acknowledges nothing, so that an open flow does not heed it; an agent that may not know asks its endpoint; packets count their hops, and a packet handed on twice is searched for. Logs go through a bounded queue to standard output, with a line for each placed flow and each request, by its id; answers have a histogram.

--- a/cmd/cactustrayd/main.go
+++ b/cmd/cactustrayd/main.go
@@ -7,9 +7,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"cactustray/agent"
 	"cactustray/balancer"
@@ -62,7 +64,7 @@
 		fmt.Fprintln(os.Stderr, check)
 		return
 	}
-	logger := newLogger("")
+	logger := newLogger("", os.Stderr)
 	logger.WithField("stack", eris.ToJSON(err, true)).Error(eris.Cause(err))
 }
 
@@ -71,7 +73,9 @@
 	if err != nil {
 		return eris.Wrap(err, "settings")
 	}
-	log := event.NewLog(newLogger(s.LogLevel), s.Node)
+	queue := event.NewQueue(os.Stdout)
+	defer queue.Close()
+	log := event.NewLog(newLogger(s.LogLevel, queue), s.Node)
 	if s.Role.Packets() {
 		return eris.Wrap(runPackets(ctx, file, s, log), "packets")
 	}
@@ -136,9 +140,10 @@
 	return steering.NewSealer(parsed)
 }
 
-func newLogger(level string) *logrus.Logger {
+func newLogger(level string, out io.Writer) *logrus.Logger {
 	logger := logrus.New()
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetOutput(out)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	if parsed, err := logrus.ParseLevel(level); err == nil {
 		logger.SetLevel(parsed)
 	}
--- a/flow/codec.go
+++ b/flow/codec.go
@@ -8,6 +8,9 @@
 	Decode(datagram []byte) (Packet, error)
 	// AppendReset appends the datagram of a reset to b.
 	AppendReset(b []byte, r Reset) []byte
+	// RequestID returns the id of the request that begins in a caller's packet, or
+	// "" when the packet shows none. It is for logs only.
+	RequestID(datagram []byte) string
 	// Unbounce makes a packet that an endpoint gave back what its sender wrote.
 	Unbounce(datagram []byte)
 }
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -71,7 +71,8 @@
 // Reset is what ends a flow towards its caller.
 type Reset struct {
 	Flow Key
-	// Acknowledged is the caller's last acknowledgement, which the caller
-	// compares a reset with.
+	// Acknowledged is the caller's last acknowledgement. A caller whose flow is
+	// open heeds no reset with another; 0 ends a flow that is not open, and no
+	// other.
 	Acknowledged uint32
 }
--- a/flow/held.go
+++ b/flow/held.go
@@ -49,10 +49,17 @@
 	// sequence is the endpoint's first, in its acceptance.
 	sequence uint32
 	balancer Address
+	// hops is the count that came with the last packet.
+	hops uint8
 	// other is the alternative for an offered flow, and the agent that a
 	// passed flow went to.
 	other Address
 	last  Stamp
+	// asked is when the request in progress reached the endpoint, request its
+	// id, and beside how many others were in progress.
+	asked   Stamp
+	request string
+	beside  uint16
 	// opening is the opening datagram until the endpoint answers.
 	opening []byte
 }
@@ -65,8 +72,14 @@
 	Alternative Address
 	// Search tells that the balancer does not know who holds the flow.
 	Search bool
+	// Hops counts the nodes that have passed the packet on or returned it.
+	Hops uint8
 }
 
+// maxHops bounds how often a packet goes from node to node: three endpoints that
+// refuse it, and one that takes it, with their balancer in between.
+const maxHops = 7
+
 // Move is what becomes of a packet at an agent.
 type Move uint8
 
@@ -99,6 +112,23 @@
 	Reset Reset
 	// Balancer is the one that last sent a packet of the flow, or zero.
 	Balancer Address
+	// Hops is the count that goes with a packet that is passed or returned.
+	Hops uint8
+	// Begins tells that a request reaches the endpoint with the packet.
+	Begins bool
+	// Ended is the request that ends with the packet, when Ends is set.
+	Ends  bool
+	Ended Request
+}
+
+// Request is what an agent saw of a request.
+type Request struct {
+	ID string
+	// Took is the time from its first packet to the first of the answer, or
+	// until it was given up.
+	Took time.Duration
+	// Beside is how many other requests were in progress when it came.
+	Beside int
 }
 
 // Usage is how busy the endpoint is, by the packets that went by.
@@ -168,6 +198,15 @@
 // has not answered, of opening packets only.
 func (h *Held) FromBalancer(now Stamp, p Packet, d Delivery, datagram []byte) Verdict {
 	h.account(now)
+	if d.Hops > maxHops {
+		return Verdict{Move: Drop, Reason: TooManyHops}
+	}
+	v := h.fromBalancer(now, p, d, datagram)
+	v.Hops = d.Hops + 1
+	return v
+}
+
+func (h *Held) fromBalancer(now Stamp, p Packet, d Delivery, datagram []byte) Verdict {
 	r, known := h.flows[p.Flow]
 	if p.Opening {
 		return h.offer(now, p, d, r, known, datagram)
@@ -181,7 +220,7 @@
 // offer decides on an opening packet.
 func (h *Held) offer(now Stamp, p Packet, d Delivery, r hold, known bool, datagram []byte) Verdict {
 	if known && r.state != lost && !r.done() {
-		r.last, r.balancer = now, d.Balancer
+		r.last, r.balancer, r.hops = now, d.Balancer, d.Hops
 		h.put(p.Flow, r)
 		switch r.state {
 		case passed:
@@ -199,7 +238,7 @@
 		return Verdict{Move: Return, To: d.Balancer, Reason: TableFull}
 	}
 	h.put(p.Flow, hold{
-		state: offered, balancer: d.Balancer, other: d.Alternative, last: now,
+		state: offered, balancer: d.Balancer, hops: d.Hops, other: d.Alternative, last: now,
 		opening: append([]byte(nil), datagram...),
 	})
 	h.pending = append(h.pending, pendingOpen{key: p.Flow, due: now + AnswerTime})
@@ -235,10 +274,10 @@
 	if h.knowsAll(now) || len(h.flows) >= maxHeld {
 		return h.notHeld(d)
 	}
-	r := hold{state: trial, announce: d.Search, balancer: d.Balancer, last: now}
-	h.setBusy(&r, p)
+	r := hold{state: trial, announce: d.Search, balancer: d.Balancer, hops: d.Hops, last: now}
+	begins := h.setBusy(now, &r, p)
 	h.put(p.Flow, r)
-	return Verdict{Move: Deliver, Reason: Tried}
+	return Verdict{Move: Deliver, Reason: Tried, Begins: begins}
 }
 
 func (h *Held) notHeld(d Delivery) Verdict {
@@ -254,8 +293,10 @@
 	case passed:
 		r.last = now
 		h.put(p.Flow, r)
-		if d.Search {
-			return Verdict{Move: Deny, To: d.Balancer, Reason: NotHeld}
+		// Two agents may have handed copies of one opening packet to each other,
+		// while a third has the flow.
+		if d.Search || d.Hops > 0 {
+			return h.notHeld(d)
 		}
 		return Verdict{Move: Pass, To: r.other, Reason: HandedOn, Tell: d.Balancer, Owner: r.other}
 	case lost:
@@ -264,7 +305,7 @@
 		return h.notHeld(d)
 	case accepted:
 		if p.Acknowledged-r.sequence > acceptWindow {
-			return h.notHeld(d)
+			return h.mismatched(now, p, d, r)
 		}
 		r.state = open
 	}
@@ -273,20 +314,34 @@
 		v.Tell = d.Balancer
 	}
 	r.announce = r.announce || d.Search && r.state == trial
-	r.last, r.balancer = now, d.Balancer
-	h.setBusy(&r, p)
+	r.last, r.balancer, r.hops = now, d.Balancer, d.Hops
+	v.Begins = h.setBusy(now, &r, p)
 	r.callerDone = r.callerDone || p.Closing || p.Reset
 	h.put(p.Flow, r)
 	return v
 }
 
+// mismatched decides on a packet that acknowledges another acceptance than the
+// one seen here. Where an agent before this one may have seen the right one, the
+// endpoint is asked.
+func (h *Held) mismatched(now Stamp, p Packet, d Delivery, r hold) Verdict {
+	if h.knowsAll(now) {
+		return h.notHeld(d)
+	}
+	r.last, r.balancer, r.announce, r.hops = now, d.Balancer, d.Search, d.Hops
+	h.put(p.Flow, r)
+	return Verdict{Move: Deliver, Reason: Tried}
+}
+
 // FromEndpoint decides on a packet that the endpoint sent or gave back.
 func (h *Held) FromEndpoint(now Stamp, p Packet) Verdict {
 	h.account(now)
 	h.endpointLast, h.silent = now, false
 	r, known := h.flows[p.Flow]
 	if p.Bounced {
-		return h.bounced(now, p, r, known)
+		v := h.bounced(now, p, r, known)
+		v.Hops = r.hops + 1
+		return v
 	}
 	if !known {
 		r = hold{state: open}
@@ -300,15 +355,15 @@
 		if r.state != open {
 			r.state = accepted
 		}
-	} else if r.state == trial {
+	} else if r.state == trial || r.state == accepted {
 		r.state = open
 	}
 	if r.announce && r.state == open {
 		v.Tell, r.announce = r.balancer, false
 	}
 	if p.Data > 0 && r.busy {
-		r.busy = false
-		h.running--
+		v.Ends, v.Ended = true, r.ended(now)
+		h.settle(&r)
 	}
 	r.endpointDone = r.endpointDone || p.Closing || p.Reset
 	r.callerDone = r.callerDone || p.Reset
@@ -330,13 +385,19 @@
 	case trial:
 		h.remove(p.Flow)
 		return h.notHeld(d)
+	case accepted:
+		return h.notHeld(d)
 	case open:
 		if r.done() {
 			return Verdict{Move: Drop, Reason: Closed}
 		}
+		v := Verdict{Move: End, Reason: EndpointLost, Reset: Reset{Flow: p.Flow, Acknowledged: p.Acknowledged}}
+		if r.busy {
+			v.Ends, v.Ended = true, r.ended(now)
+		}
 		r.state = lost
 		h.put(p.Flow, r)
-		return Verdict{Move: End, Reason: EndpointLost, Reset: Reset{Flow: p.Flow, Acknowledged: p.Acknowledged}}
+		return v
 	default:
 		return Verdict{Move: Drop, Reason: NotHeld}
 	}
@@ -387,14 +448,27 @@
 	return overdue
 }
 
-// Sweep forgets closed and old flows; every second is enough.
-func (h *Held) Sweep(now Stamp) {
+// Left is a request that a flow left behind without an answer.
+type Left struct {
+	Flow Key
+	Request
+}
+
+// Sweep forgets closed and old flows, and returns the requests that they leave
+// unanswered; every second is enough.
+func (h *Held) Sweep(now Stamp) []Left {
+	var left []Left
 	for key, r := range h.flows {
 		age := now - r.last
-		if age > h.lifetime || age > closedKeep && (r.done() || r.state != open && r.state != accepted) {
-			h.remove(key)
+		if age <= closedKeep || age <= h.lifetime && !r.done() && (r.state == open || r.state == accepted) {
+			continue
+		}
+		if r.busy {
+			left = append(left, Left{Flow: key, Request: r.ended(now)})
 		}
+		h.remove(key)
 	}
+	return left
 }
 
 // Silent tells whether the endpoint leaves packets unanswered.
@@ -431,14 +505,32 @@
 	h.flows[key] = r
 }
 
-// setBusy notes that the caller's request is at the endpoint.
-func (h *Held) setBusy(r *hold, p Packet) {
-	if p.Data > 0 && !r.busy {
-		r.busy = true
-		h.running++
+// setBusy notes that the caller's request is at the endpoint, and tells whether
+// it begins with this packet.
+func (h *Held) setBusy(now Stamp, r *hold, p Packet) bool {
+	if p.Data == 0 || r.busy {
+		return false
+	}
+	r.busy, r.asked, r.request, r.beside = true, now, "", uint16(h.running)
+	h.running++
+	return true
+}
+
+// Name notes the id of the request in progress on a flow.
+func (h *Held) Name(key Key, id string) {
+	if r, known := h.flows[key]; known && r.busy {
+		r.request = id
+		h.flows[key] = r
 	}
 }
 
+// SlotCount is how many requests the endpoint works on at once, as far as is known.
+func (h *Held) SlotCount() int { return h.slots }
+
+func (r hold) ended(now Stamp) Request {
+	return Request{ID: r.request, Took: now - r.asked, Beside: int(r.beside)}
+}
+
 func (h *Held) settle(r *hold) {
 	if r.busy {
 		r.busy = false
--- a/flow/picks.go
+++ b/flow/picks.go
@@ -32,7 +32,9 @@
 	last   Stamp
 	tried  [maxTried]Address
 	tries  uint8
-	ended  bool
+	// refused tells that an endpoint gave the opening packet back.
+	refused bool
+	ended   bool
 }
 
 type search struct {
@@ -66,15 +68,16 @@
 func (p *Picks) Len() int { return len(p.flows) }
 
 // Decision is made at a balancer: to which agents a caller's packet goes, or
-// that the flow ends.
+// that the flow ends. Without either the packet is dropped.
 type Decision struct {
-	// To are the agents: one, none, or all that may hold the flow.
-	To []Address
+	// To is the agent that gets the packet, or zero.
+	To Address
+	// All are the agents that may hold a flow that is searched for.
+	All []Address
 	// Tag is the service's, or 0 when the flow was placed before.
 	Tag uint16
 	// Alternative is the agent for an opening packet if To's endpoint is busy.
 	Alternative Address
-	Search      bool
 	// End tells that the caller gets the reset.
 	End    bool
 	Reset  Reset
@@ -93,7 +96,7 @@
 	case ok:
 		known.last = now
 		p.flows[packet.Flow] = known
-		return Decision{To: []Address{known.agent}, Reason: Known}
+		return Decision{To: known.agent, Reason: Known}
 	case packet.Reset:
 		return Decision{Reason: NotHeld}
 	}
@@ -119,7 +122,7 @@
 		return Decision{End: now-m.Current() < currentFor, Reset: resetOf(packet), Reason: UnknownAddress}
 	}
 	d := p.place(now, packet, route.Service(packet.Flow), known)
-	if len(d.To) == 0 && ok && !known.ended {
+	if d.To.IsZero() && ok && !known.ended {
 		return p.again(packet, m, known)
 	}
 	return d
@@ -131,7 +134,7 @@
 	if site == nil {
 		return Decision{Reason: NoEndpoint}
 	}
-	return Decision{To: []Address{known.agent}, Tag: site.Service.Tag, Reason: Repeated}
+	return Decision{To: known.agent, Tag: site.Service.Tag, Reason: Repeated}
 }
 
 // place offers the flow to the best endpoint that it was not offered to.
@@ -150,18 +153,20 @@
 	known.tried[known.tries] = site.Agent
 	known.tries++
 	p.flows[packet.Flow] = known
-	d := Decision{To: []Address{site.Agent}, Tag: service.Tag, Reason: Opened}
+	d := Decision{To: site.Agent, Tag: service.Tag, Reason: Opened}
 	if second >= 0 {
 		d.Alternative = service.Takers[second].Agent
 	}
 	return d
 }
 
-// unplaced drops a packet that no endpoint takes: a copy of it follows. When
-// endpoints have refused the flow, or no copy follows, the caller is refused at
-// once: the flow has not opened, so nothing of it has run.
+// unplaced drops a packet that no endpoint takes: a copy of it follows. When an
+// endpoint has refused the flow, or no copy follows, the caller is refused at
+// once. A copy that went another way may have opened the flow meanwhile, so this
+// reset acknowledges nothing.
 func (p *Picks) unplaced(packet Packet, known pick) Decision {
-	return Decision{End: packet.Copy >= lastCopy || known.tries > 0, Reset: resetOf(packet), Reason: NoEndpoint}
+	end := packet.Copy >= lastCopy || known.refused
+	return Decision{End: end, Reset: resetOf(packet), Reason: NoEndpoint}
 }
 
 func (k pick) triedBefore(agent Address) bool {
@@ -189,19 +194,19 @@
 	if !except.IsZero() {
 		s.denied[except] = true
 	}
-	d := Decision{Search: true, Reason: Searched}
+	d := Decision{Reason: Searched}
 	for _, share := range route.Shares {
 		d.Tag = share.Service.Tag
 		for _, site := range share.Service.Holders {
 			if !s.denied[site.Agent] {
-				d.To = append(d.To, site.Agent)
+				d.All = append(d.All, site.Agent)
 			}
 		}
 	}
 	if len(route.Shares) != 1 {
 		d.Tag = 0
 	}
-	if len(d.To) == 0 {
+	if len(d.All) == 0 {
 		return p.conclude(now, packet.Flow, m)
 	}
 	return d
@@ -255,12 +260,12 @@
 }
 
 // Returned decides on a packet that an agent gave back: an opening packet goes
-// to another endpoint, any other is searched for.
-func (p *Picks) Returned(now Stamp, packet Packet, agent Address, m *Map) Decision {
+// to another endpoint, any other is searched for. hops came with the packet.
+func (p *Picks) Returned(now Stamp, packet Packet, agent Address, hops uint8, m *Map) Decision {
 	known, ok := p.flows[packet.Flow]
 	if !packet.Opening {
-		if ok && known.agent != agent && !known.ended {
-			return Decision{To: []Address{known.agent}, Reason: Known}
+		if ok && known.agent != agent && !known.ended && hops <= 1 {
+			return Decision{To: known.agent, Reason: Known}
 		}
 		delete(p.flows, packet.Flow)
 		return p.search(now, packet, m, agent)
@@ -272,6 +277,7 @@
 	if !ok || known.tries == 0 {
 		known = pick{tries: 1, tried: [maxTried]Address{agent}}
 	}
+	known.refused = true
 	return p.place(now, packet, route.Service(packet.Flow), known)
 }
 
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -22,6 +22,7 @@
 	Searched
 	NobodyHolds
 	ForeignService
+	TooManyHops
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
@@ -31,7 +32,7 @@
 	EndpointBusy: "endpoint-busy", EndpointSilent: "endpoint-silent", EndpointRefused: "endpoint-refused",
 	EndpointLost: "endpoint-lost", NotHeld: "not-held", Closed: "closed", TableFull: "table-full",
 	UnknownAddress: "unknown-address", NoEndpoint: "no-endpoint", Searched: "searched", NobodyHolds: "nobody-holds",
-	ForeignService: "foreign-service",
+	ForeignService: "foreign-service", TooManyHops: "too-many-hops",
 }
 
 func (r Reason) String() string {
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -32,6 +32,7 @@
 	EnvelopeSize = 16
 	addressSize  = 6
 	searchFlag   = 1
+	hopsShift    = 4
 	// maxBalancers bounds the balancers that a report names.
 	maxBalancers = 32
 )
@@ -63,9 +64,9 @@
 
 // PutEnvelope writes an envelope into the first EnvelopeSize bytes of b.
 func PutEnvelope(b []byte, kind Kind, e Envelope) {
-	b[0], b[1] = byte(kind), 0
+	b[0], b[1] = byte(kind), e.Hops<<hopsShift
 	if e.Search {
-		b[1] = searchFlag
+		b[1] |= searchFlag
 	}
 	binary.BigEndian.PutUint16(b[2:], e.Tag)
 	putAddress(b[4:], e.Balancer)
@@ -80,6 +81,7 @@
 	}
 	e := Envelope{Tag: binary.BigEndian.Uint16(b[2:])}
 	e.Search = b[1]&searchFlag != 0
+	e.Hops = b[1] >> hopsShift
 	e.Balancer = address(b[4:])
 	e.Alternative = address(b[4+addressSize:])
 	return e, b[EnvelopeSize:], nil
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -39,6 +39,15 @@
 // Set changes the value.
 func (l *Level) Set(value int64) { l.gauge.Update(value) }
 
+// Times is a histogram of durations. It is safe for concurrent use.
+type Times struct{ timer gometrics.Timer }
+
+// NewTimes returns an empty histogram.
+func NewTimes() *Times { return &Times{timer: gometrics.NewTimer()} }
+
+// Add counts one duration.
+func (t *Times) Add(d time.Duration) { t.timer.Update(d) }
+
 // Registry holds a process's instruments by name. It is safe for concurrent
 // use.
 type Registry struct{ registry gometrics.Registry }
@@ -63,6 +72,9 @@
 	}
 }
 
+// Times shows a histogram, in nanoseconds.
+func (r *Registry) Times(name string, t *Times) { _ = r.registry.Register(name, t.timer) }
+
 // Gauge shows a value that read returns; read must be safe for concurrent use.
 func (r *Registry) Gauge(name string, read func() int64) {
 	_ = r.registry.Register(name, gometrics.NewFunctionalGauge(read))
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -60,6 +60,8 @@
 	registry.Gauge("resets", t.resets.Load)
 	registry.Gauge("flows", func() int64 { return int64(t.usage().Flows) })
 	registry.Gauge("requests", func() int64 { return int64(t.usage().Running) })
+	registry.Gauge("requests.unanswered", t.unanswered.Load)
+	registry.Times("requests.answer", t.answers)
 	registry.Events(log)
 	return registry
 }
--- a/packetagent/events.go
+++ b/packetagent/events.go
@@ -23,9 +23,21 @@
 	EventFlowPassed     = event.Define(3401, logrus.InfoLevel, "flow handed to another agent")
 	EventFlowReturned   = event.Define(3402, logrus.InfoLevel, "packet returned to its balancer")
 	EventFlowEnded      = event.Define(3403, logrus.InfoLevel, "flow lost by the endpoint ended by a reset")
+	EventAnswered       = event.Define(3501, logrus.InfoLevel, "request answered")
+	EventUnanswered     = event.Define(3502, logrus.WarnLevel, "request left without an answer")
 	EventFlowTried      = event.Define(3404, logrus.InfoLevel, "unknown flow tried at the endpoint")
 )
 
+// explainRequest logs the end of a request.
+func (t *traffic) explainRequest(e event.Event, key flow.Key, r flow.Request) {
+	if !t.log.Enabled(e) {
+		return
+	}
+	t.log.Emit(e, event.Fields{
+		"request": r.ID, "flow": key.String(), "took_ms": r.Took.Milliseconds(), "beside": r.Beside,
+	})
+}
+
 // explain logs a decision that an operator may ask about.
 func (t *traffic) explain(key flow.Key, v flow.Verdict) {
 	var e event.Event
@@ -44,5 +56,5 @@
 	if !t.log.Enabled(e) {
 		return
 	}
-	t.log.Emit(e, event.Fields{"flow": key.String(), "reason": v.Reason.String(), "to": v.To.String()})
+	t.log.Emit(e, event.Fields{"flow": key.String(), "reason": v.Reason.String(), "to": v.To.String(), "running": t.usage().Running})
 }
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -13,6 +13,7 @@
 	"cactustray/event"
 	"cactustray/flow"
 	"cactustray/flow/wire"
+	"cactustray/metrics"
 	"cactustray/settings"
 	"cactustray/steering/datagram"
 
@@ -47,6 +48,10 @@
 	malformed atomic.Int64
 	unsent    atomic.Int64
 	resets    atomic.Int64
+	// unanswered counts requests whose flow ended without an answer.
+	unanswered atomic.Int64
+	// answers is the time from a request's first packet to its answer's first.
+	answers *metrics.Times
 }
 
 func newTraffic(s *settings.Settings, codec flow.Codec, loop *control.Loop, log *event.Log) (*traffic, error) {
@@ -61,7 +66,7 @@
 		return nil, err
 	}
 	t := &traffic{
-		peers: peers, outbound: outbound, codec: codec, loop: loop, log: log,
+		peers: peers, outbound: outbound, codec: codec, loop: loop, log: log, answers: metrics.NewTimes(),
 		endpoint: p.Endpoint, tag: flow.TagOf(xxhash.Sum64String(p.Service)), callerPort: p.Edge.Port(),
 		held: flow.NewHeld(clock.Now(), initialSlots, p.FlowLifetime(), p.FirstStart),
 	}
@@ -83,8 +88,12 @@
 
 func (t *traffic) sweep() {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.held.Sweep(clock.Now())
+	left := t.held.Sweep(clock.Now())
+	t.mu.Unlock()
+	for _, l := range left {
+		t.unanswered.Add(1)
+		t.explainRequest(EventUnanswered, l.Flow, l.Request)
+	}
 }
 
 // servePeers takes in what balancers and other agents send.
@@ -122,17 +131,28 @@
 		return
 	}
 	verdict := t.decide(packet, envelope, payload)
+	if verdict.Begins {
+		t.name(packet.Flow, payload)
+	}
 	t.carryOut(packet.Flow, verdict, envelope.Balancer, buffer)
 	if verdict.Reason == flow.Opened {
 		time.AfterFunc(flow.AnswerTime, t.tick)
 	}
 }
 
+// name notes the id of a request that begins, for the logs.
+func (t *traffic) name(key flow.Key, payload []byte) {
+	id := t.codec.RequestID(payload)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.held.Name(key, id)
+}
+
 // decide asks the table of flows, unless the packet is for another service: the
 // balancer does not know yet that the address has changed hands.
 func (t *traffic) decide(packet flow.Packet, e wire.Envelope, payload []byte) flow.Verdict {
 	if e.Tag != 0 && e.Tag != t.tag {
-		return flow.Verdict{Move: flow.Return, To: e.Balancer, Reason: flow.ForeignService}
+		return flow.Verdict{Move: flow.Return, To: e.Balancer, Reason: flow.ForeignService, Hops: e.Hops + 1}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -158,9 +178,23 @@
 		t.mu.Unlock()
 		t.noteSilence()
 		t.carryOut(packet.Flow, verdict, verdict.Balancer, buffer)
+		t.noteEnd(packet.Flow, verdict)
 	})
 }
 
+// noteEnd records the end of a request.
+func (t *traffic) noteEnd(key flow.Key, v flow.Verdict) {
+	switch {
+	case !v.Ends:
+	case v.Move == flow.End:
+		t.unanswered.Add(1)
+		t.explainRequest(EventUnanswered, key, v.Ended)
+	default:
+		t.answers.Add(v.Ended.Took)
+		t.explainRequest(EventAnswered, key, v.Ended)
+	}
+}
+
 // tick hands opening packets on that the endpoint has not answered.
 func (t *traffic) tick() {
 	t.mu.Lock()
@@ -198,10 +232,10 @@
 	case flow.ToCaller:
 		t.send(t.outbound, payload, t.callerAt(key))
 	case flow.Pass:
-		wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer}})
+		wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
 		t.send(t.peers, buffer, v.To.AddrPort())
 	case flow.Return:
-		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer}})
+		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
 		t.send(t.peers, buffer, v.To.AddrPort())
 	case flow.Deny:
 		t.send(t.peers, wire.Encode(wire.Denied{Flow: key}), v.To.AddrPort())
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -23,7 +23,7 @@
 	EventHistoryGone  = event.Define(3106, logrus.InfoLevel, "registry forgot its history")
 	EventEntryRefused = event.Define(3108, logrus.WarnLevel, "entry of the registry refused")
 	EventPaused       = event.Define(3107, logrus.WarnLevel, "packet balancer was paused")
-	EventFlowPlaced   = event.Define(3201, logrus.DebugLevel, "flow placed")
+	EventFlowPlaced   = event.Define(3201, logrus.InfoLevel, "flow placed")
 	EventFlowSearched = event.Define(3203, logrus.InfoLevel, "flow searched for")
 	EventFlowEnded    = event.Define(3204, logrus.InfoLevel, "flow ended by a reset")
 	EventFlowUnplaced = event.Define(3205, logrus.InfoLevel, "flow not placed")
@@ -37,7 +37,7 @@
 		e = EventFlowEnded
 	case d.Reason == flow.Opened:
 		e = EventFlowPlaced
-	case d.Reason == flow.Searched && len(d.To) > 0:
+	case len(d.All) > 0:
 		e = EventFlowSearched
 	case d.Reason == flow.NoEndpoint || d.Reason == flow.UnknownAddress:
 		e = EventFlowUnplaced
@@ -48,8 +48,8 @@
 		return
 	}
 	fields := event.Fields{"flow": key.String(), "reason": d.Reason.String(), "directory_age_ms": t.age().Milliseconds()}
-	if len(d.To) == 1 {
-		fields["agent"] = d.To[0].String()
+	if !d.To.IsZero() {
+		fields["agent"] = d.To.String()
 	}
 	t.log.Emit(e, fields)
 }
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -100,7 +100,7 @@
 	t.sweep(now)
 	decision := t.picks.FromCaller(now, packet, table)
 	t.mu.Unlock()
-	t.carryOut(packet.Flow, decision, buffer)
+	t.carryOut(packet.Flow, decision, buffer, 0)
 }
 
 // age returns how old the directory is that flows are placed by.
@@ -114,22 +114,24 @@
 }
 
 // carryOut sends a packet where it was decided. buffer has room for an envelope
-// before the packet; it is empty when there is only a reset to send.
-func (t *traffic) carryOut(key flow.Key, d flow.Decision, buffer []byte) {
+// before the packet; it is empty when there is only a reset to send. hops came
+// with the packet.
+func (t *traffic) carryOut(key flow.Key, d flow.Decision, buffer []byte, hops uint8) {
 	t.counters[d.Reason].Add(1)
 	t.explain(key, d)
 	if d.End {
 		t.reset(d.Reset)
 		return
 	}
-	if len(d.To) == 0 || len(buffer) < wire.EnvelopeSize {
+	if len(buffer) < wire.EnvelopeSize {
 		return
 	}
-	wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{
-		Tag:      d.Tag,
-		Delivery: flow.Delivery{Balancer: t.self, Alternative: d.Alternative, Search: d.Search},
-	})
-	for _, agent := range d.To {
+	delivery := flow.Delivery{Balancer: t.self, Alternative: d.Alternative, Search: len(d.All) > 0, Hops: hops}
+	wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: d.Tag, Delivery: delivery})
+	if !d.To.IsZero() {
+		t.send(t.peers, buffer, d.To.AddrPort())
+	}
+	for _, agent := range d.All {
 		t.send(t.peers, buffer, agent.AddrPort())
 	}
 }
@@ -166,7 +168,7 @@
 
 // returned takes in a caller's packet that an agent does not deliver.
 func (t *traffic) returned(buffer []byte, agent flow.Address) {
-	_, payload, err := wire.OpenEnvelope(buffer)
+	envelope, payload, err := wire.OpenEnvelope(buffer)
 	if err != nil {
 		t.malformed.Add(1)
 		return
@@ -178,9 +180,9 @@
 	}
 	table := t.table.Load()
 	t.mu.Lock()
-	decision := t.picks.Returned(clock.Now(), packet, agent, table)
+	decision := t.picks.Returned(clock.Now(), packet, agent, envelope.Hops, table)
 	t.mu.Unlock()
-	t.carryOut(packet.Flow, decision, buffer)
+	t.carryOut(packet.Flow, decision, buffer, envelope.Hops)
 }
 
 func (t *traffic) notice(message wire.Message, sender flow.Address) {
@@ -203,7 +205,7 @@
 		decision := t.picks.Denied(now, m.Flow, sender, t.table.Load())
 		t.mu.Unlock()
 		if decision.End {
-			t.carryOut(m.Flow, decision, nil)
+			t.carryOut(m.Flow, decision, nil, 0)
 		}
 	case wire.News:
 		t.loop.Offer(heardNews{News: m, from: sender})
