--- a/directory/state.go
+++ b/directory/state.go
@@ -34,7 +34,8 @@
 	Learned time.Duration
 	// WarmAt is when it reaches its full speed.
 	WarmAt time.Duration
-	// GoneAt is when it was found to be no longer registered, or 0.
+	// GoneAt is when it was found to be no longer registered, or 0; the clock is
+	// never at 0.
 	GoneAt time.Duration
 	// Until is how long an endpoint that is gone stays in use if its agent
 	// reports it alive.
--- /dev/null
+++ b/directory/state_test.go
@@ -0,0 +1,189 @@
+package directory
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func endpointAt(id string, changed Revision) Endpoint {
+	return Endpoint{ID: id, Born: 1, Service: "orders", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 2, Changed: changed}
+}
+
+func known(t *testing.T, endpoints ...Endpoint) *State {
+	s := NewState()
+	_, ok := s.Apply(time.Second, Change{Revision: 10, Whole: true, AsOf: time.Second, Desired: &Desired{Version: 1, Changed: 1}, Endpoints: endpoints})
+	must.True(t, ok)
+	return s
+}
+
+func TestStateRefusesNewsThatFollowsWhatItLacks(t *testing.T) {
+	s := NewState()
+	_, ok := s.Apply(0, Change{Revision: 11, After: 10})
+	must.False(t, ok)
+	s = known(t)
+	_, ok = s.Apply(0, Change{Revision: 13, After: 12})
+	must.False(t, ok)
+	must.EqOp(t, 10, s.Revision())
+	_, ok = s.Apply(0, Change{Revision: 13, After: 9})
+	must.True(t, ok)
+}
+
+func TestStateNeverGoesBack(t *testing.T) {
+	s := known(t, endpointAt("i", 5))
+	draining := endpointAt("i", 12)
+	draining.Draining = true
+	changed, _ := s.Apply(2*time.Second, Change{Revision: 12, After: 10, AsOf: 2 * time.Second, Desired: &Desired{Version: 4, Changed: 11}, Endpoints: []Endpoint{draining}})
+	must.True(t, changed)
+	changed, ok := s.Apply(3*time.Second, Change{Revision: 11, Whole: true, AsOf: 3 * time.Second, Desired: &Desired{Version: 1, Changed: 1}, Endpoints: []Endpoint{endpointAt("i", 5)}})
+	must.True(t, ok)
+	must.False(t, changed)
+	must.EqOp(t, 4, s.Desired().Version)
+	s.Each(func(e *Entry) { must.True(t, e.Draining) })
+}
+
+func TestHeartbeatsChangeNothing(t *testing.T) {
+	s := known(t, endpointAt("i", 5))
+	changed, _ := s.Apply(2*time.Second, Change{Revision: 12, After: 10, Endpoints: []Endpoint{endpointAt("i", 12)}})
+	must.False(t, changed)
+	must.EqOp(t, 12, s.Revision())
+}
+
+func TestNewIncarnationUnderOneID(t *testing.T) {
+	s := known(t, endpointAt("i", 5))
+	next := endpointAt("i", 12)
+	next.Born, next.ColdFor = 2, 2*time.Second
+	changed, _ := s.Apply(5*time.Second, Change{Revision: 12, After: 10, Endpoints: []Endpoint{next}})
+	must.True(t, changed)
+	s.Each(func(e *Entry) {
+		must.EqOp(t, 5*time.Second, e.Learned)
+		must.EqOp(t, 7*time.Second, e.WarmAt)
+	})
+}
+
+// An entry that lapsed is no proof of an end, nor is a draining one's: what its
+// agent says counts, for as long as the entry may come back.
+func TestEndpointThatVanished(t *testing.T) {
+	const gone = 2 * time.Second
+	vanish := func(outage bool, draining bool) *Entry {
+		first := endpointAt("i", 5)
+		first.Draining = draining
+		s := known(t, first)
+		asOf := gone
+		now := gone
+		if outage {
+			asOf, now = 20*time.Second, 20*time.Second
+		}
+		s.Apply(now, Change{Revision: 12, After: 10, AsOf: asOf, Gone: []Gone{{ID: "i", Changed: 11}}})
+		var entry *Entry
+		s.Each(func(e *Entry) { entry = e })
+		return entry
+	}
+	quiet := vanish(false, false)
+	must.False(t, quiet.TakesNew(gone+time.Millisecond, false))
+	must.True(t, quiet.TakesNew(gone+vanishKeep/2, true))
+	must.False(t, quiet.TakesNew(gone+vanishKeep, true))
+	must.True(t, quiet.Holds(gone+goneKeep/2, false))
+	must.False(t, quiet.Holds(gone+goneKeep, false))
+	must.True(t, quiet.Holds(gone+10*goneKeep, true))
+	after := vanish(true, false)
+	must.True(t, after.TakesNew(20*time.Second+lapseKeep-1, true))
+	must.False(t, after.TakesNew(20*time.Second+lapseKeep, true))
+	must.False(t, vanish(true, true).TakesNew(20*time.Second, true))
+}
+
+func TestCurrent(t *testing.T) {
+	s := known(t, endpointAt("i", 5))
+	must.True(t, s.Current(15, s.Digest(), 4*time.Second))
+	must.EqOp(t, 15, s.Revision())
+	must.EqOp(t, 4*time.Second, s.AsOf())
+	must.False(t, s.Current(16, s.Digest()+1, 5*time.Second))
+	must.EqOp(t, 4*time.Second, s.AsOf())
+	must.True(t, s.Current(3, 7, 9*time.Second)) // older than what is held
+	must.EqOp(t, 4*time.Second, s.AsOf())
+	must.False(t, NewState().Current(1, 0, 0))
+}
+
+// However news reaches balancers, in parts that overlap, again, or as a whole
+// from another one, those that hold one revision hold the same content.
+func TestBalancersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t)
+		a, b := NewState(), NewState()
+		for _, s := range []*State{a, b} {
+			follow(t, s, history)
+		}
+		if a.Digest() != b.Digest() || a.Revision() != b.Revision() {
+			t.Fatalf("%d %x, %d %x", a.Revision(), a.Digest(), b.Revision(), b.Digest())
+		}
+		c := NewState()
+		c.Apply(time.Second, b.Whole())
+		if c.Digest() != a.Digest() {
+			t.Fatalf("the whole gives %x, not %x", c.Digest(), a.Digest())
+		}
+	})
+}
+
+// shuffled orders the entries of one change, which have no order.
+var shuffled = rand.New(rand.NewPCG(1, 1))
+
+// event is one change of the source: an entry written, or deleted.
+type event struct {
+	endpoint Endpoint
+	deleted  bool
+}
+
+func drawHistory(t *rapid.T) []event {
+	var history []event
+	for i := range rapid.IntRange(1, 30).Draw(t, "events") {
+		e := endpointAt(rapid.SampledFrom([]string{"i", "j", "k"}).Draw(t, "id"), Revision(i+1))
+		e.Draining = rapid.Bool().Draw(t, "draining")
+		history = append(history, event{endpoint: e, deleted: rapid.IntRange(0, 2).Draw(t, "deleted") == 0})
+	}
+	return history
+}
+
+// follow brings a state to the end of a history by loads and watches.
+func follow(t *rapid.T, s *State, history []event) {
+	end := Revision(len(history))
+	for s.Revision() < end {
+		to := min(end, s.Revision()+Revision(rapid.IntRange(1, 10).Draw(t, "to")))
+		if !s.Known() || rapid.IntRange(0, 3).Draw(t, "load") == 0 {
+			s.Apply(time.Second, wholeAt(history, to))
+			continue
+		}
+		after := s.Revision() - min(s.Revision(), Revision(rapid.IntRange(0, 4).Draw(t, "overlap")))
+		s.Apply(time.Second, changesBetween(history, after, to))
+	}
+}
+
+func wholeAt(history []event, to Revision) Change {
+	c := Change{Revision: to, Whole: true, Desired: new(Desired)}
+	latest := make(map[string]event)
+	for _, e := range history[:to] {
+		latest[e.endpoint.ID] = e
+	}
+	for _, e := range latest {
+		if !e.deleted {
+			c.Endpoints = append(c.Endpoints, e.endpoint)
+		}
+	}
+	return c
+}
+
+func changesBetween(history []event, after, to Revision) Change {
+	c := Change{After: after, Revision: to}
+	for _, e := range history[after:to] {
+		if e.deleted {
+			c.Gone = append(c.Gone, Gone{ID: e.endpoint.ID, Changed: e.endpoint.Changed})
+		} else {
+			c.Endpoints = append(c.Endpoints, e.endpoint)
+		}
+	}
+	shuffled.Shuffle(len(c.Endpoints), func(i, j int) { c.Endpoints[i], c.Endpoints[j] = c.Endpoints[j], c.Endpoints[i] })
+	return c
+}
--- /dev/null
+++ b/flow/bench_test.go
@@ -0,0 +1,97 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cactustray/placement"
+)
+
+// fullMap has the number of services and endpoints that the system is designed
+// for.
+func fullMap(now Stamp) *Map {
+	const services, endpoints = 2100, 24000
+	m := NewMap()
+	m.Current = func() Stamp { return now }
+	for s := range services {
+		service := &Service{Name: fmt.Sprint(s), Tag: TagOf(uint64(s))}
+		for e := s; e < endpoints; e += services {
+			site := &Site{Agent: Address{IP: [4]byte{10, byte(e >> 16), byte(e >> 8), byte(e)}, Port: 7720}, Service: service}
+			site.Candidate = placement.Candidate{Gauge: new(placement.Gauge), Slots: 2}
+			site.Gauge.Report(now, placement.Usage{Flows: e % 50, Running: e % 2})
+			service.Takers = append(service.Takers, site)
+			service.Candidates = append(service.Candidates, &site.Candidate)
+			service.Holders = append(service.Holders, site)
+			m.Agents[site.Agent] = site
+		}
+		m.Routes[benchService(s)] = &Route{Shares: []Share{{Service: service, Weight: 1}}, Weight: 1}
+	}
+	return m
+}
+
+func benchService(s int) Address {
+	return Address{IP: [4]byte{198, 18, byte(s >> 8), byte(s)}, Port: 443}
+}
+
+const benchFlows = 100000
+
+func benchKey(i int) Key {
+	return Key{Caller: Address{IP: [4]byte{100, 64, byte(i >> 8), byte(i)}, Port: uint16(i>>8) + 1024}, Service: benchService(i % 2100)}
+}
+
+func fullPicks(now Stamp, m *Map) *Picks {
+	p := newTestPicks()
+	for i := range benchFlows {
+		p.FromCaller(now, Packet{Flow: benchKey(i), Opening: true}, m)
+	}
+	return p
+}
+
+// A packet of a flow that the balancer knows, at full size.
+func BenchmarkKnownFlow(b *testing.B) {
+	m := fullMap(time.Second)
+	p := fullPicks(time.Second, m)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i = (i + 7919) % benchFlows
+		if p.FromCaller(time.Second, Packet{Flow: benchKey(i), Data: 100}, m).To.IsZero() {
+			b.Fatal("not known")
+		}
+	}
+}
+
+// An opening packet that was placed before, and its placing by load.
+func BenchmarkOpening(b *testing.B) {
+	m := fullMap(time.Second)
+	p := fullPicks(time.Second, m)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i = (i + 7919) % benchFlows
+		key := benchKey(i)
+		delete(p.flows, key)
+		if p.FromCaller(time.Second, Packet{Flow: key, Opening: true}, m).To.IsZero() {
+			b.Fatal("not placed")
+		}
+	}
+}
+
+// A packet at the agent of an endpoint with 2,000 flows.
+func BenchmarkHeldFlow(b *testing.B) {
+	const flows = 2000
+	h := NewHeld(time.Second, 2, time.Minute, true)
+	for i := range flows {
+		h.FromBalancer(time.Second, Packet{Flow: benchKey(i), Opening: true}, Delivery{}, nil)
+		h.FromEndpoint(time.Second, Packet{Flow: benchKey(i), Accepting: true, Sequence: 1})
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i = (i + 7919) % flows
+		if h.FromBalancer(time.Second, Packet{Flow: benchKey(i), Acknowledged: 2}, Delivery{}, nil).Move != Deliver {
+			b.Fatal("not delivered")
+		}
+	}
+}
--- /dev/null
+++ b/flow/wire/wire_test.go
@@ -0,0 +1,59 @@
+package wire
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"cactustray/flow"
+	"cactustray/placement"
+
+	"github.com/shoenig/test/must"
+)
+
+var (
+	caller  = flow.Address{IP: [4]byte{100, 64, 0, 7}, Port: 40001}
+	service = flow.Address{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+	key     = flow.Key{Caller: caller, Service: service}
+)
+
+func TestMessagesComeBack(t *testing.T) {
+	for _, m := range []Message{
+		Hello{Slots: 4}, Hello{Leaving: true},
+		Report{Usage: placement.Usage{Flows: 3, Running: 2, Mean: 1.25, Silent: true, Leaving: true}, Balancers: []flow.Address{caller, service}},
+		Report{},
+		Owner{Flow: key}, Owner{Flow: key, Agent: service},
+		Denied{Flow: key},
+		News{Revision: 7, Digest: 1 << 63, Age: 1500 * time.Microsecond, Control: caller},
+	} {
+		decoded, err := Decode(Encode(m))
+		must.NoError(t, err)
+		must.Eq(t, m, decoded)
+	}
+}
+
+func TestEnvelopeComesBack(t *testing.T) {
+	e := Envelope{Tag: 513, Delivery: flow.Delivery{Balancer: caller, Alternative: service, Search: true, Hops: 7}}
+	b := append(make([]byte, EnvelopeSize), "packet"...)
+	PutEnvelope(b, Return, e)
+	must.EqOp(t, Return, KindOf(b))
+	opened, payload, err := OpenEnvelope(b)
+	must.NoError(t, err)
+	must.Eq(t, e, opened)
+	must.EqOp(t, "packet", string(payload))
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(Owner{Flow: key, Agent: service}))
+	f.Add(Encode(News{Control: caller}))
+	f.Add([]byte{byte(Notice), 0xff})
+	f.Add([]byte{byte(Forward)})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		_, err := Decode(b)
+		_, _, opening := OpenEnvelope(b)
+		for _, err := range []error{err, opening} {
+			var typed *DecodeError
+			must.True(t, err == nil || errors.As(err, &typed))
+		}
+	})
+}
