--- a/flow/picks.go
+++ b/flow/picks.go
@@ -20,6 +20,9 @@
 	currentFor = 2 * time.Second
 	// searchTime bounds how long answers to a search are put together.
 	searchTime = 2 * time.Second
+	// lastPrecision is how exactly it is known when a flow was last seen: writing
+	// it for each packet would double the cost of a decision.
+	lastPrecision = time.Second
 	// endedKeep is how long a flow that was reset is answered by resets.
 	endedKeep = 3 * time.Second
 )
@@ -94,8 +97,10 @@
 	case ok && known.ended:
 		return Decision{End: true, Reset: resetOf(packet), Reason: EndpointLost}
 	case ok:
-		known.last = now
-		p.flows[packet.Flow] = known
+		if now-known.last > lastPrecision {
+			known.last = now
+			p.flows[packet.Flow] = known
+		}
 		return Decision{To: known.agent, Reason: Known}
 	case packet.Reset:
 		return Decision{Reason: NotHeld}
@@ -274,13 +279,19 @@
 	if route == nil {
 		return Decision{Reason: UnknownAddress}
 	}
-	if !ok || known.tries == 0 {
-		known = pick{tries: 1, tried: [maxTried]Address{agent}}
-	}
-	known.refused = true
+	known.refuse(agent)
 	return p.place(now, packet, route.Service(packet.Flow), known)
 }
 
+// refuse notes that an endpoint gave the opening packet back.
+func (k *pick) refuse(agent Address) {
+	k.refused = true
+	if !k.triedBefore(agent) && int(k.tries) < maxTried {
+		k.tried[k.tries] = agent
+		k.tries++
+	}
+}
+
 // Sweep forgets flows that were not seen for their lifetime; every few seconds
 // is enough.
 func (p *Picks) Sweep(now Stamp) {
