Run the packet roles as real processes under faults, and try silent endpoints again

Cause: the end-to-end tests found that an endpoint once silent got no flow ever again: balancers avoid it while others answer, and its agent waits for a flow to try it with. Change: silence ends by itself after a pause that doubles from 0.5 to 4 s, and the endpoint is then tried with one flow at a time. Stand-ins for the platform's store, endpoints, callers and routers; tests of restarts, kills, crashes, drains, a store that refuses, falls silent or forgets, an address that changes its service, SIGHUP. Events are catalogued.

--- a/flow/held.go
+++ b/flow/held.go
@@ -165,9 +165,8 @@
 	counted     Stamp
 
 	pending      []pendingOpen
-	silent       bool
+	silence      silence
 	endpointLast Stamp
-	probed       Stamp
 }
 
 type pendingOpen struct {
@@ -245,22 +244,15 @@
 	return Verdict{Move: Deliver, Reason: Opened}
 }
 
-// avoid tells whether a new flow is better placed elsewhere.
+// avoid tells whether a new flow is better placed elsewhere. An endpoint that was
+// silent is tried with one flow at a time.
 func (h *Held) avoid(now Stamp) (Reason, bool) {
-	if h.silent {
-		if now-h.probed < probeInterval {
-			return EndpointSilent, true
-		}
-		h.probed = now
-		return Opened, false
+	if h.silence.at(now) || h.silence.trial && len(h.pending) > 0 {
+		return EndpointSilent, true
 	}
 	return EndpointBusy, h.running >= h.slots
 }
 
-// probeInterval is how often a silent endpoint is offered a flow: a caller's
-// flow is delayed by AnswerTime each time.
-const probeInterval = 500 * time.Millisecond
-
 func (h *Held) pass(now Stamp, key Key, balancer, to Address, reason Reason) Verdict {
 	h.put(key, hold{state: passed, balancer: balancer, other: to, last: now})
 	return Verdict{Move: Pass, To: to, Reason: reason, Tell: balancer, Owner: to, Balancer: balancer}
@@ -336,7 +328,8 @@
 // FromEndpoint decides on a packet that the endpoint sent or gave back.
 func (h *Held) FromEndpoint(now Stamp, p Packet) Verdict {
 	h.account(now)
-	h.endpointLast, h.silent = now, false
+	h.endpointLast = now
+	h.silence.answered()
 	r, known := h.flows[p.Flow]
 	if p.Bounced {
 		v := h.bounced(now, p, r, known)
@@ -435,8 +428,8 @@
 		if !known || r.state != offered {
 			continue
 		}
-		if h.endpointLast < first.due-AnswerTime {
-			h.silent = true
+		if h.endpointLast <= first.due-AnswerTime {
+			h.silence.unanswered(now)
 		}
 		if r.other.IsZero() {
 			continue
@@ -472,12 +465,12 @@
 }
 
 // Silent tells whether the endpoint leaves packets unanswered.
-func (h *Held) Silent() bool { return h.silent }
+func (h *Held) Silent(now Stamp) bool { return h.silence.at(now) }
 
 // Usage returns how busy the endpoint is.
 func (h *Held) Usage(now Stamp) Usage {
 	h.account(now)
-	return Usage{Flows: h.count, Running: h.running, RunningTime: h.runningTime, Silent: h.silent}
+	return Usage{Flows: h.count, Running: h.running, RunningTime: h.runningTime, Silent: h.silence.at(now)}
 }
 
 // account adds the time since the last call to the running requests' time.
--- /dev/null
+++ b/flow/silence_test.go
@@ -0,0 +1,70 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// silentAgent is an agent whose endpoint leaves opening packets unanswered.
+type silentAgent struct {
+	*Held
+	now  Stamp
+	next uint16
+}
+
+var elsewhere = Address{IP: [4]byte{10, 0, 0, 9}, Port: 7}
+
+// offer offers a new flow and returns what becomes of it.
+func (a *silentAgent) offer() (Key, Verdict) {
+	a.next++
+	key := Key{Caller: Address{IP: [4]byte{100, 64, 0, 1}, Port: a.next}, Service: serviceAddress}
+	return key, a.FromBalancer(a.now, Packet{Flow: key, Opening: true}, Delivery{Alternative: elsewhere}, []byte{1})
+}
+
+// An endpoint that does not answer gets no flows for a while; the one that showed
+// it goes elsewhere in time.
+func TestSilentEndpointIsTriedAgain(t *testing.T) {
+	a := &silentAgent{Held: NewHeld(time.Second, 2, time.Minute, true), now: time.Second}
+	var pauses []time.Duration
+	for range 5 {
+		key, v := a.offer()
+		must.EqOp(t, Deliver, v.Move)
+		_, beside := a.offer()
+		if len(pauses) > 0 { // tried with one flow at a time
+			must.EqOp(t, Pass, beside.Move)
+			must.EqOp(t, EndpointSilent, beside.Reason)
+		}
+		a.now += AnswerTime
+		overdue := a.Tick(a.now)
+		must.EqOp(t, key, overdue[0].Flow)
+		must.EqOp(t, elsewhere, overdue[0].Verdict.To)
+		must.True(t, a.Usage(a.now).Silent)
+		_, v = a.offer()
+		must.EqOp(t, Pass, v.Move)
+		began := a.now
+		for a.Silent(a.now) {
+			a.now += 10 * time.Millisecond
+		}
+		pauses = append(pauses, a.now-began)
+	}
+	must.Eq(t, []time.Duration{silenceFirst, 2 * silenceFirst, 4 * silenceFirst, silenceMost, silenceMost}, pauses)
+	key, v := a.offer()
+	must.EqOp(t, Deliver, v.Move)
+	a.FromEndpoint(a.now, Packet{Flow: key, Accepting: true, Sequence: 5})
+	_, v = a.offer()
+	must.EqOp(t, Deliver, v.Move)
+	must.SliceEmpty(t, a.Tick(a.now+AnswerTime-1))
+}
+
+// An endpoint that answers others in time is slow with one flow, not silent.
+func TestSlowAnswerIsNoSilence(t *testing.T) {
+	a := &silentAgent{Held: NewHeld(time.Second, 2, time.Minute, true), now: time.Second}
+	a.offer()
+	a.now += AnswerTime / 2
+	a.FromEndpoint(a.now, Packet{Flow: Key{Service: serviceAddress}, Data: 1})
+	a.now += AnswerTime / 2
+	must.EqOp(t, 1, len(a.Tick(a.now)))
+	must.False(t, a.Silent(a.now))
+}
--- a/packetagent/events.go
+++ b/packetagent/events.go
@@ -13,7 +13,7 @@
 	EventStopped        = event.Define(3302, logrus.InfoLevel, "packet agent stopped")
 	EventLeaving        = event.Define(3303, logrus.InfoLevel, "packet agent leaving")
 	EventSocketFailed   = event.Define(3304, logrus.WarnLevel, "agent's socket failed")
-	EventSettings       = event.Define(3311, logrus.InfoLevel, "changed settings in force")
+	EventSettings       = event.Define(3311, logrus.InfoLevel, "agent's changed settings in force")
 	EventPaused         = event.Define(3305, logrus.WarnLevel, "packet agent was paused")
 	EventBalancerMet    = event.Define(3306, logrus.InfoLevel, "balancer greeted the agent")
 	EventBalancerLeft   = event.Define(3307, logrus.InfoLevel, "balancer said that it stops")
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -211,7 +211,7 @@
 // answers again.
 func (t *traffic) noteSilence() {
 	t.mu.Lock()
-	silent := t.held.Silent()
+	silent := t.held.Silent(clock.Now())
 	changed := silent != t.silent
 	t.silent = silent
 	t.mu.Unlock()
--- /dev/null
+++ b/standin/packets/packet.go
@@ -0,0 +1,84 @@
+// Package packets has stand-ins for the users' platform: the store that endpoints
+// register in, endpoints and callers that speak the packet protocol, and the
+// routers between callers and balancers.
+package packets
+
+import (
+	"encoding/binary"
+	"net/netip"
+)
+
+// Flags of a packet.
+const (
+	flagAcknowledge = 2
+	flagOpen        = 4
+	flagReset       = 8
+	flagBounced     = 16
+	flagFinish      = 64
+
+	headerSize  = 34
+	maxDatagram = 2048
+)
+
+// packet is one datagram between a caller and an endpoint.
+type packet struct {
+	sequence, acknowledged, echo uint32
+	flags                        byte
+	to, from                     netip.AddrPort
+	data                         []byte
+}
+
+func (p packet) encode() []byte {
+	b := make([]byte, headerSize, headerSize+len(p.data))
+	binary.BigEndian.PutUint32(b[0:], p.sum())
+	binary.BigEndian.PutUint32(b[4:], p.sequence)
+	binary.BigEndian.PutUint32(b[8:], p.acknowledged)
+	binary.BigEndian.PutUint32(b[12:], p.echo)
+	b[16] = p.flags
+	binary.BigEndian.PutUint16(b[20:], uint16(len(p.data)))
+	to, from := p.to.Addr().As4(), p.from.Addr().As4()
+	copy(b[22:], to[:])
+	copy(b[26:], from[:])
+	binary.BigEndian.PutUint16(b[30:], p.to.Port())
+	binary.BigEndian.PutUint16(b[32:], p.from.Port())
+	return append(b, p.data...)
+}
+
+// sum stands for the platform's keyed sum: it covers what must arrive unchanged.
+func (p packet) sum() uint32 {
+	sum := uint32(2166136261)
+	add := func(b byte) { sum = (sum ^ uint32(b)) * 16777619 }
+	for _, word := range []uint32{p.sequence, p.acknowledged, uint32(p.flags &^ flagBounced)} {
+		for shift := 0; shift < 32; shift += 8 {
+			add(byte(word >> shift))
+		}
+	}
+	for _, end := range []netip.AddrPort{p.to, p.from} {
+		for _, b := range []byte(end.String()) {
+			add(b)
+		}
+	}
+	for _, b := range p.data {
+		add(b)
+	}
+	return sum
+}
+
+// decode returns a packet, and whether its sum agrees; resets of the system
+// itself have none.
+func decode(b []byte) (p packet, genuine bool) {
+	if len(b) < headerSize {
+		return packet{}, false
+	}
+	p.sequence = binary.BigEndian.Uint32(b[4:])
+	p.acknowledged = binary.BigEndian.Uint32(b[8:])
+	p.echo = binary.BigEndian.Uint32(b[12:])
+	p.flags = b[16]
+	p.to = netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[22:26])), binary.BigEndian.Uint16(b[30:]))
+	p.from = netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[26:30])), binary.BigEndian.Uint16(b[32:]))
+	p.data = append([]byte(nil), b[headerSize:]...)
+	sum := binary.BigEndian.Uint32(b)
+	return p, sum == p.sum() || sum == 0 && p.flags == flagReset && len(p.data) == 0
+}
+
+func (p packet) has(flag byte) bool { return p.flags&flag != 0 }
--- /dev/null
+++ b/standin/packets/store.go
@@ -0,0 +1,180 @@
+package packets
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// pageSize is how many items a page has; the platform's has about 500.
+const pageSize = 3
+
+// item is a key's value as the store writes it.
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int    `json:"revision"`
+	Created  int    `json:"created,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Mode is how the store treats a caller.
+type Mode int
+
+const (
+	// Serve answers.
+	Serve Mode = iota
+	// Refuse answers 503.
+	Refuse
+	// Silent does not answer.
+	Silent
+)
+
+// Store is the platform's store. It is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	changed  chan struct{}
+	revision int
+	forgot   int
+	items    map[string]item
+	history  []item
+	modes    map[string]Mode
+	calls    int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{changed: make(chan struct{}), items: make(map[string]item), modes: make(map[string]Mode)}
+}
+
+// Put writes a value as JSON.
+func (s *Store) Put(key string, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // the stand-ins write plain structs
+	}
+	s.write(item{Key: key, Value: raw})
+}
+
+// PutBytes writes any bytes.
+func (s *Store) PutBytes(key string, value []byte) { s.write(item{Key: key, Value: value}) }
+
+// Delete removes a key.
+func (s *Store) Delete(key string) { s.write(item{Key: key, Deleted: true}) }
+
+func (s *Store) write(it item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	it.Revision, it.Created = s.revision, s.revision
+	s.history = append(s.history, it)
+	if it.Deleted {
+		delete(s.items, it.Key)
+	} else {
+		s.items[it.Key] = it
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Treat sets how the store treats callers from an IP address; "" is everybody.
+func (s *Store) Treat(ip string, mode Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.modes[ip] = mode
+}
+
+// Forget drops the history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgot, s.history = s.revision, nil
+}
+
+// Calls returns how many calls came.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP answers one call.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	ip, _, _ := strings.Cut(r.RemoteAddr, ":")
+	mode := max(s.modes[ip], s.modes[""])
+	s.mu.Unlock()
+	switch {
+	case mode == Silent:
+		<-r.Context().Done()
+	case mode == Refuse:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.URL.Path == "/cactustray/kv-range":
+		s.list(w, r)
+	case r.URL.Path == "/cactustray/kv-watch":
+		s.watch(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []item
+	for key, it := range s.items {
+		if strings.HasPrefix(key, r.URL.Query().Get("prefix")) && key > r.URL.Query().Get("after") {
+			items = append(items, it)
+		}
+	}
+	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(a.Key, b.Key) })
+	truncated := len(items) > pageSize
+	answer(w, map[string]any{"items": items[:min(len(items), pageSize)], "truncated": truncated, "current-rev": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
+	limit := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		events, revision, forgot, changed := s.since(after), s.revision, after < s.forgot, s.changed
+		s.mu.Unlock()
+		if forgot {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			answer(w, map[string]any{"events": events, "current-rev": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-limit:
+			answer(w, map[string]any{"events": []item{}, "current-rev": revision})
+			return
+		}
+	}
+}
+
+func (s *Store) since(after int) (events []item) {
+	for _, it := range s.history {
+		if it.Revision > after {
+			events = append(events, it)
+		}
+	}
+	return events
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
