--- a/directory/directory.go
+++ b/directory/directory.go
@@ -58,13 +58,6 @@
 	Changed Revision `json:"changed"`
 }
 
-// same tells whether two entries of one ID say the same but for their revision
-// and their warming up.
-func (e Endpoint) same(other Endpoint) bool {
-	e.Changed, e.ColdFor = other.Changed, other.ColdFor
-	return e == other
-}
-
 // Change is news from the source, or from another balancer that read it.
 type Change struct {
 	// Revision is what the news brings the receiver up to.
