--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -79,7 +79,11 @@
 	}
 }
 
+// ageMillis returns the age of the directory, or -1 while there is none.
 func (s *state) ageMillis() int64 {
+	if s.asOf.Load() == 0 {
+		return -1
+	}
 	return (clock.Now() - time.Duration(s.asOf.Load())).Milliseconds()
 }
 
