Count a request once, hand flows on only to less busy endpoints, log its status

Cause: explain showed a flow handed from an agent with 9 requests in progress to one with 17: balancers named the next best without its load, and a request's packet that was sent again after the answer counted as a request in progress for good. Change: a packet begins a request only with new data; a busy agent hands a flow on only if the alternative had fewer requests. Logs have a line when a request reaches the endpoint (all that is left when the machine is lost), and the answer's status.

--- a/flow/codec.go
+++ b/flow/codec.go
@@ -11,6 +11,9 @@
 	// RequestID returns the id of the request that begins in a caller's packet, or
 	// "" when the packet shows none. It is for logs only.
 	RequestID(datagram []byte) string
+	// Status returns the status of the answer that begins in an endpoint's packet,
+	// or 0 when the packet shows none. It is for logs only.
+	Status(datagram []byte) int
 	// Unbounce makes a packet that an endpoint gave back what its sender wrote.
 	Unbounce(datagram []byte)
 }
--- a/flow/held.go
+++ b/flow/held.go
@@ -55,6 +55,8 @@
 	// passed flow went to.
 	other Address
 	last  Stamp
+	// received is the end of the caller's data so far, in its sequence.
+	received uint32
 	// asked is when the request in progress reached the endpoint, request its
 	// id, and beside how many others were in progress.
 	asked   Stamp
@@ -70,6 +72,9 @@
 	Balancer Address
 	// Alternative is the agent that takes the flow if this one is busy.
 	Alternative Address
+	// AlternativeRunning is how many requests it had in progress, as the balancer
+	// last heard.
+	AlternativeRunning uint8
 	// Search tells that the balancer does not know who holds the flow.
 	Search bool
 	// Hops counts the nodes that have passed the packet on or returned it.
@@ -230,7 +235,7 @@
 			return Verdict{Move: Deliver, Reason: Repeated}
 		}
 	}
-	if reason, away := h.avoid(now); away && !d.Alternative.IsZero() {
+	if reason, away := h.avoid(now, d); away && !d.Alternative.IsZero() {
 		return h.pass(now, p.Flow, d.Balancer, d.Alternative, reason)
 	}
 	if len(h.flows) >= maxHeld {
@@ -244,13 +249,13 @@
 	return Verdict{Move: Deliver, Reason: Opened}
 }
 
-// avoid tells whether a new flow is better placed elsewhere. An endpoint that was
-// silent is tried with one flow at a time.
-func (h *Held) avoid(now Stamp) (Reason, bool) {
+// avoid tells whether a new flow is better placed at its alternative. An endpoint
+// that was silent is tried with one flow at a time.
+func (h *Held) avoid(now Stamp, d Delivery) (Reason, bool) {
 	if h.silence.at(now) || h.silence.trial && len(h.pending) > 0 {
 		return EndpointSilent, true
 	}
-	return EndpointBusy, h.running >= h.slots
+	return EndpointBusy, h.running >= h.slots && h.running > int(d.AlternativeRunning)
 }
 
 func (h *Held) pass(now Stamp, key Key, balancer, to Address, reason Reason) Verdict {
@@ -450,6 +455,7 @@
 // Sweep forgets closed and old flows, and returns the requests that they leave
 // unanswered; every second is enough.
 func (h *Held) Sweep(now Stamp) []Left {
+	h.account(now)
 	var left []Left
 	for key, r := range h.flows {
 		age := now - r.last
@@ -501,7 +507,12 @@
 // setBusy notes that the caller's request is at the endpoint, and tells whether
 // it begins with this packet.
 func (h *Held) setBusy(now Stamp, r *hold, p Packet) bool {
-	if p.Data == 0 || r.busy {
+	end := p.Sequence + uint32(p.Data)
+	if p.Data == 0 || r.received != 0 && int32(end-r.received) <= 0 {
+		return false // nothing, or sent again
+	}
+	r.received = end
+	if r.busy {
 		return false
 	}
 	r.busy, r.asked, r.request, r.beside = true, now, "", uint16(h.running)
--- /dev/null
+++ b/flow/held_test.go
@@ -0,0 +1,96 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// openedFlow returns an agent's table with one open flow.
+func openedFlow(t *testing.T) (*Held, Key) {
+	h := NewHeld(time.Second, 2, time.Minute, true)
+	return h, openAnother(t, h, 1)
+}
+
+func openAnother(t *testing.T, h *Held, port uint16) Key {
+	key := Key{Caller: Address{IP: [4]byte{100, 64, 0, 1}, Port: port}, Service: serviceAddress}
+	must.EqOp(t, Deliver, h.FromBalancer(time.Second, Packet{Flow: key, Opening: true}, Delivery{}, nil).Move)
+	h.FromEndpoint(time.Second, Packet{Flow: key, Accepting: true, Sequence: 10})
+	must.EqOp(t, Deliver, h.FromBalancer(time.Second, Packet{Flow: key, Sequence: 1, Acknowledged: 11}, Delivery{}, nil).Move)
+	return key
+}
+
+func request(key Key, sequence uint32) Packet {
+	return Packet{Flow: key, Sequence: sequence, Acknowledged: 11, Data: 100}
+}
+
+// A request is in progress from its first packet to the first of its answer. A
+// packet that is sent again after the answer is no new request.
+func TestRunningRequests(t *testing.T) {
+	h, key := openedFlow(t)
+	running := func() int { return h.Usage(time.Second).Running }
+	must.True(t, h.FromBalancer(time.Second, request(key, 1), Delivery{}, nil).Begins)
+	must.False(t, h.FromBalancer(time.Second, request(key, 101), Delivery{}, nil).Begins)
+	must.EqOp(t, 1, running())
+	must.True(t, h.FromEndpoint(2*time.Second, Packet{Flow: key, Data: 10}).Ends)
+	must.EqOp(t, 0, running())
+	must.False(t, h.FromBalancer(2*time.Second, request(key, 101), Delivery{}, nil).Begins)
+	must.EqOp(t, 0, running())
+	must.True(t, h.FromBalancer(3*time.Second, request(key, 201), Delivery{}, nil).Begins)
+	must.EqOp(t, 1, running())
+}
+
+func TestRequestIsTold(t *testing.T) {
+	h, first := openedFlow(t)
+	second := openAnother(t, h, 2)
+	h.FromBalancer(time.Second, request(first, 1), Delivery{}, nil)
+	h.FromBalancer(2*time.Second, request(second, 1), Delivery{}, nil)
+	h.Name(second, "id")
+	v := h.FromEndpoint(5*time.Second, Packet{Flow: second, Data: 1})
+	must.Eq(t, Request{ID: "id", Took: 3 * time.Second, Beside: 1}, v.Ended)
+}
+
+// A busy agent hands a flow on only to an agent that was less busy.
+func TestBusyAgentHandsFlowsOn(t *testing.T) {
+	for _, c := range []struct {
+		running, alternative int
+		want                 Move
+	}{{1, 0, Deliver}, {2, 0, Pass}, {2, 1, Pass}, {2, 2, Deliver}, {3, 2, Pass}, {3, 9, Deliver}} {
+		h := NewHeld(time.Second, 2, time.Minute, true)
+		for port := range c.running {
+			h.FromBalancer(time.Second, request(openAnother(t, h, uint16(port+10)), 1), Delivery{}, nil)
+		}
+		key := Key{Caller: Address{Port: 1}, Service: serviceAddress}
+		d := Delivery{Alternative: elsewhere, AlternativeRunning: uint8(c.alternative)}
+		must.EqOp(t, c.want, h.FromBalancer(time.Second, Packet{Flow: key, Opening: true}, d, nil).Move, must.Sprint(c))
+	}
+}
+
+func TestLostFlowEndsItsRequest(t *testing.T) {
+	h, key := openedFlow(t)
+	h.FromBalancer(time.Second, request(key, 1), Delivery{}, nil)
+	p := request(key, 1)
+	p.Bounced = true
+	v := h.FromEndpoint(2*time.Second, p)
+	must.EqOp(t, End, v.Move)
+	must.True(t, v.Ends)
+	must.EqOp(t, 0, h.Usage(2*time.Second).Running)
+	must.EqOp(t, End, h.FromBalancer(2*time.Second, request(key, 1), Delivery{}, nil).Move)
+}
+
+func TestSweepTellsWhatWasLeft(t *testing.T) {
+	h, key := openedFlow(t)
+	h.FromBalancer(time.Second, request(key, 1), Delivery{}, nil)
+	must.SliceEmpty(t, h.Sweep(time.Minute))
+	left := h.Sweep(2*time.Minute + time.Second)
+	must.EqOp(t, 1, len(left))
+	must.EqOp(t, key, left[0].Flow)
+	must.Eq(t, Usage{RunningTime: 2 * time.Minute}, h.Usage(2*time.Minute+time.Second))
+}
+
+func TestHopsAreBounded(t *testing.T) {
+	h, key := openedFlow(t)
+	must.EqOp(t, Deliver, h.FromBalancer(time.Second, request(key, 1), Delivery{Hops: maxHops}, nil).Move)
+	must.EqOp(t, Drop, h.FromBalancer(time.Second, request(key, 1), Delivery{Hops: maxHops + 1}, nil).Move)
+}
--- a/flow/picks.go
+++ b/flow/picks.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -81,6 +82,8 @@
 	Tag uint16
 	// Alternative is the agent for an opening packet if To's endpoint is busy.
 	Alternative Address
+	// AlternativeRunning is how many requests that endpoint had in progress.
+	AlternativeRunning uint8
 	// End tells that the caller gets the reset.
 	End    bool
 	Reset  Reset
@@ -160,7 +163,9 @@
 	p.flows[packet.Flow] = known
 	d := Decision{To: site.Agent, Tag: service.Tag, Reason: Opened}
 	if second >= 0 {
-		d.Alternative = service.Takers[second].Agent
+		other := service.Takers[second]
+		d.Alternative = other.Agent
+		d.AlternativeRunning = uint8(min(other.Gauge.Running(), math.MaxUint8))
 	}
 	return d
 }
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -29,7 +29,7 @@
 
 const (
 	// EnvelopeSize is the length of what stands before a caller's packet.
-	EnvelopeSize = 16
+	EnvelopeSize = 17
 	addressSize  = 6
 	searchFlag   = 1
 	hopsShift    = 4
@@ -71,6 +71,7 @@
 	binary.BigEndian.PutUint16(b[2:], e.Tag)
 	putAddress(b[4:], e.Balancer)
 	putAddress(b[4+addressSize:], e.Alternative)
+	b[4+2*addressSize] = e.AlternativeRunning
 }
 
 // OpenEnvelope returns the envelope and the caller's packet in a datagram of
@@ -84,6 +85,7 @@
 	e.Hops = b[1] >> hopsShift
 	e.Balancer = address(b[4:])
 	e.Alternative = address(b[4+addressSize:])
+	e.AlternativeRunning = b[4+2*addressSize]
 	return e, b[EnvelopeSize:], nil
 }
 
--- a/packetagent/events.go
+++ b/packetagent/events.go
@@ -23,19 +23,26 @@
 	EventFlowPassed     = event.Define(3401, logrus.InfoLevel, "flow handed to another agent")
 	EventFlowReturned   = event.Define(3402, logrus.InfoLevel, "packet returned to its balancer")
 	EventFlowEnded      = event.Define(3403, logrus.InfoLevel, "flow lost by the endpoint ended by a reset")
+	EventRequest        = event.Define(3500, logrus.InfoLevel, "request reached the endpoint")
 	EventAnswered       = event.Define(3501, logrus.InfoLevel, "request answered")
 	EventUnanswered     = event.Define(3502, logrus.WarnLevel, "request left without an answer")
 	EventFlowTried      = event.Define(3404, logrus.InfoLevel, "unknown flow tried at the endpoint")
 )
 
-// explainRequest logs the end of a request.
-func (t *traffic) explainRequest(e event.Event, key flow.Key, r flow.Request) {
+// explainRequest logs the beginning or end of a request; status is 0 where there
+// is no answer.
+func (t *traffic) explainRequest(e event.Event, key flow.Key, r flow.Request, status int) {
 	if !t.log.Enabled(e) {
 		return
 	}
-	t.log.Emit(e, event.Fields{
-		"request": r.ID, "flow": key.String(), "took_ms": r.Took.Milliseconds(), "beside": r.Beside,
-	})
+	fields := event.Fields{"request": r.ID, "flow": key.String(), "beside": r.Beside}
+	if e.Number != EventRequest.Number {
+		fields["took_ms"] = r.Took.Milliseconds()
+	}
+	if status != 0 {
+		fields["status"] = status
+	}
+	t.log.Emit(e, fields)
 }
 
 // explain logs a decision that an operator may ask about.
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -92,7 +92,7 @@
 	t.mu.Unlock()
 	for _, l := range left {
 		t.unanswered.Add(1)
-		t.explainRequest(EventUnanswered, l.Flow, l.Request)
+		t.explainRequest(EventUnanswered, l.Flow, l.Request, 0)
 	}
 }
 
@@ -140,12 +140,15 @@
 	}
 }
 
-// name notes the id of a request that begins, for the logs.
+// name notes the id of a request that begins, for the logs, and logs it: should
+// the machine be lost, this line is all that tells where it was.
 func (t *traffic) name(key flow.Key, payload []byte) {
 	id := t.codec.RequestID(payload)
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.held.Name(key, id)
+	beside := t.held.Usage(clock.Now()).Running - 1
+	t.mu.Unlock()
+	t.explainRequest(EventRequest, key, flow.Request{ID: id, Beside: beside}, 0)
 }
 
 // decide asks the table of flows, unless the packet is for another service: the
@@ -178,20 +181,20 @@
 		t.mu.Unlock()
 		t.noteSilence()
 		t.carryOut(packet.Flow, verdict, verdict.Balancer, buffer)
-		t.noteEnd(packet.Flow, verdict)
+		t.noteEnd(packet.Flow, verdict, payload)
 	})
 }
 
-// noteEnd records the end of a request.
-func (t *traffic) noteEnd(key flow.Key, v flow.Verdict) {
+// noteEnd records the end of a request; payload is the packet that ended it.
+func (t *traffic) noteEnd(key flow.Key, v flow.Verdict, payload []byte) {
 	switch {
 	case !v.Ends:
 	case v.Move == flow.End:
 		t.unanswered.Add(1)
-		t.explainRequest(EventUnanswered, key, v.Ended)
+		t.explainRequest(EventUnanswered, key, v.Ended, 0)
 	default:
 		t.answers.Add(v.Ended.Took)
-		t.explainRequest(EventAnswered, key, v.Ended)
+		t.explainRequest(EventAnswered, key, v.Ended, t.codec.Status(payload))
 	}
 }
 
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -3,6 +3,7 @@
 import (
 	"cactustray/event"
 	"cactustray/flow"
+	"cactustray/flow/wire"
 
 	"github.com/sirupsen/logrus"
 )
@@ -30,7 +31,8 @@
 )
 
 // explain logs a decision that an operator may ask about.
-func (t *traffic) explain(key flow.Key, d flow.Decision) {
+// buffer has the packet behind an envelope's room, or nothing.
+func (t *traffic) explain(key flow.Key, d flow.Decision, buffer []byte) {
 	var e event.Event
 	switch {
 	case d.End:
@@ -51,5 +53,10 @@
 	if !d.To.IsZero() {
 		fields["agent"] = d.To.String()
 	}
+	if len(buffer) > wire.EnvelopeSize {
+		if id := t.codec.RequestID(buffer[wire.EnvelopeSize:]); id != "" {
+			fields["request"] = id
+		}
+	}
 	t.log.Emit(e, fields)
 }
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -118,7 +118,7 @@
 // with the packet.
 func (t *traffic) carryOut(key flow.Key, d flow.Decision, buffer []byte, hops uint8) {
 	t.counters[d.Reason].Add(1)
-	t.explain(key, d)
+	t.explain(key, d, buffer)
 	if d.End {
 		t.reset(d.Reset)
 		return
@@ -126,7 +126,10 @@
 	if len(buffer) < wire.EnvelopeSize {
 		return
 	}
-	delivery := flow.Delivery{Balancer: t.self, Alternative: d.Alternative, Search: len(d.All) > 0, Hops: hops}
+	delivery := flow.Delivery{
+		Balancer: t.self, Alternative: d.Alternative, AlternativeRunning: d.AlternativeRunning,
+		Search: len(d.All) > 0, Hops: hops,
+	}
 	wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: d.Tag, Delivery: delivery})
 	if !d.To.IsZero() {
 		t.send(t.peers, buffer, d.To.AddrPort())
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -70,6 +70,10 @@
 // Heard returns when the last report came, or 0.
 func (g *Gauge) Heard() time.Duration { return time.Duration(g.heard.Load()) }
 
+// Running returns how many requests are in progress, as far as is known: those of
+// the last report, and one for each flow placed since.
+func (g *Gauge) Running() int64 { return g.running.Load() + g.placed.Load() }
+
 // Alive tells whether the agent has reported lately.
 func (g *Gauge) Alive(now time.Duration) bool {
 	heard := g.Heard()
