--- a/flow/held.go
+++ b/flow/held.go
@@ -359,7 +359,10 @@
 	if r.announce && r.state == open {
 		v.Tell, r.announce = r.balancer, false
 	}
-	if p.Data > 0 && r.busy {
+	if p.Reset {
+		v.Reason = EndpointReset
+	}
+	if (p.Data > 0 || p.Reset) && r.busy {
 		v.Ends, v.Ended = true, r.ended(now)
 		h.settle(&r)
 	}
--- a/flow/held_test.go
+++ b/flow/held_test.go
@@ -79,6 +79,17 @@
 	must.EqOp(t, End, h.FromBalancer(2*time.Second, request(key, 1), Delivery{}, nil).Move)
 }
 
+// An endpoint that resets a flow ends its request without an answer.
+func TestEndpointResetsAFlow(t *testing.T) {
+	h, key := openedFlow(t)
+	h.FromBalancer(time.Second, request(key, 1), Delivery{}, nil)
+	v := h.FromEndpoint(2*time.Second, Packet{Flow: key, Reset: true})
+	must.EqOp(t, ToCaller, v.Move)
+	must.EqOp(t, EndpointReset, v.Reason)
+	must.True(t, v.Ends)
+	must.Eq(t, Usage{RunningTime: time.Second}, h.Usage(2*time.Second))
+}
+
 func TestSweepTellsWhatWasLeft(t *testing.T) {
 	h, key := openedFlow(t)
 	h.FromBalancer(time.Second, request(key, 1), Delivery{}, nil)
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -23,6 +23,7 @@
 	NobodyHolds
 	ForeignService
 	TooManyHops
+	EndpointReset
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
@@ -32,7 +33,7 @@
 	EndpointBusy: "endpoint-busy", EndpointSilent: "endpoint-silent", EndpointRefused: "endpoint-refused",
 	EndpointLost: "endpoint-lost", NotHeld: "not-held", Closed: "closed", TableFull: "table-full",
 	UnknownAddress: "unknown-address", NoEndpoint: "no-endpoint", Searched: "searched", NobodyHolds: "nobody-holds",
-	ForeignService: "foreign-service", TooManyHops: "too-many-hops",
+	ForeignService: "foreign-service", TooManyHops: "too-many-hops", EndpointReset: "endpoint-reset",
 }
 
 func (r Reason) String() string {
--- a/packetagent/events.go
+++ b/packetagent/events.go
@@ -23,6 +23,7 @@
 	EventFlowPassed     = event.Define(3401, logrus.InfoLevel, "flow handed to another agent")
 	EventFlowReturned   = event.Define(3402, logrus.InfoLevel, "packet returned to its balancer")
 	EventFlowEnded      = event.Define(3403, logrus.InfoLevel, "flow lost by the endpoint ended by a reset")
+	EventFlowReset      = event.Define(3405, logrus.InfoLevel, "flow reset by the endpoint")
 	EventRequest        = event.Define(3500, logrus.InfoLevel, "request reached the endpoint")
 	EventAnswered       = event.Define(3501, logrus.InfoLevel, "request answered")
 	EventUnanswered     = event.Define(3502, logrus.WarnLevel, "request left without an answer")
@@ -55,6 +56,8 @@
 		e = EventFlowPassed
 	case v.Move == flow.Return:
 		e = EventFlowReturned
+	case v.Reason == flow.EndpointReset:
+		e = EventFlowReset
 	case v.Reason == flow.Tried:
 		e = EventFlowTried
 	default:
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -189,7 +189,7 @@
 func (t *traffic) noteEnd(key flow.Key, v flow.Verdict, payload []byte) {
 	switch {
 	case !v.Ends:
-	case v.Move == flow.End:
+	case v.Move == flow.End || v.Reason == flow.EndpointReset:
 		t.unanswered.Add(1)
 		t.explainRequest(EventUnanswered, key, v.Ended, 0)
 	default:
