--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -43,7 +43,7 @@
 func fullPicks(now Stamp, m *Map) *Picks {
 	p := newTestPicks()
 	for i := range benchFlows {
-		p.FromCaller(now, Packet{Flow: benchKey(i), Opening: true}, m)
+		p.FromCaller(now, Packet{Flow: benchKey(i), Opening: true}, m, nil)
 	}
 	return p
 }
@@ -56,7 +56,7 @@
 	i := 0
 	for b.Loop() {
 		i = (i + 7919) % benchFlows
-		if p.FromCaller(time.Second, Packet{Flow: benchKey(i), Data: 100}, m).To.IsZero() {
+		if p.FromCaller(time.Second, Packet{Flow: benchKey(i), Data: 100}, m, nil).To.IsZero() {
 			b.Fatal("not known")
 		}
 	}
@@ -72,7 +72,7 @@
 		i = (i + 7919) % benchFlows
 		key := benchKey(i)
 		delete(p.flows, key)
-		if p.FromCaller(time.Second, Packet{Flow: key, Opening: true}, m).To.IsZero() {
+		if p.FromCaller(time.Second, Packet{Flow: key, Opening: true}, m, nil).To.IsZero() {
 			b.Fatal("not placed")
 		}
 	}
--- a/flow/picks.go
+++ b/flow/picks.go
@@ -19,8 +19,6 @@
 	// currentFor is how old the map may be for a refusal: twice the longest
 	// pause between two readings.
 	currentFor = 2 * time.Second
-	// searchTime bounds how long answers to a search are put together.
-	searchTime = 2 * time.Second
 	// lastPrecision is how exactly it is known when a flow was last seen: writing
 	// it for each packet would double the cost of a decision.
 	lastPrecision = time.Second
@@ -41,19 +39,11 @@
 	ended   bool
 }
 
-type search struct {
-	// denied are the agents that don't hold the flow.
-	denied       map[Address]bool
-	acknowledged uint32
-	began        Stamp
-	last         Stamp
-}
-
 // Picks is what a balancer remembers of the flows that came by. It is only a
 // memory: without it flows are found by a search.
 type Picks struct {
 	flows    map[Key]pick
-	searches map[Key]*search
+	searches searches
 	lifetime time.Duration
 	random   *rand.Rand
 }
@@ -61,7 +51,7 @@
 // NewPicks returns an empty memory; lifetime is the longest life of a flow.
 func NewPicks(lifetime time.Duration, random *rand.Rand) *Picks {
 	return &Picks{
-		flows: make(map[Key]pick), searches: make(map[Key]*search), lifetime: lifetime, random: random,
+		flows: make(map[Key]pick), searches: newSearches(), lifetime: lifetime, random: random,
 	}
 }
 
@@ -90,8 +80,9 @@
 	Reason Reason
 }
 
-// FromCaller decides on a packet that the fabric brought.
-func (p *Picks) FromCaller(now Stamp, packet Packet, m *Map) Decision {
+// FromCaller decides on a packet that the fabric brought. datagram is copied if the
+// packet must wait until its flow is found.
+func (p *Picks) FromCaller(now Stamp, packet Packet, m *Map, datagram []byte) Decision {
 	if packet.Opening {
 		return p.open(now, packet, m)
 	}
@@ -108,7 +99,7 @@
 	case packet.Reset:
 		return Decision{Reason: NotHeld}
 	}
-	return p.search(now, packet, m, Address{})
+	return p.search(now, packet, m, Address{}, datagram)
 }
 
 func resetOf(packet Packet) Reset {
@@ -188,77 +179,10 @@
 	return false
 }
 
-// search sends a packet to all endpoints that may hold its flow. except has
-// said already that it does not.
-func (p *Picks) search(now Stamp, packet Packet, m *Map, except Address) Decision {
-	route := m.Routes[packet.Flow.Service]
-	if route == nil {
-		return Decision{Reason: UnknownAddress}
-	}
-	s := p.searches[packet.Flow]
-	if s == nil || now-s.began > searchTime {
-		s = &search{denied: make(map[Address]bool), began: now}
-		p.searches[packet.Flow] = s
-	}
-	s.acknowledged, s.last = packet.Acknowledged, now
-	if !except.IsZero() {
-		s.denied[except] = true
-	}
-	d := Decision{Reason: Searched}
-	for _, share := range route.Shares {
-		d.Tag = share.Service.Tag
-		for _, site := range share.Service.Holders {
-			if !s.denied[site.Agent] {
-				d.All = append(d.All, site.Agent)
-			}
-		}
-	}
-	if len(route.Shares) != 1 {
-		d.Tag = 0
-	}
-	if len(d.All) == 0 {
-		return p.conclude(now, packet.Flow, m)
-	}
-	return d
-}
-
-// Denied takes in that an agent does not hold a flow that was searched for.
-// When none does, the flow is over.
-func (p *Picks) Denied(now Stamp, key Key, agent Address, m *Map) Decision {
-	s := p.searches[key]
-	if s == nil {
-		return Decision{Reason: NotHeld}
-	}
-	s.denied[agent] = true
-	return p.conclude(now, key, m)
-}
-
-// conclude ends a flow once every endpoint that may hold it has denied it.
-func (p *Picks) conclude(now Stamp, key Key, m *Map) Decision {
-	s, route := p.searches[key], m.Routes[key.Service]
-	if route == nil {
-		return Decision{Reason: UnknownAddress}
-	}
-	holders := 0
-	for _, share := range route.Shares {
-		for _, site := range share.Service.Holders {
-			if !s.denied[site.Agent] {
-				return Decision{Reason: Searched}
-			}
-			holders++
-		}
-	}
-	if holders == 0 {
-		return Decision{Reason: NoEndpoint}
-	}
-	delete(p.searches, key)
-	p.flows[key] = pick{ended: true, last: now}
-	return Decision{End: true, Reset: Reset{Flow: key, Acknowledged: s.acknowledged}, Reason: NobodyHolds}
-}
-
-// Found takes in that a flow is at an agent.
-func (p *Picks) Found(now Stamp, key Key, agent Address) {
-	delete(p.searches, key)
+// Found takes in that a flow is at an agent, and returns the datagrams that waited
+// for it.
+func (p *Picks) Found(now Stamp, key Key, agent Address) [][]byte {
+	kept := p.searches.end(key)
 	known := p.flows[key]
 	known.agent, known.last, known.ended = agent, now, false
 	if known.placed == 0 {
@@ -267,18 +191,19 @@
 	if len(p.flows) < maxPicks {
 		p.flows[key] = known
 	}
+	return kept
 }
 
 // Returned decides on a packet that an agent gave back: an opening packet goes
 // to another endpoint, any other is searched for. hops came with the packet.
-func (p *Picks) Returned(now Stamp, packet Packet, agent Address, hops uint8, m *Map) Decision {
+func (p *Picks) Returned(now Stamp, packet Packet, agent Address, hops uint8, m *Map, datagram []byte) Decision {
 	known, ok := p.flows[packet.Flow]
 	if !packet.Opening {
 		if ok && known.agent != agent && !known.ended && hops <= 1 {
 			return Decision{To: known.agent, Reason: Known}
 		}
 		delete(p.flows, packet.Flow)
-		return p.search(now, packet, m, agent)
+		return p.search(now, packet, m, agent, datagram)
 	}
 	route := m.Routes[packet.Flow.Service]
 	if route == nil {
@@ -306,9 +231,5 @@
 			delete(p.flows, key)
 		}
 	}
-	for key, s := range p.searches {
-		if now-s.last > searchTime {
-			delete(p.searches, key)
-		}
-	}
+	p.searches.sweep(now)
 }
--- /dev/null
+++ b/flow/picks_test.go
@@ -0,0 +1,146 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cactustray/placement"
+
+	"github.com/shoenig/test/must"
+)
+
+// testMap has one service with a number of endpoints behind serviceAddress.
+func testMap(endpoints int) (*Map, *Service) {
+	m := NewMap()
+	m.Current = func() Stamp { return time.Second }
+	service := &Service{Name: "orders", Tag: 1}
+	for i := range endpoints {
+		site := &Site{Agent: agentAt(i), Service: service}
+		site.Candidate = placement.Candidate{Gauge: new(placement.Gauge), Slots: 2}
+		site.Gauge.Report(time.Second, placement.Usage{Running: i})
+		service.Takers = append(service.Takers, site)
+		service.Candidates = append(service.Candidates, &site.Candidate)
+		service.Holders = append(service.Holders, site)
+		m.Agents[site.Agent] = site
+	}
+	m.Routes[serviceAddress] = &Route{Shares: []Share{{Service: service, Weight: 1}}, Weight: 1}
+	return m, service
+}
+
+func agentAt(i int) Address { return Address{IP: [4]byte{10, 0, byte(i >> 8), byte(i)}, Port: 7} }
+
+func callerKey(i int) Key {
+	return Key{Caller: Address{IP: [4]byte{100, 64, byte(i >> 8), byte(i)}, Port: 1024}, Service: serviceAddress}
+}
+
+func TestOpeningPacketAndItsCopies(t *testing.T) {
+	m, service := testMap(3)
+	p := newTestPicks()
+	opening := func(copy uint32) Packet { return Packet{Flow: callerKey(1), Opening: true, Copy: copy} }
+	d := p.FromCaller(time.Second, opening(0), m, nil)
+	must.EqOp(t, agentAt(0), d.To)
+	must.EqOp(t, agentAt(1), d.Alternative)
+	must.EqOp(t, 1, d.AlternativeRunning)
+	// While its agent is heard, a copy goes to the same endpoint.
+	service.Takers[0].Gauge.Report(1100*time.Millisecond, placement.Usage{})
+	must.EqOp(t, agentAt(0), p.FromCaller(1200*time.Millisecond, opening(1), m, nil).To)
+	// Else to another, if there is one that was not tried.
+	later := 1600 * time.Millisecond
+	second := newTestPicks()
+	second.FromCaller(1150*time.Millisecond, opening(0), m, nil)
+	must.NotEqOp(t, agentAt(0), second.FromCaller(later, opening(1), m, nil).To)
+}
+
+func TestRefusedOpeningPacket(t *testing.T) {
+	m, _ := testMap(2)
+	p := newTestPicks()
+	packet := Packet{Flow: callerKey(1), Opening: true}
+	must.EqOp(t, agentAt(0), p.FromCaller(time.Second, packet, m, nil).To)
+	must.EqOp(t, agentAt(1), p.Returned(time.Second, packet, agentAt(0), 1, m, nil).To)
+	d := p.Returned(time.Second, packet, agentAt(1), 1, m, nil)
+	must.True(t, d.End)
+	must.EqOp(t, 0, d.Reset.Acknowledged)
+}
+
+func TestUnknownAddressIsRefusedByACurrentMap(t *testing.T) {
+	m, _ := testMap(1)
+	p := newTestPicks()
+	packet := Packet{Flow: Key{Service: Address{Port: 9}}, Opening: true}
+	must.True(t, p.FromCaller(time.Second+currentFor-1, packet, m, nil).End)
+	must.Eq(t, Decision{Reason: UnknownAddress}, Decision{Reason: p.FromCaller(time.Second+currentFor, packet, m, nil).Reason})
+	must.False(t, p.FromCaller(time.Second+currentFor, packet, m, nil).End)
+}
+
+// Weights split new flows, and all packets of a flow go one way.
+func TestSplitRoute(t *testing.T) {
+	many, few := &Service{Name: "many"}, &Service{Name: "few"}
+	r := &Route{Shares: []Share{{Service: many, Weight: 90}, {Service: few, Weight: 10}}, Weight: 100}
+	count := 0
+	const flows = 10000
+	for i := range flows {
+		service := r.Service(callerKey(i))
+		must.EqOp(t, service, r.Service(callerKey(i)))
+		if service == few {
+			count++
+		}
+	}
+	must.Between(t, flows/10-200, count, flows/10+200)
+	must.Nil(t, (&Route{Shares: []Share{{Service: many}}}).Service(callerKey(1)))
+}
+
+// A flow is asked for with one packet at a time; those that follow wait and go to
+// its agent once it is found.
+func TestPacketsWaitForASearch(t *testing.T) {
+	m, _ := testMap(3)
+	p := newTestPicks()
+	packet := Packet{Flow: callerKey(1), Data: 100}
+	first := p.FromCaller(time.Second, packet, m, []byte("a"))
+	must.EqOp(t, 3, len(first.All))
+	second := p.FromCaller(time.Second+time.Millisecond, packet, m, []byte("b"))
+	must.Eq(t, Decision{Reason: SearchWaits}, second)
+	must.Eq(t, [][]byte{[]byte("b")}, p.Found(time.Second, packet.Flow, agentAt(2)))
+	must.EqOp(t, agentAt(2), p.FromCaller(time.Second, packet, m, []byte("c")).To)
+	must.SliceEmpty(t, p.Found(time.Second, packet.Flow, agentAt(2)))
+	must.EqOp(t, 0, p.searches.kept)
+}
+
+func TestSearchEndsInAReset(t *testing.T) {
+	m, _ := testMap(2)
+	p := newTestPicks()
+	packet := Packet{Flow: callerKey(1), Data: 100, Acknowledged: 77}
+	p.FromCaller(time.Second, packet, m, nil)
+	must.False(t, p.Denied(time.Second, packet.Flow, agentAt(0), m).End)
+	again := p.FromCaller(time.Second+searchPause, packet, m, nil)
+	must.Eq(t, []Address{agentAt(1)}, again.All)
+	d := p.Denied(time.Second, packet.Flow, agentAt(1), m)
+	must.True(t, d.End)
+	must.EqOp(t, 77, d.Reset.Acknowledged)
+	must.EqOp(t, EndpointLost, p.FromCaller(time.Second, packet, m, nil).Reason)
+}
+
+// However many flows move to a balancer at once, searches leave the link to the
+// packets of known flows, and all flows are asked for in the end.
+func TestSearchesKeepToTheirRate(t *testing.T) {
+	const endpoints, flows, size = 40, 400, 1000
+	m, _ := testMap(endpoints)
+	p := newTestPicks()
+	asked := make(map[Key]bool)
+	sent := 0
+	const seconds = 60
+	for tick := range seconds * 5 { // callers send again every 200 ms
+		now := time.Second + time.Duration(tick)*200*time.Millisecond
+		for i := range flows {
+			if asked[callerKey(i)] {
+				continue
+			}
+			d := p.FromCaller(now, Packet{Flow: callerKey(i), Data: size}, m, make([]byte, size))
+			if len(d.All) > 0 {
+				asked[callerKey(i)] = true
+				sent += len(d.All) * (size + searchOverhead)
+			}
+		}
+		must.LessEq(t, defaultSearchRate*(float64(tick)/5+2), float64(sent), must.Sprint(tick))
+	}
+	must.MapLen(t, flows, asked, must.Sprint(fmt.Sprint(sent)))
+}
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -24,6 +24,7 @@
 	ForeignService
 	TooManyHops
 	EndpointReset
+	SearchWaits
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
@@ -33,7 +34,7 @@
 	EndpointBusy: "endpoint-busy", EndpointSilent: "endpoint-silent", EndpointRefused: "endpoint-refused",
 	EndpointLost: "endpoint-lost", NotHeld: "not-held", Closed: "closed", TableFull: "table-full",
 	UnknownAddress: "unknown-address", NoEndpoint: "no-endpoint", Searched: "searched", NobodyHolds: "nobody-holds",
-	ForeignService: "foreign-service", TooManyHops: "too-many-hops", EndpointReset: "endpoint-reset",
+	ForeignService: "foreign-service", TooManyHops: "too-many-hops", EndpointReset: "endpoint-reset", SearchWaits: "search-waits",
 }
 
 func (r Reason) String() string {
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -23,6 +24,7 @@
 	callers   []*worldCaller
 	queue     []message
 	lossy     bool
+	packets   []Packet
 }
 
 type worldAgent struct {
@@ -149,7 +151,7 @@
 func (w *world) toBalancer(p Packet) {
 	b := w.draw("balancer", len(w.balancers))
 	w.post(fmt.Sprintf("%v opening=%v to balancer %d", p.Flow, p.Opening, b), func() {
-		w.carryOut(b, p, w.balancers[b].FromCaller(w.now, p, w.table), 0)
+		w.carryOut(b, p, w.balancers[b].FromCaller(w.now, p, w.table, w.datagram(p)), 0)
 	})
 }
 
@@ -186,7 +188,7 @@
 		w.toAgent(v.To, p, Delivery{Balancer: balancer, Hops: v.Hops})
 	case Return:
 		w.post(fmt.Sprintf("%v returned by %v", p.Flow, a.address), func() {
-			w.carryOut(b, p, w.balancers[b].Returned(w.now, p, a.address, v.Hops, w.table), v.Hops)
+			w.carryOut(b, p, w.balancers[b].Returned(w.now, p, a.address, v.Hops, w.table, w.datagram(p)), v.Hops)
 		})
 	case Deny:
 		w.post(fmt.Sprintf("%v denied by %v", p.Flow, a.address), func() {
@@ -202,11 +204,23 @@
 		if owner.IsZero() {
 			owner = a.address
 		}
-		told := w.balancers[v.Tell.IP[3]-1]
-		w.post(fmt.Sprintf("%v is at %v", p.Flow, owner), func() { told.Found(w.now, p.Flow, owner) })
+		b := int(v.Tell.IP[3] - 1)
+		w.post(fmt.Sprintf("%v is at %v", p.Flow, owner), func() {
+			for _, datagram := range w.balancers[b].Found(w.now, p.Flow, owner) {
+				w.carryOut(b, w.packetOf(datagram), Decision{To: owner}, 0)
+			}
+		})
 	}
 }
 
+// datagram stands for a packet's bytes.
+func (w *world) datagram(p Packet) []byte {
+	w.packets = append(w.packets, p)
+	return binary.BigEndian.AppendUint32(nil, uint32(len(w.packets)-1))
+}
+
+func (w *world) packetOf(datagram []byte) Packet { return w.packets[binary.BigEndian.Uint32(datagram)] }
+
 // toEndpoint is on one machine: it arrives at once, in order.
 func (w *world) toEndpoint(a *worldAgent, p Packet) {
 	e := a.endpoint
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -69,6 +69,7 @@
 	}
 	t.table.Store(flow.NewMap())
 	t.stop.Store(int64(p.StopTime()))
+	t.picks.SetSearchRate(searchRate(p))
 	return t, nil
 }
 
@@ -98,7 +99,7 @@
 	table := t.table.Load()
 	t.mu.Lock()
 	t.sweep(now)
-	decision := t.picks.FromCaller(now, packet, table)
+	decision := t.picks.FromCaller(now, packet, table, buffer[wire.EnvelopeSize:])
 	t.mu.Unlock()
 	t.carryOut(packet.Flow, decision, buffer, 0)
 }
@@ -183,7 +184,7 @@
 	}
 	table := t.table.Load()
 	t.mu.Lock()
-	decision := t.picks.Returned(clock.Now(), packet, agent, envelope.Hops, table)
+	decision := t.picks.Returned(clock.Now(), packet, agent, envelope.Hops, table, payload)
 	t.mu.Unlock()
 	t.carryOut(packet.Flow, decision, buffer, envelope.Hops)
 }
@@ -201,8 +202,12 @@
 			m.Agent = sender
 		}
 		t.mu.Lock()
-		t.picks.Found(now, m.Flow, m.Agent)
+		kept := t.picks.Found(now, m.Flow, m.Agent)
 		t.mu.Unlock()
+		for _, datagram := range kept {
+			buffer := append(make([]byte, wire.EnvelopeSize), datagram...)
+			t.carryOut(m.Flow, flow.Decision{To: m.Agent, Reason: flow.Known}, buffer, 0)
+		}
 	case wire.Denied:
 		t.mu.Lock()
 		decision := t.picks.Denied(now, m.Flow, sender, t.table.Load())
@@ -215,12 +220,22 @@
 	}
 }
 
+// searchShare is the part of the machine's link that searches may take.
+const searchShare = 0.25
+
+// searchRate returns how many bytes a second searches may take.
+func searchRate(p *settings.PacketSettings) float64 {
+	const bytesPerMegabit = 1e6 / 8
+	return searchShare * p.LinkMbps * bytesPerMegabit
+}
+
 // apply takes changed settings in.
 func (t *traffic) apply(p *settings.PacketSettings) {
 	t.stop.Store(int64(p.StopTime()))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.picks.SetLifetime(p.FlowLifetime())
+	t.picks.SetSearchRate(searchRate(p))
 }
 
 // stopTime returns how long a planned stop may take.
--- a/settings/packets.go
+++ b/settings/packets.go
@@ -22,6 +22,8 @@
 	FlowSeconds int `json:"flow_seconds"`
 	// StopMillis is how long a planned stop may take.
 	StopMillis int `json:"stop_ms"`
+	// LinkMbps is the speed of the machine's link.
+	LinkMbps float64 `json:"link_mbps"`
 	// FirstStart tells that nothing of the system ran before.
 	FirstStart bool `json:"first_start"`
 
@@ -67,6 +69,8 @@
 const (
 	maxFlowSeconds = 24 * 60 * 60
 	maxStopMillis  = 10 * 60 * 1000
+	minLinkMbps    = 1
+	maxLinkMbps    = 1_000_000
 	allowedIPv4    = "IPv4:port, no wildcard"
 )
 
@@ -83,6 +87,7 @@
 	c.ipv4("packets.health", p.Health)
 	c.Require(p.FlowSeconds >= 1 && p.FlowSeconds <= maxFlowSeconds, "packets.flow_seconds", p.FlowSeconds, fmt.Sprintf("1 to %d", maxFlowSeconds))
 	c.Require(p.StopMillis >= 0 && p.StopMillis <= maxStopMillis, "packets.stop_ms", p.StopMillis, fmt.Sprintf("0 to %d", maxStopMillis))
+	c.Require(p.LinkMbps >= minLinkMbps && p.LinkMbps <= maxLinkMbps, "packets.link_mbps", p.LinkMbps, fmt.Sprintf("%d to %d", minLinkMbps, maxLinkMbps))
 	if s.Role == PacketBalancer {
 		c.packetBalancer(p, s.Metrics)
 	} else {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -43,6 +43,7 @@
 		{PacketBalancer, "packets.registry", func(s *Settings) { s.Packets.Registry = netip.AddrPort{} }},
 		{PacketBalancer, "packets.peer", func(s *Settings) { s.Packets.Peer = s.Packets.Edge }},
 		{PacketBalancer, "packets.flow_seconds", func(s *Settings) { s.Packets.FlowSeconds = 0 }},
+		{PacketBalancer, "packets.link_mbps", func(s *Settings) { s.Packets.LinkMbps = 0 }},
 		{PacketAgent, "packets.stop_ms", func(s *Settings) { s.Packets.StopMillis = -1 }},
 		{PacketAgent, "packets.service", func(s *Settings) { s.Packets.Service = "" }},
 		{PacketAgent, "packets.outbound", func(s *Settings) { s.Packets.Outbound = s.Packets.Peer }},
--- a/standin/e2e/packets_fleet_test.go
+++ b/standin/e2e/packets_fleet_test.go
@@ -183,7 +183,7 @@
 func (f *packetFleet) settingsOf(host int) *settings.Settings {
 	p := &settings.PacketSettings{
 		Edge: f.at(host, "edge"), Peer: f.at(host, "peer"), Health: f.at(host, "health"),
-		FlowSeconds: 60, StopMillis: 4000,
+		FlowSeconds: 60, StopMillis: 4000, LinkMbps: 1000,
 	}
 	s := &settings.Settings{Node: f.ip(host), Zone: "a", Packets: p, Metrics: f.at(host, "metrics")}
 	if host >= endpointHost {
