Give failing endpoints fewer flows

Cause: endpoints that go down and up by turns, or fail part of their requests, took as many new flows as sound ones: their load looks low. Change: an agent reports the share of late requests that were lost, reset or answered by an error; placement adds it to the cost, it halves every 2 s so that the endpoint is tried again. Answers 503 count as load, not as failures.

--- /dev/null
+++ b/flow/failing_test.go
@@ -0,0 +1,24 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestFailingShare(t *testing.T) {
+	var f failing
+	now := time.Second
+	for range 40 {
+		f.ended(now, true)
+	}
+	must.Greater(t, 0.95, f.now(now))
+	for i := range 400 { // one of four fails
+		f.ended(now, i%4 == 0)
+	}
+	must.Between(t, 0.15, f.now(now), 0.35)
+	before := f.now(now)
+	must.InDelta(t, before/2, f.now(now+failingHalfLife), 0.001)
+	must.Less(t, 0.01, f.now(now+10*failingHalfLife))
+}
--- a/flow/held.go
+++ b/flow/held.go
@@ -147,8 +147,13 @@
 	RunningTime time.Duration
 	// Silent tells that the endpoint leaves packets unanswered.
 	Silent bool
+	// Failing is the share of late requests that failed.
+	Failing float64
 }
 
+// Outcome takes in whether a request that ended had failed.
+func (h *Held) Outcome(now Stamp, failed bool) { h.failing.ended(now, failed) }
+
 // Held is what an agent knows of its endpoint's flows. The endpoint is the truth
 // about them: what the table lacks is tried there, and what the endpoint gives
 // back is not there.
@@ -171,6 +176,7 @@
 
 	pending      []pendingOpen
 	silence      silence
+	failing      failing
 	endpointLast Stamp
 }
 
@@ -479,7 +485,10 @@
 // Usage returns how busy the endpoint is.
 func (h *Held) Usage(now Stamp) Usage {
 	h.account(now)
-	return Usage{Flows: h.count, Running: h.running, RunningTime: h.runningTime, Silent: h.silence.at(now)}
+	return Usage{
+		Flows: h.count, Running: h.running, RunningTime: h.runningTime,
+		Silent: h.silence.at(now), Failing: h.failing.now(now),
+	}
 }
 
 // account adds the time since the last call to the running requests' time.
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -187,7 +187,7 @@
 func encodeReport(m Report) *flowpb.Report {
 	r := &flowpb.Report{
 		Flows: uint32(m.Flows), Running: uint32(m.Running), MeanMilli: uint32(m.Mean * 1000),
-		Silent: m.Silent, Leaving: m.Leaving,
+		Silent: m.Silent, Leaving: m.Leaving, FailingMilli: uint32(m.Failing * 1000),
 	}
 	for _, b := range m.Balancers[:min(len(m.Balancers), maxBalancers)] {
 		r.Balancers = appendAddress(r.Balancers, b)
@@ -253,7 +253,7 @@
 func decodeReport(r *flowpb.Report) Report {
 	m := Report{Usage: placement.Usage{
 		Flows: int(r.GetFlows()), Running: int(r.GetRunning()), Mean: float64(r.GetMeanMilli()) / 1000,
-		Silent: r.GetSilent(), Leaving: r.GetLeaving(),
+		Silent: r.GetSilent(), Leaving: r.GetLeaving(), Failing: float64(r.GetFailingMilli()) / 1000,
 	}}
 	for b := r.GetBalancers(); len(b) >= addressSize; b = b[addressSize:] {
 		m.Balancers = append(m.Balancers, address(b))
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -121,7 +121,8 @@
 func (s *state) report(now time.Duration) {
 	usage := s.traffic.usage()
 	report := wire.Report{Usage: placement.Usage{
-		Flows: usage.Flows, Running: usage.Running, Mean: s.mean(now, usage), Silent: usage.Silent, Leaving: s.leaving,
+		Flows: usage.Flows, Running: usage.Running, Mean: s.mean(now, usage), Failing: usage.Failing,
+		Silent: usage.Silent, Leaving: s.leaving,
 	}}
 	for balancer := range s.balancers {
 		report.Balancers = append(report.Balancers, balancer)
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -185,17 +185,30 @@
 	})
 }
 
+const (
+	// serverError is the first status that tells of a failure of the endpoint.
+	serverError = 500
+	// notRun is the status of a request that a full endpoint did not run: its load
+	// says so already.
+	notRun = 503
+)
+
 // noteEnd records the end of a request; payload is the packet that ended it.
 func (t *traffic) noteEnd(key flow.Key, v flow.Verdict, payload []byte) {
-	switch {
-	case !v.Ends:
-	case v.Move == flow.End || v.Reason == flow.EndpointReset:
-		t.unanswered.Add(1)
-		t.explainRequest(EventUnanswered, key, v.Ended, 0)
-	default:
+	if !v.Ends {
+		return
+	}
+	e, status := EventUnanswered, 0
+	if v.Move == flow.ToCaller && v.Reason != flow.EndpointReset {
+		e, status = EventAnswered, t.codec.Status(payload)
 		t.answers.Add(v.Ended.Took)
-		t.explainRequest(EventAnswered, key, v.Ended, t.codec.Status(payload))
+	} else {
+		t.unanswered.Add(1)
 	}
+	t.mu.Lock()
+	t.held.Outcome(clock.Now(), e == EventUnanswered || status >= serverError && status != notRun)
+	t.mu.Unlock()
+	t.explainRequest(e, key, v.Ended, status)
 }
 
 // tick hands opening packets on that the endpoint has not answered.
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -24,6 +24,9 @@
 	// flowCost is the share of a slot that an open flow takes on average: a
 	// feed has a request a second that runs for some 10 ms.
 	flowCost = 0.01
+	// failingCost is what an endpoint costs whose requests all fail, in shares of
+	// all slots: more than a queue that is still in time.
+	failingCost = 4.0
 	// jitter keeps balancers with equal reports from one choice, in shares of
 	// all slots.
 	jitter = 0.1
@@ -36,8 +39,10 @@
 	heard   atomic.Int64
 	running atomic.Int64
 	// mean is the mean number of running requests, in thousandths.
-	mean    atomic.Int64
-	flows   atomic.Int64
+	mean  atomic.Int64
+	flows atomic.Int64
+	// failing is the share of late requests that failed, in thousandths.
+	failing atomic.Int64
 	silent  atomic.Bool
 	leaving atomic.Bool
 	// placed counts flows placed here since the last report.
@@ -50,6 +55,8 @@
 	Running int
 	// Mean is the mean number of running requests since the report before.
 	Mean float64
+	// Failing is the share of late requests that failed, 0 to 1.
+	Failing float64
 	// Silent tells that the endpoint does not answer its agent.
 	Silent bool
 	// Leaving tells that the agent stops soon.
@@ -61,6 +68,7 @@
 	g.running.Store(int64(u.Running))
 	g.mean.Store(int64(u.Mean * 1000))
 	g.flows.Store(int64(u.Flows))
+	g.failing.Store(int64(u.Failing * 1000))
 	g.silent.Store(u.Silent)
 	g.leaving.Store(u.Leaving)
 	g.placed.Store(0)
@@ -129,6 +137,7 @@
 	if c.Remote {
 		cost += remoteCost
 	}
+	cost += failingCost * float64(g.failing.Load()) / 1000
 	return cost + jitter*random.Float64()
 }
 
--- a/placement/balance_test.go
+++ b/placement/balance_test.go
@@ -31,6 +31,7 @@
 		"many feeds":      {reported(Usage{Flows: 60}), reported(Usage{Flows: 20})},
 		"remote":          {func(c *Candidate) { c.Remote = true }, nil},
 		"busy beside far": {reported(Usage{Running: 2, Mean: 2}), func(c *Candidate) { c.Remote = true }},
+		"failing":         {reported(Usage{Failing: 0.5}), reported(Usage{Running: 2, Mean: 2})},
 		"cold":            {func(c *Candidate) { c.ColdUntil = balanceNow + 1 }, reported(Usage{Running: 1})},
 		"silent endpoint": {silent, reported(Usage{Running: 9, Mean: 9})},
 		"leaving agent":   {reported(Usage{Leaving: true}), reported(Usage{Running: 9, Mean: 9})},
