--- a/directory/state.go
+++ b/directory/state.go
@@ -66,7 +66,8 @@
 	known     bool
 	desired   Desired
 	entries   map[string]*Entry
-	digest    uint64
+	// digest combines the digests of all registered endpoints, in any order.
+	digest uint64
 }
 
 // NewState returns a state that knows nothing.
@@ -81,10 +82,6 @@
 // AsOf returns when the revision was known to be the newest.
 func (s *State) AsOf() time.Duration { return s.asOf }
 
-// Digest returns a hash of the content: balancers with the same digest route
-// alike.
-func (s *State) Digest() uint64 { return s.digest }
-
 // Desired returns the desired state in force.
 func (s *State) Desired() *Desired { return &s.desired }
 
@@ -115,7 +112,7 @@
 	if !s.known || revision < s.revision {
 		return s.known
 	}
-	if digest != s.digest {
+	if digest != s.Digest() {
 		return false
 	}
 	s.revision = revision
@@ -143,7 +140,7 @@
 		return false, true
 	}
 	s.refresh(c.AsOf)
-	before := s.digest
+	before := s.Digest()
 	if c.Desired != nil && c.Desired.Changed >= s.desired.Changed {
 		s.desired = *c.Desired
 	}
@@ -157,8 +154,7 @@
 		s.gone(now, g.ID, g.Changed)
 	}
 	s.revision, s.known = c.Revision, true
-	s.digest = s.hash()
-	return s.digest != before, true
+	return s.Digest() != before, true
 }
 
 func (s *State) put(now time.Duration, e Endpoint) {
@@ -166,6 +162,14 @@
 	if held != nil && held.Changed > e.Changed {
 		return
 	}
+	if held != nil && held.GoneAt == 0 {
+		if held.same(e) {
+			held.Changed = e.Changed // a heartbeat
+			return
+		}
+		s.digest ^= held.digest()
+	}
+	s.digest ^= e.digest()
 	entry := &Entry{Endpoint: e, Learned: now, WarmAt: now + e.ColdFor}
 	if held != nil && held.Born == e.Born && held.Address == e.Address {
 		entry.Learned, entry.WarmAt = held.Learned, held.WarmAt
@@ -191,6 +195,7 @@
 	if e == nil || e.Changed > at || e.GoneAt != 0 {
 		return
 	}
+	s.digest ^= e.digest()
 	e.GoneAt, e.Changed = now, at
 	e.Until = now + vanishKeep
 	if s.outageEnd > 0 && now-s.outageEnd < unsettledFor {
@@ -208,32 +213,36 @@
 	}
 }
 
-// hash covers what decides where flows go.
-func (s *State) hash() uint64 {
+// Digest returns a hash of what decides where flows go: balancers with the same
+// digest route alike.
+func (s *State) Digest() uint64 {
 	h := xxhash.New()
 	number(h, uint64(s.desired.Version))
 	number(h, uint64(s.desired.Changed))
-	ids := make([]string, 0, len(s.entries))
-	for id, e := range s.entries {
-		if e.GoneAt == 0 {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		e := s.entries[id]
-		text(h, id)
-		text(h, e.Service)
-		text(h, e.Address.String())
-		number(h, uint64(e.Born))
-		number(h, uint64(e.Slots))
-		if e.Draining {
-			text(h, "draining")
-		}
+	return h.Sum64() ^ s.digest
+}
+
+// digest returns a registered endpoint's part of the digest.
+func (e Endpoint) digest() uint64 {
+	h := xxhash.New()
+	text(h, e.ID)
+	text(h, e.Service)
+	text(h, e.Address.String())
+	number(h, uint64(e.Born))
+	number(h, uint64(e.Slots))
+	if e.Draining {
+		text(h, "draining")
 	}
 	return h.Sum64()
 }
 
+// same tells whether two entries of one ID say the same but for their revision
+// and their warming up.
+func (e Endpoint) same(other Endpoint) bool {
+	e.Changed, e.ColdFor = other.Changed, other.ColdFor
+	return e == other
+}
+
 func number(h hash.Hash, n uint64) {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], n)
--- a/event/event.go
+++ b/event/event.go
@@ -57,6 +57,12 @@
 // Count returns how often an event was emitted.
 func (l *Log) Count(e Event) int64 { return l.counts[e.Number].Load() }
 
+// Queue returns the queue that the lines go through, or nil.
+func (l *Log) Queue() *Queue {
+	q, _ := l.entry.Logger.Out.(*Queue)
+	return q
+}
+
 // Enabled tells whether an event's level is logged, so that fields need not be
 // made in vain.
 func (l *Log) Enabled(e Event) bool { return l.entry.Logger.IsLevelEnabled(e.Level) }
--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -95,3 +96,23 @@
 		}
 	}
 }
+
+// The memory of a remembered flow at a balancer, in bytes.
+func BenchmarkPickMemory(b *testing.B) {
+	m := fullMap(time.Second)
+	for b.Loop() {
+		before := heap()
+		p := fullPicks(time.Second, m)
+		b.ReportMetric(float64(heap()-before)/benchFlows, "B/flow")
+		if p.Len() != benchFlows {
+			b.Fatal(p.Len())
+		}
+	}
+}
+
+func heap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -65,8 +65,13 @@
 	return &Level{gauge: gometrics.GetOrRegisterGauge(name, r.registry)}
 }
 
-// Events shows how often each event was emitted, as event.NUMBER.
+// Events shows how often each event was emitted, as event.NUMBER, and how the
+// lines fare in their queue.
 func (r *Registry) Events(log *event.Log) {
+	if q := log.Queue(); q != nil {
+		r.Gauge("log.dropped", q.Dropped)
+		r.Gauge("log.waiting", q.Waiting)
+	}
 	for _, e := range event.All() {
 		r.Gauge(fmt.Sprintf("event.%d", e.Number), func() int64 { return log.Count(e) })
 	}
