Place a flow anew when a caller uses its port again

Cause: a balancer remembers a flow for a minute after its last packet, and sent the opening packet of the next flow from that port to the same endpoint, however loaded or gone. Change: after 2 s, when no copy can come any more, an opening packet is placed anew.

--- a/flow/picks.go
+++ b/flow/picks.go
@@ -12,6 +12,8 @@
 	// maxTried bounds how many endpoints an opening packet is offered to
 	// through one balancer.
 	maxTried = 3
+	// openingTime bounds the opening of a flow: callers give up after 1.4 s.
+	openingTime = 2 * time.Second
 	// lastCopy is the last repetition of an opening packet that callers send.
 	lastCopy = 2
 	// maxPicks bounds the table of a balancer: 40 bytes of content each.
@@ -109,6 +111,9 @@
 // open places a new flow, or a copy of its opening packet.
 func (p *Picks) open(now Stamp, packet Packet, m *Map) Decision {
 	known, ok := p.flows[packet.Flow]
+	if ok && now-known.placed > openingTime {
+		known, ok = pick{}, false // the caller uses its port again
+	}
 	if ok && !known.ended {
 		if site := m.Agents[known.agent]; packet.Copy == 0 || site == nil || site.Gauge.Heard() > known.placed {
 			known.last = now
--- a/flow/picks_test.go
+++ b/flow/picks_test.go
@@ -52,6 +52,19 @@
 	must.NotEqOp(t, agentAt(0), second.FromCaller(later, opening(1), m, nil).To)
 }
 
+// A port that is used again much later opens a new flow, placed anew.
+func TestPortUsedAgain(t *testing.T) {
+	m, service := testMap(3)
+	p := newTestPicks()
+	packet := Packet{Flow: callerKey(1), Opening: true}
+	must.EqOp(t, agentAt(0), p.FromCaller(time.Second, packet, m, nil).To)
+	now := time.Second + openingTime + 1
+	for i, site := range service.Takers {
+		site.Gauge.Report(now, placement.Usage{Running: 3 - i})
+	}
+	must.EqOp(t, agentAt(2), p.FromCaller(now, packet, m, nil).To)
+}
+
 func TestRefusedOpeningPacket(t *testing.T) {
 	m, _ := testMap(2)
 	p := newTestPicks()
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -346,7 +346,11 @@
 }
 
 func (w *world) elapse() {
-	w.now += time.Duration(w.draw("ms", 100)) * time.Millisecond
+	longest := 100
+	if w.draw("long", 8) == 0 {
+		longest = 3000
+	}
+	w.now += time.Duration(w.draw("ms", longest)) * time.Millisecond
 	for _, a := range w.agents {
 		for _, u := range a.held.Tick(w.now) {
 			w.follow(a, Packet{Flow: u.Flow, Opening: true}, u.Verdict.Balancer, u.Verdict)
