Share counters and plain HTTP serving between the roles

Change: flow/traffic and rpc.ServePlain; the type of the traffic goroutines' state is named forwarder.

--- a/control/rpc/rpc.go
+++ b/control/rpc/rpc.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,8 +21,10 @@
 	// shutdownTimeout bounds the end of calls in progress at a planned stop.
 	shutdownTimeout = 5 * time.Second
 	headerTimeout   = 5 * time.Second
-	idlePing        = 5 * time.Second
-	pingTimeout     = 2 * time.Second
+	// plainTimeout bounds one answer of ServePlain; all of them are short.
+	plainTimeout = 10 * time.Second
+	idlePing     = 5 * time.Second
+	pingTimeout  = 2 * time.Second
 )
 
 // ListenError reports an address that could not be bound.
@@ -58,6 +61,23 @@
 // Base returns the base URL of the process at an address.
 func Base(address string) string { return "https://" + address }
 
+// ServePlain answers HTTP without TLS on an address until the context ends: health
+// checks, metrics, and calls on a network that is trusted. It fails with
+// *ListenError, or with the server's error.
+func ServePlain(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return &ListenError{Address: address, Cause: err}
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, WriteTimeout: plainTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
 // Serve answers calls on an address until the context ends; the meter counts
 // their traffic.
 func Serve(ctx context.Context, address netip.AddrPort, id *identity.Identity, m *meter.Meter, handler http.Handler) error {
--- a/liveness/health/health.go
+++ b/liveness/health/health.go
@@ -3,41 +3,24 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
-	"time"
 
 	"cactustray/control/rpc"
 )
 
-const (
-	// Path is where the fabric asks whether to send datagrams.
-	Path = "/healthz"
-	// timeout bounds one health check.
-	timeout = 2 * time.Second
-)
+// Path is where the fabric asks whether to send datagrams.
+const Path = "/healthz"
 
 // Serve answers health checks until the context ends: 200 while healthy. It
-// fails with *rpc.ListenError, or with the server's error.
+// fails as rpc.ServePlain does.
 func Serve(ctx context.Context, address netip.AddrPort, healthy *atomic.Bool) error {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return &rpc.ListenError{Address: address, Cause: err}
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+Path, func(w http.ResponseWriter, _ *http.Request) {
 		if !healthy.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	server := &http.Server{Handler: mux, ReadTimeout: timeout, WriteTimeout: timeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return rpc.ServePlain(ctx, address, mux)
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -19,8 +18,6 @@
 const (
 	// Path is where the metrics are read.
 	Path            = "/metrics"
-	headerTimeout   = 5 * time.Second
-	writeTimeout    = 10 * time.Second
 	contentTypeJSON = "application/json"
 )
 
@@ -97,24 +94,12 @@
 }
 
 // Serve shows the registry on an address until the context ends; without a
-// valid address it returns at once. It fails with *rpc.ListenError, or with
-// the server's error.
+// valid address it returns at once. It fails as rpc.ServePlain does.
 func (r *Registry) Serve(ctx context.Context, address netip.AddrPort) error {
 	if !address.IsValid() {
 		return nil
 	}
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return &rpc.ListenError{Address: address, Cause: err}
-	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+Path, r)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	err = server.Serve(listener)
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+	return rpc.ServePlain(ctx, address, mux)
 }
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -23,7 +23,7 @@
 // on until no request is in progress. changes brings changed settings.
 func Run(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings, codec flow.Codec, log *event.Log) error {
 	loop := control.NewLoop(placement.ReportInterval)
-	traffic, err := newTraffic(s, codec, loop, log)
+	traffic, err := newForwarder(s, codec, loop, log)
 	if err != nil {
 		return err
 	}
@@ -50,14 +50,9 @@
 }
 
 // observe shows what the process counts.
-func observe(t *traffic, log *event.Log) *metrics.Registry {
+func observe(t *forwarder, log *event.Log) *metrics.Registry {
 	registry := metrics.New()
-	for _, reason := range flow.Reasons() {
-		registry.Gauge("packets."+reason.String(), t.counters[reason].Load)
-	}
-	registry.Gauge("packets.malformed", t.malformed.Load)
-	registry.Gauge("packets.unsent", t.unsent.Load)
-	registry.Gauge("resets", t.resets.Load)
+	t.counters.Show(registry)
 	registry.Gauge("flows", func() int64 { return int64(t.usage().Flows) })
 	registry.Gauge("requests", func() int64 { return int64(t.usage().Running) })
 	registry.Gauge("requests.unanswered", t.unanswered.Load)
@@ -81,7 +76,7 @@
 
 // stopAsPlanned waits for the stop and goes on until no request is in progress,
 // or the time for it is over. The endpoint's flows go on with the next agent.
-func stopAsPlanned(ctx, running context.Context, loop *control.Loop, t *traffic) error {
+func stopAsPlanned(ctx, running context.Context, loop *control.Loop, t *forwarder) error {
 	select {
 	case <-running.Done():
 		return nil
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -37,7 +37,7 @@
 // state is the control state. The control goroutine owns it.
 type state struct {
 	log       *event.Log
-	traffic   *traffic
+	traffic   *forwarder
 	balancers map[flow.Address]time.Duration
 	leaving   bool
 	ticked    time.Duration
@@ -47,7 +47,7 @@
 	lastAt time.Duration
 }
 
-func newState(log *event.Log, t *traffic) *state {
+func newState(log *event.Log, t *forwarder) *state {
 	now := clock.Now()
 	return &state{
 		log: log, traffic: t, balancers: make(map[flow.Address]time.Duration), ticked: now, swept: now, lastAt: now,
@@ -129,7 +129,7 @@
 	}
 	datagram := wire.Encode(report)
 	for balancer := range s.balancers {
-		s.traffic.send(s.traffic.peers, datagram, balancer.AddrPort())
+		s.traffic.counters.Send(s.traffic.peers, datagram, balancer.AddrPort())
 	}
 }
 
--- a/packetagent/events.go
+++ b/packetagent/events.go
@@ -32,7 +32,7 @@
 
 // explainRequest logs the beginning or end of a request; status is 0 where there
 // is no answer.
-func (t *traffic) explainRequest(e event.Event, key flow.Key, r flow.Request, status int) {
+func (t *forwarder) explainRequest(e event.Event, key flow.Key, r flow.Request, status int) {
 	if !t.log.Enabled(e) {
 		return
 	}
@@ -47,7 +47,7 @@
 }
 
 // explain logs a decision that an operator may ask about.
-func (t *traffic) explain(key flow.Key, v flow.Verdict) {
+func (t *forwarder) explain(key flow.Key, v flow.Verdict) {
 	var e event.Event
 	switch {
 	case v.Move == flow.End:
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -12,6 +12,7 @@
 	"cactustray/control/clock"
 	"cactustray/event"
 	"cactustray/flow"
+	"cactustray/flow/traffic"
 	"cactustray/flow/wire"
 	"cactustray/metrics"
 	"cactustray/settings"
@@ -24,8 +25,8 @@
 // works on at once.
 const initialSlots = 2
 
-// traffic is what the traffic goroutines share. held is guarded by mu.
-type traffic struct {
+// forwarder is what the traffic goroutines share. held is guarded by mu.
+type forwarder struct {
 	peers    *net.UDPConn
 	outbound *net.UDPConn
 	codec    flow.Codec
@@ -44,17 +45,14 @@
 	// stop is how long a planned stop may take, in nanoseconds.
 	stop atomic.Int64
 
-	counters  [flow.ReasonCount]atomic.Int64
-	malformed atomic.Int64
-	unsent    atomic.Int64
-	resets    atomic.Int64
+	counters traffic.Counters
 	// unanswered counts requests whose flow ended without an answer.
 	unanswered atomic.Int64
 	// answers is the time from a request's first packet to its answer's first.
 	answers *metrics.Times
 }
 
-func newTraffic(s *settings.Settings, codec flow.Codec, loop *control.Loop, log *event.Log) (*traffic, error) {
+func newForwarder(s *settings.Settings, codec flow.Codec, loop *control.Loop, log *event.Log) (*forwarder, error) {
 	p := s.Packets
 	peers, err := datagram.Listen(p.Peer)
 	if err != nil {
@@ -65,7 +63,7 @@
 		_ = peers.Close()
 		return nil, err
 	}
-	t := &traffic{
+	t := &forwarder{
 		peers: peers, outbound: outbound, codec: codec, loop: loop, log: log, answers: metrics.NewTimes(),
 		endpoint: p.Endpoint, tag: flow.TagOf(xxhash.Sum64String(p.Service)), callerPort: p.Edge.Port(),
 		held: flow.NewHeld(clock.Now(), initialSlots, p.FlowLifetime(), p.FirstStart),
@@ -74,19 +72,19 @@
 	return t, nil
 }
 
-func (t *traffic) usage() flow.Usage {
+func (t *forwarder) usage() flow.Usage {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.held.Usage(clock.Now())
 }
 
-func (t *traffic) setSlots(slots int) {
+func (t *forwarder) setSlots(slots int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.held.Slots(slots)
 }
 
-func (t *traffic) sweep() {
+func (t *forwarder) sweep() {
 	t.mu.Lock()
 	left := t.held.Sweep(clock.Now())
 	t.mu.Unlock()
@@ -97,7 +95,7 @@
 }
 
 // servePeers takes in what balancers and other agents send.
-func (t *traffic) servePeers(ctx context.Context) error {
+func (t *forwarder) servePeers(ctx context.Context) error {
 	return datagram.Receive(ctx, t.peers, 0, t.socketFailed, func(buffer []byte, from netip.AddrPort) {
 		if wire.KindOf(buffer) == wire.Forward {
 			t.forwarded(buffer)
@@ -105,7 +103,7 @@
 		}
 		message, err := wire.Decode(buffer)
 		if err != nil {
-			t.malformed.Add(1)
+			t.counters.Malformed.Add(1)
 			return
 		}
 		if hello, ok := message.(wire.Hello); ok {
@@ -114,20 +112,20 @@
 	})
 }
 
-func (t *traffic) socketFailed(socket string, err error) {
+func (t *forwarder) socketFailed(socket string, err error) {
 	t.log.Emit(EventSocketFailed, event.Fields{"socket": socket, "cause": err.Error()})
 }
 
 // forwarded takes in a caller's packet.
-func (t *traffic) forwarded(buffer []byte) {
+func (t *forwarder) forwarded(buffer []byte) {
 	envelope, payload, err := wire.OpenEnvelope(buffer)
 	if err != nil {
-		t.malformed.Add(1)
+		t.counters.Malformed.Add(1)
 		return
 	}
 	packet, err := t.codec.Decode(payload)
 	if err != nil {
-		t.malformed.Add(1)
+		t.counters.Malformed.Add(1)
 		return
 	}
 	verdict := t.decide(packet, envelope, payload)
@@ -142,7 +140,7 @@
 
 // name notes the id of a request that begins, for the logs, and logs it: should
 // the machine be lost, this line is all that tells where it was.
-func (t *traffic) name(key flow.Key, payload []byte) {
+func (t *forwarder) name(key flow.Key, payload []byte) {
 	id := t.codec.RequestID(payload)
 	t.mu.Lock()
 	t.held.Name(key, id)
@@ -153,7 +151,7 @@
 
 // decide asks the table of flows, unless the packet is for another service: the
 // balancer does not know yet that the address has changed hands.
-func (t *traffic) decide(packet flow.Packet, e wire.Envelope, payload []byte) flow.Verdict {
+func (t *forwarder) decide(packet flow.Packet, e wire.Envelope, payload []byte) flow.Verdict {
 	if e.Tag != 0 && e.Tag != t.tag {
 		return flow.Verdict{Move: flow.Return, To: e.Balancer, Reason: flow.ForeignService, Hops: e.Hops + 1}
 	}
@@ -163,12 +161,12 @@
 }
 
 // serveEndpoint takes in what the endpoint sends or gives back.
-func (t *traffic) serveEndpoint(ctx context.Context) error {
+func (t *forwarder) serveEndpoint(ctx context.Context) error {
 	return datagram.Receive(ctx, t.outbound, wire.EnvelopeSize, t.socketFailed, func(buffer []byte, _ netip.AddrPort) {
 		payload := buffer[wire.EnvelopeSize:]
 		packet, err := t.codec.Decode(payload)
 		if err != nil {
-			t.malformed.Add(1)
+			t.counters.Malformed.Add(1)
 			return
 		}
 		if packet.Bounced {
@@ -194,7 +192,7 @@
 )
 
 // noteEnd records the end of a request; payload is the packet that ended it.
-func (t *traffic) noteEnd(key flow.Key, v flow.Verdict, payload []byte) {
+func (t *forwarder) noteEnd(key flow.Key, v flow.Verdict, payload []byte) {
 	if !v.Ends {
 		return
 	}
@@ -212,7 +210,7 @@
 }
 
 // tick hands opening packets on that the endpoint has not answered.
-func (t *traffic) tick() {
+func (t *forwarder) tick() {
 	t.mu.Lock()
 	overdue := t.held.Tick(clock.Now())
 	t.mu.Unlock()
@@ -225,7 +223,7 @@
 
 // noteSilence tells the control goroutine when the endpoint falls silent or
 // answers again.
-func (t *traffic) noteSilence() {
+func (t *forwarder) noteSilence() {
 	t.mu.Lock()
 	silent := t.held.Silent(clock.Now())
 	changed := silent != t.silent
@@ -238,46 +236,40 @@
 
 // carryOut sends a packet where it was decided. buffer has the room of an
 // envelope before the packet; balancer is the one to answer to.
-func (t *traffic) carryOut(key flow.Key, v flow.Verdict, balancer flow.Address, buffer []byte) {
-	t.counters[v.Reason].Add(1)
+func (t *forwarder) carryOut(key flow.Key, v flow.Verdict, balancer flow.Address, buffer []byte) {
+	t.counters.Decided(v.Reason)
 	t.explain(key, v)
 	payload := buffer[wire.EnvelopeSize:]
 	switch v.Move {
 	case flow.Deliver:
-		t.send(t.outbound, payload, t.endpoint)
+		t.counters.Send(t.outbound, payload, t.endpoint)
 	case flow.ToCaller:
-		t.send(t.outbound, payload, t.callerAt(key))
+		t.counters.Send(t.outbound, payload, t.callerAt(key))
 	case flow.Pass:
 		wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
-		t.send(t.peers, buffer, v.To.AddrPort())
+		t.counters.Send(t.peers, buffer, v.To.AddrPort())
 	case flow.Return:
 		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
-		t.send(t.peers, buffer, v.To.AddrPort())
+		t.counters.Send(t.peers, buffer, v.To.AddrPort())
 	case flow.Deny:
-		t.send(t.peers, wire.Encode(wire.Denied{Flow: key}), v.To.AddrPort())
+		t.counters.Send(t.peers, wire.Encode(wire.Denied{Flow: key}), v.To.AddrPort())
 	case flow.End:
-		t.resets.Add(1)
-		t.send(t.outbound, t.codec.AppendReset(nil, v.Reset), t.callerAt(key))
+		t.counters.Resets.Add(1)
+		t.counters.Send(t.outbound, t.codec.AppendReset(nil, v.Reset), t.callerAt(key))
 	}
 	if !v.Tell.IsZero() {
-		t.send(t.peers, wire.Encode(wire.Owner{Flow: key, Agent: v.Owner}), v.Tell.AddrPort())
+		t.counters.Send(t.peers, wire.Encode(wire.Owner{Flow: key, Agent: v.Owner}), v.Tell.AddrPort())
 	}
 }
 
-func (t *traffic) callerAt(key flow.Key) netip.AddrPort {
+func (t *forwarder) callerAt(key flow.Key) netip.AddrPort {
 	caller := key.Caller
 	caller.Port = t.callerPort
 	return caller.AddrPort()
 }
 
-func (t *traffic) send(socket *net.UDPConn, b []byte, to netip.AddrPort) {
-	if _, err := socket.WriteToUDPAddrPort(b, to); err != nil {
-		t.unsent.Add(1)
-	}
-}
-
 // apply takes changed settings in.
-func (t *traffic) apply(p *settings.PacketSettings) {
+func (t *forwarder) apply(p *settings.PacketSettings) {
 	t.stop.Store(int64(p.StopTime()))
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -285,4 +277,4 @@
 }
 
 // stopTime returns how long a planned stop may take.
-func (t *traffic) stopTime() time.Duration { return time.Duration(t.stop.Load()) }
+func (t *forwarder) stopTime() time.Duration { return time.Duration(t.stop.Load()) }
--- a/packetbalancer/balancer.go
+++ b/packetbalancer/balancer.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -30,15 +28,13 @@
 	// tickInterval is how often the control goroutine looks at the time: several
 	// times a pause between two readings of the directory.
 	tickInterval = 50 * time.Millisecond
-	// headerTimeout bounds how long another balancer takes to ask.
-	headerTimeout = 2 * time.Second
 )
 
 // Run runs a balancer until the context ends, then stops it as planned: it
 // forwards until its traffic has moved. changes brings changed settings.
 func Run(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings, source directory.Source, codec flow.Codec, log *event.Log) error {
 	loop := control.NewLoop(tickInterval)
-	traffic, err := newTraffic(s, codec, loop, log)
+	traffic, err := newForwarder(s, codec, loop, log)
 	if err != nil {
 		return err
 	}
@@ -71,30 +67,15 @@
 
 // serveExchange hands the directory to other balancers.
 func serveExchange(ctx context.Context, address netip.AddrPort, loop *control.Loop) error {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return &rpc.ListenError{Address: address, Cause: err}
-	}
 	mux := http.NewServeMux()
 	mux.Handle(exchange.NewServer(loop).Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return rpc.ServePlain(ctx, address, mux)
 }
 
 // observe shows what the process counts.
-func observe(t *traffic, s *state, log *event.Log) *metrics.Registry {
+func observe(t *forwarder, s *state, log *event.Log) *metrics.Registry {
 	registry := metrics.New()
-	for _, reason := range flow.Reasons() {
-		registry.Gauge("packets."+reason.String(), t.counters[reason].Load)
-	}
-	registry.Gauge("packets.malformed", t.malformed.Load)
-	registry.Gauge("packets.unsent", t.unsent.Load)
-	registry.Gauge("resets", t.resets.Load)
+	t.counters.Show(registry)
 	registry.Gauge("directory.age_ms", s.ageMillis)
 	registry.Gauge("directory.readings", s.reader.readings.Load)
 	registry.Gauge("directory.failures", s.reader.failures.Load)
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -45,7 +45,7 @@
 type state struct {
 	settings  *settings.Settings
 	log       *event.Log
-	traffic   *traffic
+	traffic   *forwarder
 	reader    *reader
 	healthy   *atomic.Bool
 	directory *directory.State
@@ -69,7 +69,7 @@
 	unsettled bool
 }
 
-func newState(s *settings.Settings, log *event.Log, t *traffic, r *reader, healthy *atomic.Bool) *state {
+func newState(s *settings.Settings, log *event.Log, t *forwarder, r *reader, healthy *atomic.Bool) *state {
 	now := clock.Now()
 	return &state{
 		settings: s, log: log, traffic: t, reader: r, healthy: healthy,
@@ -262,7 +262,7 @@
 		Control: flow.AddressOf(s.settings.Packets.Control),
 	})
 	for _, peer := range s.turn.Peers(now) {
-		s.traffic.send(s.traffic.peers, news, peer)
+		s.traffic.counters.Send(s.traffic.peers, news, peer)
 	}
 }
 
@@ -271,7 +271,7 @@
 	s.greeted = now
 	for agent, site := range s.traffic.table.Load().Agents {
 		hello := wire.Encode(wire.Hello{Slots: site.Slots, Leaving: s.leaving})
-		s.traffic.send(s.traffic.peers, hello, agent.AddrPort())
+		s.traffic.counters.Send(s.traffic.peers, hello, agent.AddrPort())
 	}
 }
 
--- a/packetbalancer/early.go
+++ b/packetbalancer/early.go
@@ -59,7 +59,7 @@
 }
 
 // serveEarly forwards the packets that came before the directory.
-func (t *traffic) serveEarly(ctx context.Context) error {
+func (t *forwarder) serveEarly(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
 		return nil
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -32,7 +32,7 @@
 
 // explain logs a decision that an operator may ask about.
 // buffer has the packet behind an envelope's room, or nothing.
-func (t *traffic) explain(key flow.Key, d flow.Decision, buffer []byte) {
+func (t *forwarder) explain(key flow.Key, d flow.Decision, buffer []byte) {
 	var e event.Event
 	switch {
 	case d.End:
--- a/packetbalancer/stop.go
+++ b/packetbalancer/stop.go
@@ -31,7 +31,7 @@
 
 // stopAsPlanned waits for the stop and forwards until the traffic has moved to
 // other balancers, or the time for it is over.
-func stopAsPlanned(ctx, running context.Context, loop *control.Loop, t *traffic) error {
+func stopAsPlanned(ctx, running context.Context, loop *control.Loop, t *forwarder) error {
 	select {
 	case <-running.Done():
 		return nil
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -12,6 +12,7 @@
 	"cactustray/control/clock"
 	"cactustray/event"
 	"cactustray/flow"
+	"cactustray/flow/traffic"
 	"cactustray/flow/wire"
 	"cactustray/settings"
 	"cactustray/steering/datagram"
@@ -22,8 +23,8 @@
 	sweepInterval = 2 * time.Second
 )
 
-// traffic is what the traffic goroutines share. picks is guarded by mu.
-type traffic struct {
+// forwarder is what the traffic goroutines share. picks is guarded by mu.
+type forwarder struct {
 	edge  *net.UDPConn
 	peers *net.UDPConn
 	codec flow.Codec
@@ -43,15 +44,12 @@
 	// stop is how long a planned stop may take, in nanoseconds.
 	stop atomic.Int64
 
-	counters  [flow.ReasonCount]atomic.Int64
-	malformed atomic.Int64
-	unsent    atomic.Int64
-	resets    atomic.Int64
+	counters traffic.Counters
 	// received counts callers' packets.
 	received atomic.Int64
 }
 
-func newTraffic(s *settings.Settings, codec flow.Codec, loop *control.Loop, log *event.Log) (*traffic, error) {
+func newForwarder(s *settings.Settings, codec flow.Codec, loop *control.Loop, log *event.Log) (*forwarder, error) {
 	p := s.Packets
 	edge, err := datagram.Listen(p.Edge)
 	if err != nil {
@@ -62,7 +60,7 @@
 		_ = edge.Close()
 		return nil, err
 	}
-	t := &traffic{
+	t := &forwarder{
 		edge: edge, peers: peers, codec: codec, loop: loop, log: log, early: newEarly(),
 		self: flow.AddressOf(p.Peer), callerPort: p.Edge.Port(),
 		picks: flow.NewPicks(p.FlowLifetime(), newRandom()),
@@ -73,12 +71,12 @@
 	return t, nil
 }
 
-func (t *traffic) socketFailed(socket string, err error) {
+func (t *forwarder) socketFailed(socket string, err error) {
 	t.log.Emit(EventSocketFailed, event.Fields{"socket": socket, "cause": err.Error()})
 }
 
 // serveEdge forwards callers' packets.
-func (t *traffic) serveEdge(ctx context.Context) error {
+func (t *forwarder) serveEdge(ctx context.Context) error {
 	return datagram.Receive(ctx, t.edge, wire.EnvelopeSize, t.socketFailed, func(buffer []byte, _ netip.AddrPort) {
 		t.received.Add(1)
 		now := clock.Now()
@@ -90,10 +88,10 @@
 
 // forward decides on a caller's packet. buffer has room for an envelope before
 // the packet.
-func (t *traffic) forward(now time.Duration, buffer []byte) {
+func (t *forwarder) forward(now time.Duration, buffer []byte) {
 	packet, err := t.codec.Decode(buffer[wire.EnvelopeSize:])
 	if err != nil {
-		t.malformed.Add(1)
+		t.counters.Malformed.Add(1)
 		return
 	}
 	table := t.table.Load()
@@ -105,9 +103,9 @@
 }
 
 // age returns how old the directory is that flows are placed by.
-func (t *traffic) age() time.Duration { return clock.Now() - t.table.Load().Current() }
+func (t *forwarder) age() time.Duration { return clock.Now() - t.table.Load().Current() }
 
-func (t *traffic) sweep(now time.Duration) {
+func (t *forwarder) sweep(now time.Duration) {
 	if now-t.swept >= sweepInterval {
 		t.swept = now
 		t.picks.Sweep(now)
@@ -117,8 +115,8 @@
 // carryOut sends a packet where it was decided. buffer has room for an envelope
 // before the packet; it is empty when there is only a reset to send. hops came
 // with the packet.
-func (t *traffic) carryOut(key flow.Key, d flow.Decision, buffer []byte, hops uint8) {
-	t.counters[d.Reason].Add(1)
+func (t *forwarder) carryOut(key flow.Key, d flow.Decision, buffer []byte, hops uint8) {
+	t.counters.Decided(d.Reason)
 	t.explain(key, d, buffer)
 	if d.End {
 		t.reset(d.Reset)
@@ -133,28 +131,22 @@
 	}
 	wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: d.Tag, Delivery: delivery})
 	if !d.To.IsZero() {
-		t.send(t.peers, buffer, d.To.AddrPort())
+		t.counters.Send(t.peers, buffer, d.To.AddrPort())
 	}
 	for _, agent := range d.All {
-		t.send(t.peers, buffer, agent.AddrPort())
+		t.counters.Send(t.peers, buffer, agent.AddrPort())
 	}
 }
 
-func (t *traffic) reset(r flow.Reset) {
-	t.resets.Add(1)
+func (t *forwarder) reset(r flow.Reset) {
+	t.counters.Resets.Add(1)
 	caller := r.Flow.Caller
 	caller.Port = t.callerPort
-	t.send(t.edge, t.codec.AppendReset(nil, r), caller.AddrPort())
-}
-
-func (t *traffic) send(socket *net.UDPConn, b []byte, to netip.AddrPort) {
-	if _, err := socket.WriteToUDPAddrPort(b, to); err != nil {
-		t.unsent.Add(1)
-	}
+	t.counters.Send(t.edge, t.codec.AppendReset(nil, r), caller.AddrPort())
 }
 
 // servePeers takes in what agents and other balancers send.
-func (t *traffic) servePeers(ctx context.Context) error {
+func (t *forwarder) servePeers(ctx context.Context) error {
 	return datagram.Receive(ctx, t.peers, 0, t.socketFailed, func(buffer []byte, from netip.AddrPort) {
 		sender := flow.AddressOf(from)
 		if wire.KindOf(buffer) == wire.Return {
@@ -163,7 +155,7 @@
 		}
 		message, err := wire.Decode(buffer)
 		if err != nil {
-			t.malformed.Add(1)
+			t.counters.Malformed.Add(1)
 			return
 		}
 		t.notice(message, sender)
@@ -171,15 +163,15 @@
 }
 
 // returned takes in a caller's packet that an agent does not deliver.
-func (t *traffic) returned(buffer []byte, agent flow.Address) {
+func (t *forwarder) returned(buffer []byte, agent flow.Address) {
 	envelope, payload, err := wire.OpenEnvelope(buffer)
 	if err != nil {
-		t.malformed.Add(1)
+		t.counters.Malformed.Add(1)
 		return
 	}
 	packet, err := t.codec.Decode(payload)
 	if err != nil {
-		t.malformed.Add(1)
+		t.counters.Malformed.Add(1)
 		return
 	}
 	table := t.table.Load()
@@ -189,7 +181,7 @@
 	t.carryOut(packet.Flow, decision, buffer, envelope.Hops)
 }
 
-func (t *traffic) notice(message wire.Message, sender flow.Address) {
+func (t *forwarder) notice(message wire.Message, sender flow.Address) {
 	now := clock.Now()
 	switch m := message.(type) {
 	case wire.Report:
@@ -230,7 +222,7 @@
 }
 
 // apply takes changed settings in.
-func (t *traffic) apply(p *settings.PacketSettings) {
+func (t *forwarder) apply(p *settings.PacketSettings) {
 	t.stop.Store(int64(p.StopTime()))
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -239,4 +231,4 @@
 }
 
 // stopTime returns how long a planned stop may take.
-func (t *traffic) stopTime() time.Duration { return time.Duration(t.stop.Load()) }
+func (t *forwarder) stopTime() time.Duration { return time.Duration(t.stop.Load()) }
