Read again at once after a lost history, log refused datagrams, measure forwarding

Cause: after the registry lost its history a balancer waited 0.4 s before it read everything; garbage was counted but never logged; forwarding was not measured. Result: unit tests pass.

--- a/directory/turn.go
+++ b/directory/turn.go
@@ -82,9 +82,6 @@
 	return rank
 }
 
-// First tells whether this balancer reads while all is well.
-func (t *Turn) First(now time.Duration) bool { return t.rank(now) == 0 }
-
 // Due tells whether to read now, given when the directory was last known to be
 // the newest. After true, Ended must follow.
 func (t *Turn) Due(now, asOf time.Duration, known bool) bool {
@@ -111,6 +108,10 @@
 	}
 }
 
+// Again lets the next reading follow at once, when the last one told only that
+// another is needed.
+func (t *Turn) Again() { t.reading, t.ended = false, 0 }
+
 func (t *Turn) pause(known bool) time.Duration {
 	if t.ended == 0 {
 		return 0
--- a/directory/turn_test.go
+++ b/directory/turn_test.go
@@ -117,6 +117,14 @@
 	must.True(t, turn.Due(now+retryUnknown, 0, false))
 }
 
+// A history that is gone is answered by another reading at once.
+func TestReadingAgain(t *testing.T) {
+	turn := NewTurn(peerAt(1))
+	must.True(t, turn.Due(time.Second, 0, true))
+	turn.Again()
+	must.True(t, turn.Due(time.Second, 0, true))
+}
+
 func TestOneReadingAtATime(t *testing.T) {
 	turn := NewTurn(peerAt(1))
 	must.True(t, turn.Due(time.Second, 0, false))
@@ -130,5 +138,5 @@
 	}
 	must.EqOp(t, 8, len(turn.Peers(time.Second))) // not itself
 	must.SliceEmpty(t, turn.Peers(time.Second+helloFor+1))
-	must.True(t, turn.First(time.Second+helloFor+1))
+	must.EqOp(t, 0, turn.rank(time.Second+helloFor+1))
 }
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -103,7 +103,7 @@
 		}
 		message, err := wire.Decode(buffer)
 		if err != nil {
-			t.counters.Malformed.Add(1)
+			t.counters.Refused(t.log, clock.Now(), err)
 			return
 		}
 		if hello, ok := message.(wire.Hello); ok {
@@ -120,12 +120,12 @@
 func (t *forwarder) forwarded(buffer []byte) {
 	envelope, payload, err := wire.OpenEnvelope(buffer)
 	if err != nil {
-		t.counters.Malformed.Add(1)
+		t.counters.Refused(t.log, clock.Now(), err)
 		return
 	}
 	packet, err := t.codec.Decode(payload)
 	if err != nil {
-		t.counters.Malformed.Add(1)
+		t.counters.Refused(t.log, clock.Now(), err)
 		return
 	}
 	verdict := t.decide(packet, envelope, payload)
@@ -166,7 +166,7 @@
 		payload := buffer[wire.EnvelopeSize:]
 		packet, err := t.codec.Decode(payload)
 		if err != nil {
-			t.counters.Malformed.Add(1)
+			t.counters.Refused(t.log, clock.Now(), err)
 			return
 		}
 		if packet.Bounced {
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -162,14 +162,14 @@
 }
 
 func (s *state) readEnded(now time.Duration, m readEnded) {
-	gone := errors.Is(m.err, directory.ErrHistoryGone)
-	s.turn.Ended(now, m.err != nil && !gone)
-	if gone {
+	if errors.Is(m.err, directory.ErrHistoryGone) {
 		s.log.Emit(EventHistoryGone, event.Fields{"revision": s.directory.Revision()})
 		s.whole = true
+		s.turn.Again()
 		s.readIfDue(now)
 		return
 	}
+	s.turn.Ended(now, m.err != nil)
 	s.noteSource(m.err)
 	if m.err != nil {
 		return
@@ -223,8 +223,8 @@
 func (s *state) renew(now time.Duration, changed bool, source string) {
 	s.asOf.Store(int64(s.directory.AsOf()))
 	if changed {
-		s.logChange(source)
 		s.publish(now)
+		s.logChange(source)
 		s.greet(now)
 	}
 	if !s.leaving && !s.healthy.Load() {
--- /dev/null
+++ b/packetbalancer/forward_test.go
@@ -0,0 +1,141 @@
+package packetbalancer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"cactustray/control"
+	"cactustray/control/clock"
+	"cactustray/directory"
+	"cactustray/event"
+	"cactustray/flow"
+	"cactustray/flow/wire"
+	"cactustray/settings"
+	"cactustray/steering/datagram"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+)
+
+// plainCodec reads a packet's port from its first two bytes; it stands for a
+// fabric's codec.
+type plainCodec struct{ flow.Codec }
+
+func (plainCodec) Decode(b []byte) (flow.Packet, error) {
+	if len(b) < 2 {
+		return flow.Packet{}, &flow.MalformedError{Length: len(b), Why: "short"}
+	}
+	caller := flow.Address{IP: [4]byte{100, 64, 0, 1}, Port: uint16(b[0])<<8 | uint16(b[1])}
+	return flow.Packet{Flow: flow.Key{Caller: caller, Service: flow.AddressOf(routeTo(80, "").Address)}, Data: len(b)}, nil
+}
+
+func loopback(t testing.TB, ip string) *net.UDPConn {
+	socket, err := datagram.Listen(netip.MustParseAddrPort(ip + ":0"))
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket
+}
+
+func portOf(socket *net.UDPConn) netip.AddrPort { return socket.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// startForwarder starts a forwarder that knows a number of flows, all of them at
+// the agent.
+func startForwarder(t testing.TB, agent netip.AddrPort, flows int) netip.AddrPort {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	edge, peer := portOf(loopbackPort(t)), portOf(loopbackPort(t))
+	s := &settings.Settings{Packets: &settings.PacketSettings{Edge: edge, Peer: peer, FlowSeconds: 60, LinkMbps: 1000}}
+	f, err := newForwarder(s, plainCodec{}, control.NewLoop(time.Second), event.NewLog(logger, "test"))
+	must.NoError(t, err)
+	f.early.end()
+	held := stateWith(directory.Change{Revision: 1, Whole: true, Desired: &directory.Desired{Routes: []directory.Route{routeTo(80, "orders")}}})
+	f.table.Store(newMapBuilder(clock.Now(), held).build())
+	for i := range flows {
+		packet, _ := plainCodec{}.Decode([]byte{byte(i >> 8), byte(i)})
+		f.picks.Found(clock.Now(), packet.Flow, flow.AddressOf(agent))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.serveEdge(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		_ = f.peers.Close()
+	})
+	return edge
+}
+
+// loopbackPort returns a socket that is closed at once, for its port.
+func loopbackPort(t testing.TB) *net.UDPConn {
+	socket := loopback(t, "127.0.0.1")
+	_ = socket.Close()
+	return socket
+}
+
+// startRelay starts a bare relay: it reads a datagram and writes it on.
+func startRelay(t testing.TB, to netip.AddrPort) netip.AddrPort {
+	in, out := loopback(t, "127.0.0.1"), loopback(t, "127.0.0.1")
+	go func() {
+		buffer := make([]byte, 2048)
+		for {
+			n, _, err := in.ReadFromUDPAddrPort(buffer)
+			if err != nil {
+				return
+			}
+			_, _ = out.WriteToUDPAddrPort(buffer[:n], to)
+		}
+	}()
+	return portOf(in)
+}
+
+func TestForwarderPutsAnEnvelopeBeforeAPacket(t *testing.T) {
+	sink := loopback(t, "127.0.0.1")
+	edge := startForwarder(t, portOf(sink), 10)
+	source := loopback(t, "127.0.0.1")
+	_, err := source.WriteToUDPAddrPort([]byte{0, 7, 'x'}, edge)
+	must.NoError(t, err)
+	buffer := make([]byte, 2048)
+	n, _, err := sink.ReadFromUDPAddrPort(buffer)
+	must.NoError(t, err)
+	must.EqOp(t, wire.Forward, wire.KindOf(buffer[:n]))
+	_, payload, err := wire.OpenEnvelope(buffer[:n])
+	must.NoError(t, err)
+	must.Eq(t, []byte{0, 7, 'x'}, payload)
+}
+
+// benchmarkThrough measures packets of 300 bytes through a relay, some of them in
+// flight at once.
+func benchmarkThrough(b *testing.B, start func(sink netip.AddrPort) netip.AddrPort) {
+	const inFlight, size, flows = 64, 300, 10000
+	sink, source := loopback(b, "127.0.0.1"), loopback(b, "127.0.0.1")
+	through := start(portOf(sink))
+	packet, buffer := make([]byte, size), make([]byte, 2048)
+	send := func(i int) {
+		packet[0], packet[1] = byte(i%flows>>8), byte(i%flows)
+		_, err := source.WriteToUDPAddrPort(packet, through)
+		must.NoError(b, err)
+	}
+	for i := range inFlight {
+		send(i)
+	}
+	i := inFlight
+	for b.Loop() {
+		_ = sink.SetReadDeadline(time.Now().Add(time.Second))
+		_, _, err := sink.ReadFromUDPAddrPort(buffer)
+		must.NoError(b, err)
+		send(i)
+		i++
+	}
+}
+
+func BenchmarkForwarder(b *testing.B) {
+	benchmarkThrough(b, func(sink netip.AddrPort) netip.AddrPort { return startForwarder(b, sink, 10000) })
+}
+
+func BenchmarkBareRelay(b *testing.B) {
+	benchmarkThrough(b, func(sink netip.AddrPort) netip.AddrPort { return startRelay(b, sink) })
+}
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -91,7 +91,7 @@
 func (t *forwarder) forward(now time.Duration, buffer []byte) {
 	packet, err := t.codec.Decode(buffer[wire.EnvelopeSize:])
 	if err != nil {
-		t.counters.Malformed.Add(1)
+		t.counters.Refused(t.log, clock.Now(), err)
 		return
 	}
 	table := t.table.Load()
@@ -155,7 +155,7 @@
 		}
 		message, err := wire.Decode(buffer)
 		if err != nil {
-			t.counters.Malformed.Add(1)
+			t.counters.Refused(t.log, clock.Now(), err)
 			return
 		}
 		t.notice(message, sender)
@@ -166,12 +166,12 @@
 func (t *forwarder) returned(buffer []byte, agent flow.Address) {
 	envelope, payload, err := wire.OpenEnvelope(buffer)
 	if err != nil {
-		t.counters.Malformed.Add(1)
+		t.counters.Refused(t.log, clock.Now(), err)
 		return
 	}
 	packet, err := t.codec.Decode(payload)
 	if err != nil {
-		t.counters.Malformed.Add(1)
+		t.counters.Refused(t.log, clock.Now(), err)
 		return
 	}
 	table := t.table.Load()
