Show the packet roles in the demo

Cause: the demo showed the callers' HTTP/3 roles only, and the tests alone could lay out a deployment of packets. Change: the layout moves from the tests to the stand-ins; standin packets runs store, endpoints and callers; demo.sh restarts both balancers and an agent and kills another under 20 feeds, then explains a request.

--- a/demo.sh
+++ b/demo.sh
@@ -17,7 +17,7 @@
 start() { # name, command...
   local name=$1
   shift
-  "$@" >"$dir/$name.log" 2>&1 &
+  "$@" >>"$dir/$name.log" 2>&1 &
   pids+=($!)
   pid_of[$name]=$!
 }
@@ -74,3 +74,27 @@
   if request --timeout 3s "$orders/drawing?work=5" | grep -q ^200; then answered=$((answered + 1)); fi
 done
 echo "answered: $answered of 10"
+
+echo "== packet roles: 20 feeds; meanwhile both balancers and an agent are restarted, one agent is killed"
+mkdir "$dir/packets"
+start packets bin/standin packets "$dir/packets"
+until grep -q ^started "$dir/packets.log"; do sleep 0.05; done
+run_packets() { start "$1" bin/cactustrayd "$dir/packets/$1.json"; }
+for name in $(awk '$1=="daemon" {print $2}' "$dir/packets.log"); do run_packets "$name"; done
+restart() { # name, signal
+  kill "-$2" "${pid_of[$1]}"
+  wait "${pid_of[$1]}" 2>/dev/null || true
+  run_packets "$1"
+  sleep 1
+}
+sleep 2
+restart packet-balancer-10 TERM
+restart packet-balancer-11 TERM
+restart packet-agent-50 TERM
+restart packet-agent-51 KILL
+touch "$dir/packets/done"
+wait "${pid_of[packets]}"
+tail -n 1 "$dir/packets.log"
+echo "== what the logs tell of one request"
+cat "$dir"/packet-*.log >"$dir/all.log"
+bin/cactustray explain feed-7-3 "$dir/all.log"
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -31,6 +31,7 @@
 	Backend  backendCommand  `cmd:"" help:"Run a backend server."`
 	Request  requestCommand  `cmd:"" help:"Send one request as a caller."`
 	Feed     feedCommand     `cmd:"" help:"Keep feeds open as callers."`
+	Packets  packetsCommand  `cmd:"" help:"Run the store, endpoints and callers of the packet roles, and keep feeds open."`
 	Measure  measureCommand  `cmd:"" help:"Take the measures of the brief in virtual time."`
 }
 
--- a/standin/e2e/packets_fleet_test.go
+++ b/standin/e2e/packets_fleet_test.go
@@ -15,7 +15,6 @@
 	"testing"
 	"time"
 
-	"cactustray/settings"
 	"cactustray/standin/fleet"
 	"cactustray/standin/packets"
 
@@ -23,14 +22,13 @@
 )
 
 // packetFleet is a deployment of the packet roles: the daemons as real processes,
-// the stand-ins inside the test. Each machine is a loopback address of its own, so
-// that ports are the same on all of them.
+// the stand-ins inside the test.
 type packetFleet struct {
+	*packets.Deployment
+
 	t         testing.TB
 	dir       string
 	binary    string
-	net       [2]byte
-	ports     map[string]uint16
 	store     *packets.Store
 	router    *packets.Router
 	caller    *packets.Caller
@@ -43,17 +41,11 @@
 var packetFleets atomic.Uint32
 
 const (
-	balancerHost = 10
-	endpointHost = 50
-	callerHost   = 200
-	storeHost    = 250
-	drawingsHost = endpointHost + 4
+	balancerHost = packets.BalancerHost
+	endpointHost = packets.EndpointHost
 )
 
-var (
-	ordersAddress   = netip.MustParseAddrPort("198.18.0.1:8080")
-	drawingsAddress = netip.MustParseAddrPort("198.18.0.2:443")
-)
+var ordersAddress, drawingsAddress = packets.OrdersAddress, packets.DrawingsAddress
 
 // newPacketFleet starts balancers, and four endpoints of orders and two of
 // drawings with their agents.
@@ -61,18 +53,20 @@
 	pid := os.Getpid()
 	f := &packetFleet{
 		t: t, dir: t.TempDir(), binary: filepath.Join(t.TempDir(), "cactustrayd"),
-		net:     [2]byte{128 | byte(pid)&0x7f, byte(packetFleets.Add(1))},
 		daemons: make(map[string]*exec.Cmd), store: packets.NewStore(),
 	}
 	output, err := exec.Command("go", "build", "-o", f.binary, "cactustray/cmd/cactustrayd").CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(output)))
-	f.pickPorts()
+	var release func()
+	f.Deployment, release, err = packets.NewDeployment([2]byte{128 | byte(pid)&0x7f, byte(packetFleets.Add(1))})
+	must.NoError(t, err)
+	t.Cleanup(release)
 	f.startStore()
 	var edges, health []netip.AddrPort
 	for i := range balancers {
-		f.balancers = append(f.balancers, f.ip(balancerHost+i))
-		edges = append(edges, f.at(balancerHost+i, "edge"))
-		health = append(health, f.at(balancerHost+i, "health"))
+		f.balancers = append(f.balancers, f.IP(balancerHost+i))
+		edges = append(edges, f.At(balancerHost+i, "edge"))
+		health = append(health, f.At(balancerHost+i, "health"))
 	}
 	f.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", drawingsAddress: "drawings"})
 	for i := range 6 {
@@ -86,34 +80,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go f.router.Run(ctx)
-	f.caller, err = packets.NewCaller(f.at(callerHost, "edge"), f.router)
+	f.caller, err = packets.NewCaller(f.At(packets.CallerHost, "edge"), f.router)
 	must.NoError(t, err)
 	t.Cleanup(f.caller.Close)
 	f.await(func() bool { return f.tryRequest(ordersAddress) && f.tryRequest(drawingsAddress) })
 	return f
 }
 
-func (f *packetFleet) ip(host int) string {
-	return fmt.Sprintf("127.%d.%d.%d", f.net[0], f.net[1], host)
-}
-
-func (f *packetFleet) at(host int, port string) netip.AddrPort {
-	return netip.AddrPortFrom(netip.MustParseAddr(f.ip(host)), f.ports[port])
-}
-
-// pickPorts lets the kernel pick ports, which are then free on every machine.
-func (f *packetFleet) pickPorts() {
-	f.ports = make(map[string]uint16)
-	for _, name := range []string{"edge", "peer", "health", "control", "metrics", "endpoint", "outbound", "store"} {
-		listener, err := net.Listen("tcp", f.ip(1)+":0")
-		must.NoError(f.t, err)
-		f.t.Cleanup(func() { _ = listener.Close() })
-		f.ports[name] = listener.Addr().(*net.TCPAddr).AddrPort().Port()
-	}
-}
-
 func (f *packetFleet) startStore() {
-	server := &http.Server{Addr: f.at(storeHost, "store").String(), Handler: f.store}
+	server := &http.Server{Addr: f.At(packets.StoreHost, "store").String(), Handler: f.store}
 	listener, err := net.Listen("tcp", server.Addr)
 	must.NoError(f.t, err)
 	go func() { _ = server.Serve(listener) }()
@@ -122,25 +97,11 @@
 
 func (f *packetFleet) publishRoutes(routes map[netip.AddrPort]string) {
 	f.version += 3
-	var list []map[string]any
-	for address, service := range routes {
-		list = append(list, map[string]any{
-			"name": "r-" + service, "host": address.Addr().String(), "prefix": fmt.Sprintf("/%d/", address.Port()), "service": service,
-		})
-	}
-	f.store.Put("op/config", map[string]any{"version": f.version, "routes": list, "limits": map[string]any{"idle-timeout-ms": 15000}})
-}
-
-func serviceOf(host int) string {
-	if host >= drawingsHost {
-		return "drawings"
-	}
-	return "orders"
+	packets.PublishRoutes(f.store, f.version, routes)
 }
 
 func (f *packetFleet) startEndpoint(host int) {
-	name := fmt.Sprintf("i-%d", host)
-	e, err := packets.NewEndpoint(name, serviceOf(host), f.at(host, "endpoint"), f.at(host, "outbound"))
+	e, err := f.NewEndpointOn(host)
 	must.NoError(f.t, err)
 	f.t.Cleanup(e.Close)
 	f.endpoints = append(f.endpoints, e)
@@ -149,15 +110,12 @@
 }
 
 func (f *packetFleet) register(host int, state string, born int) {
-	f.store.Put(fmt.Sprintf("servers/i-%d", host), map[string]any{
-		"service": serviceOf(host), "address": f.at(host, "endpoint").String(), "zone": "a", "version": "v1",
-		"capacity": 2, "state": state, "cold-left-ms": 0, "seq": 1, "born": born,
-	})
+	f.Register(f.store, host, state, born)
 }
 
 // run starts the daemon of a machine.
 func (f *packetFleet) run(host int) {
-	raw, err := json.Marshal(f.settingsOf(host))
+	raw, err := json.Marshal(f.Settings(host))
 	must.NoError(f.t, err)
 	f.runWith(host, raw)
 }
@@ -172,7 +130,7 @@
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	must.NoError(f.t, command.Start())
-	f.daemons[f.ip(host)] = command
+	f.daemons[f.IP(host)] = command
 	f.t.Cleanup(func() {
 		_ = command.Process.Kill()
 		_ = command.Wait()
@@ -180,32 +138,14 @@
 	})
 }
 
-func (f *packetFleet) settingsOf(host int) *settings.Settings {
-	p := &settings.PacketSettings{
-		Edge: f.at(host, "edge"), Peer: f.at(host, "peer"), Health: f.at(host, "health"),
-		FlowSeconds: 60, StopMillis: 4000, LinkMbps: 1000,
-	}
-	s := &settings.Settings{Node: f.ip(host), Zone: "a", Packets: p, Metrics: f.at(host, "metrics")}
-	if host >= endpointHost {
-		s.Role, p.Service = settings.PacketAgent, serviceOf(host)
-		p.Endpoint, p.Outbound = f.at(host, "endpoint"), f.at(host, "outbound")
-		return s
-	}
-	s.Role, p.Registry, p.Control = settings.PacketBalancer, f.at(storeHost, "store"), f.at(host, "control")
-	for i := range 3 {
-		p.Seeds = append(p.Seeds, f.at(balancerHost+i, "control").String())
-	}
-	return s
-}
-
 func (f *packetFleet) signal(host int, signal syscall.Signal) {
-	must.NoError(f.t, f.daemons[f.ip(host)].Process.Signal(signal))
+	must.NoError(f.t, f.daemons[f.IP(host)].Process.Signal(signal))
 }
 
 // restart ends a daemon by a signal and starts it anew.
 func (f *packetFleet) restart(host int, signal syscall.Signal) {
 	f.signal(host, signal)
-	_ = f.daemons[f.ip(host)].Wait()
+	_ = f.daemons[f.IP(host)].Wait()
 	f.run(host)
 }
 
--- a/standin/e2e/packets_test.go
+++ b/standin/e2e/packets_test.go
@@ -122,7 +122,7 @@
 	t.Parallel()
 	f := newPacketFleet(t, 3)
 	added := netip.MustParseAddrPort("198.18.0.9:99")
-	f.store.Treat(f.ip(balancerHost), packets.Refuse)
+	f.store.Treat(f.IP(balancerHost), packets.Refuse)
 	f.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", drawingsAddress: "drawings", added: "drawings"})
 	f.awaitBalancers("desired state in force", `"version":6`)
 	must.True(t, f.tryRequest(added))
@@ -131,7 +131,7 @@
 	f.await(func() bool { return f.router.Check() == 3 })
 	must.True(t, f.tryRequest(added))
 	f.store.Treat("", packets.Serve)
-	f.store.Treat(f.ip(balancerHost), packets.Serve)
+	f.store.Treat(f.IP(balancerHost), packets.Serve)
 	f.store.Forget()
 	f.store.PutBytes("servers/i-99", []byte("not JSON"))
 	f.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders"})
@@ -149,8 +149,8 @@
 	moved := f.endpoints[0]
 	f.store.Delete("servers/i-50")
 	f.signal(endpointHost, syscall.SIGKILL)
-	_ = f.daemons[f.ip(endpointHost)].Wait()
-	s := f.settingsOf(endpointHost)
+	_ = f.daemons[f.IP(endpointHost)].Wait()
+	s := f.Settings(endpointHost)
 	s.Packets.Service = "drawings"
 	raw, err := json.Marshal(s)
 	must.NoError(t, err)
@@ -168,7 +168,7 @@
 	t.Parallel()
 	f := newPacketFleet(t, 1)
 	for i, signals := range []bool{true, false} {
-		s := f.settingsOf(balancerHost)
+		s := f.Settings(balancerHost)
 		s.Packets.FlowSeconds = 70 + i
 		raw, err := json.Marshal(s)
 		must.NoError(t, err)
@@ -200,7 +200,7 @@
 		}
 		return false
 	})
-	response, err := http.Get("http://" + f.at(balancerHost, "metrics").String() + "/metrics")
+	response, err := http.Get("http://" + f.At(balancerHost, "metrics").String() + "/metrics")
 	must.NoError(t, err)
 	defer response.Body.Close()
 	var shown map[string]any
--- /dev/null
+++ b/standin/packets/deployment.go
@@ -0,0 +1,129 @@
+package packets
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+
+	"cactustray/settings"
+)
+
+// Hosts of a deployment, by the last byte of their addresses.
+const (
+	// BalancerHost is the first balancer, EndpointHost the first endpoint's
+	// machine; those from DrawingsHost on are of the service drawings, the others
+	// of orders.
+	BalancerHost = 10
+	EndpointHost = 50
+	DrawingsHost = EndpointHost + 4
+	// CallerHost has all callers, StoreHost the store.
+	CallerHost = 200
+	StoreHost  = 250
+
+	zone        = "a"
+	flowSeconds = 60
+	stopMillis  = 4000
+	linkMbps    = 1000
+	idleMillis  = 15000
+	slots       = 2
+)
+
+// Addresses of the services.
+var (
+	OrdersAddress   = netip.MustParseAddrPort("198.18.0.1:8080")
+	DrawingsAddress = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+// ServiceOf returns the service of the endpoint on a machine.
+func ServiceOf(host int) string {
+	if host >= DrawingsHost {
+		return "drawings"
+	}
+	return "orders"
+}
+
+// Deployment says where the machines of a deployment are: each is a loopback
+// address of its own, so that ports are the same on all of them.
+type Deployment struct {
+	net   [2]byte
+	ports map[string]uint16
+}
+
+// NewDeployment returns a deployment in the network 127.A.B.0/24. The kernel picks
+// the ports on a host that stands for all; they stay taken there until release.
+func NewDeployment(network [2]byte) (d *Deployment, release func(), err error) {
+	d = &Deployment{net: network, ports: make(map[string]uint16)}
+	var listeners []net.Listener
+	release = func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}
+	for _, name := range []string{"edge", "peer", "health", "control", "metrics", "endpoint", "outbound", "store"} {
+		listener, err := net.Listen("tcp", d.IP(1)+":0")
+		if err != nil {
+			release()
+			return nil, nil, err
+		}
+		listeners = append(listeners, listener)
+		d.ports[name] = listener.Addr().(*net.TCPAddr).AddrPort().Port()
+	}
+	return d, release, nil
+}
+
+// IP returns the address of a machine.
+func (d *Deployment) IP(host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", d.net[0], d.net[1], host)
+}
+
+// At returns an address of a machine by the name of its port.
+func (d *Deployment) At(host int, port string) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr(d.IP(host)), d.ports[port])
+}
+
+// Settings returns the settings of a machine's daemon.
+func (d *Deployment) Settings(host int) *settings.Settings {
+	p := &settings.PacketSettings{
+		Edge: d.At(host, "edge"), Peer: d.At(host, "peer"), Health: d.At(host, "health"),
+		FlowSeconds: flowSeconds, StopMillis: stopMillis, LinkMbps: linkMbps,
+	}
+	s := &settings.Settings{Node: d.IP(host), Zone: zone, Packets: p, Metrics: d.At(host, "metrics")}
+	if host >= EndpointHost {
+		s.Role, p.Service = settings.PacketAgent, ServiceOf(host)
+		p.Endpoint, p.Outbound = d.At(host, "endpoint"), d.At(host, "outbound")
+		return s
+	}
+	s.Role, p.Registry, p.Control = settings.PacketBalancer, d.At(StoreHost, "store"), d.At(host, "control")
+	const seeds = 3
+	for i := range seeds {
+		p.Seeds = append(p.Seeds, d.At(BalancerHost+i, "control").String())
+	}
+	return s
+}
+
+// EndpointID returns the name of the endpoint on a machine.
+func EndpointID(host int) string { return fmt.Sprintf("i-%d", host) }
+
+// Register writes an endpoint's entry to a store.
+func (d *Deployment) Register(store *Store, host int, state string, born int) {
+	store.Put("servers/"+EndpointID(host), map[string]any{
+		"service": ServiceOf(host), "address": d.At(host, "endpoint").String(), "zone": zone, "version": "v1",
+		"capacity": slots, "state": state, "cold-left-ms": 0, "seq": 1, "born": born,
+	})
+}
+
+// PublishRoutes writes a desired state to a store.
+func PublishRoutes(store *Store, version int, routes map[netip.AddrPort]string) {
+	var list []map[string]any
+	for address, service := range routes {
+		list = append(list, map[string]any{
+			"name": "r-" + service, "host": address.Addr().String(), "prefix": fmt.Sprintf("/%d/", address.Port()), "service": service,
+		})
+	}
+	store.Put("op/config", map[string]any{"version": version, "routes": list, "limits": map[string]any{"idle-timeout-ms": idleMillis}})
+}
+
+// NewEndpointOn starts the endpoint of a machine.
+func (d *Deployment) NewEndpointOn(host int) (*Endpoint, error) {
+	return NewEndpoint(EndpointID(host), ServiceOf(host), d.At(host, "endpoint"), d.At(host, "outbound"))
+}
