--- a/flow/map.go
+++ b/flow/map.go
@@ -7,11 +7,8 @@
 // Site is an endpoint as balancers see it: its agent takes its packets.
 type Site struct {
 	// Agent is where the agent takes packets and messages.
-	Agent Address
-	// Endpoint names the endpoint, Born its incarnation.
-	Endpoint string
-	Born     int64
-	Service  *Service
+	Agent   Address
+	Service *Service
 	placement.Candidate
 }
 
--- a/flow/picks.go
+++ b/flow/picks.go
@@ -16,13 +16,13 @@
 	openingTime = 2 * time.Second
 	// lastCopy is the last repetition of an opening packet that callers send.
 	lastCopy = 2
-	// maxPicks bounds the table of a balancer: 40 bytes of content each.
+	// maxPicks bounds the table of a balancer: 94 bytes each, by PickMemory.
 	maxPicks = 1 << 18
 	// currentFor is how old the map may be for a refusal: twice the longest
 	// pause between two readings.
 	currentFor = 2 * time.Second
-	// lastPrecision is how exactly it is known when a flow was last seen: writing
-	// it for each packet would double the cost of a decision.
+	// lastPrecision is how exactly it is known when a flow was last seen: flows
+	// are kept for a minute, so not every packet need write the table.
 	lastPrecision = time.Second
 	// endedKeep is how long a flow that was reset is answered by resets.
 	endedKeep = 3 * time.Second
--- a/packetbalancer/table.go
+++ b/packetbalancer/table.go
@@ -72,7 +72,7 @@
 	}
 	service := b.service(e.Service)
 	site := &flow.Site{
-		Agent: agent, Endpoint: e.ID, Born: e.Born, Service: service,
+		Agent: agent, Service: service,
 		Candidate: placement.Candidate{
 			Gauge: gauge, Slots: e.Slots, Remote: e.Zone != b.state.settings.Zone,
 			ColdUntil: e.WarmAt, Learned: e.Learned,
