Give endpoints that answer slowly fewer new flows

Cause: placement went by requests in progress, so that an endpoint that had turned slow and had few of them looked free (docs/incidents/slow-endpoint.md). Change: agents report the mean time that the endpoint works on a request, without the wait for a slot; balancers compare the endpoints of a service and count a slow one's load times its slowness. Test: TestSlowEndpointGetsLess, TestCompare, TestChooseAvoidsSlowEndpoint; the first failed without the change. Ruled out: moving open flows; only their endpoint may end them.

--- a/flow/held.go
+++ b/flow/held.go
@@ -149,6 +149,7 @@
 	pending      []pendingOpen
 	silence      silence
 	failing      failing
+	answering    answering
 	endpointLast Stamp
 }
 
--- a/flow/held_endpoint.go
+++ b/flow/held_endpoint.go
@@ -35,6 +35,9 @@
 	if (p.Data > 0 || p.Reset) && r.busy {
 		v.Ends, v.Ended = true, r.ended(now)
 		h.settle(&r)
+		if !p.Reset {
+			h.answering.ended(now, v.Ended, h.slots)
+		}
 	}
 	r.endpointDone = r.endpointDone || p.Closing || p.Reset
 	r.callerDone = r.callerDone || p.Reset
--- a/flow/map.go
+++ b/flow/map.go
@@ -57,6 +57,8 @@
 // the loads.
 type Map struct {
 	Routes map[Address]*Route
+	// Services are those with endpoints or routes.
+	Services []*Service
 	// Agents has the site of every holder by its agent's address.
 	Agents map[Address]*Site
 	// Current is when the map was known to be the newest.
--- a/flow/usage.go
+++ b/flow/usage.go
@@ -25,6 +25,9 @@
 	Silent bool
 	// Failing is the share of late requests that failed.
 	Failing float64
+	// Answer is the mean time that the endpoint works on a request, or 0 where it
+	// has not answered lately.
+	Answer time.Duration
 }
 
 // Outcome takes in whether a request that ended had failed.
@@ -38,7 +41,7 @@
 	h.account(now)
 	return Usage{
 		Flows: h.count, Running: h.running, RunningTime: h.runningTime,
-		Silent: h.silence.at(now), Failing: h.failing.now(now),
+		Silent: h.silence.at(now), Failing: h.failing.now(now), Answer: h.answering.now(now),
 	}
 }
 
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math"
 	"time"
 
 	"cactustray/directory"
@@ -188,6 +189,7 @@
 	r := &flowpb.Report{
 		Flows: uint32(m.Flows), Running: uint32(m.Running), MeanMilli: uint32(m.Mean * 1000),
 		Silent: m.Silent, Leaving: m.Leaving, FailingMilli: uint32(m.Failing * 1000),
+		AnswerUs: uint32(min(m.Answer.Microseconds(), math.MaxUint32)),
 	}
 	for _, b := range m.Balancers[:min(len(m.Balancers), maxBalancers)] {
 		r.Balancers = appendAddress(r.Balancers, b)
@@ -254,6 +256,7 @@
 	m := Report{Usage: placement.Usage{
 		Flows: int(r.GetFlows()), Running: int(r.GetRunning()), Mean: float64(r.GetMeanMilli()) / 1000,
 		Silent: r.GetSilent(), Leaving: r.GetLeaving(), Failing: float64(r.GetFailingMilli()) / 1000,
+		Answer: time.Duration(r.GetAnswerUs()) * time.Microsecond,
 	}}
 	for b := r.GetBalancers(); len(b) >= addressSize; b = b[addressSize:] {
 		m.Balancers = append(m.Balancers, address(b))
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -122,6 +122,7 @@
 	usage := s.traffic.usage()
 	report := wire.Report{Usage: placement.Usage{
 		Flows: usage.Flows, Running: usage.Running, Mean: s.mean(now, usage), Failing: usage.Failing,
+		Answer: usage.Answer,
 		Silent: usage.Silent, Leaving: s.leaving,
 	}}
 	for balancer := range s.balancers {
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -30,6 +30,9 @@
 	// remapInterval is how often the map is made anew while endpoints that are
 	// gone may still be in use.
 	remapInterval = 250 * time.Millisecond
+	// compareInterval is how often the answer times of a service's endpoints are
+	// compared: a few reports of each.
+	compareInterval = 250 * time.Millisecond
 )
 
 // reported tells which balancers an agent knows.
@@ -56,6 +59,8 @@
 	ticked  time.Duration
 	greeted time.Duration
 	mapped  time.Duration
+	// compared is when answer times were compared last.
+	compared time.Duration
 	// whole tells that the next reading is of everything.
 	whole bool
 	// away tells that the last reading failed.
@@ -130,6 +135,23 @@
 	if s.unsettled && now-s.mapped >= remapInterval {
 		s.publish(now)
 	}
+	if now-s.compared >= compareInterval {
+		s.compared = now
+		s.compareAnswers()
+	}
+}
+
+// compareAnswers finds the endpoints that answer slowly.
+func (s *state) compareAnswers() {
+	for _, service := range s.traffic.table.Load().Services {
+		placement.Compare(service.Candidates, func(i int, ratio float64) {
+			e := EventEndpointSlow
+			if ratio == 1 {
+				e = EventEndpointUsual
+			}
+			s.log.Emit(e, event.Fields{"service": service.Name, "agent": service.Takers[i].Agent.String(), "ratio": ratio})
+		})
+	}
 }
 
 func (s *state) readIfDue(now time.Duration) {
--- a/packetbalancer/table.go
+++ b/packetbalancer/table.go
@@ -33,6 +33,9 @@
 	for _, route := range b.state.directory.Desired().Routes {
 		b.addRoute(route)
 	}
+	for _, service := range b.services {
+		b.table.Services = append(b.table.Services, service)
+	}
 	return b.table
 }
 
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -43,8 +43,13 @@
 	flows atomic.Int64
 	// failing is the share of late requests that failed, in thousandths.
 	failing atomic.Int64
-	silent  atomic.Bool
-	leaving atomic.Bool
+	// answer is the mean time that the endpoint works on a request, in nanoseconds,
+	// or 0 where it is not known; slowness is that over the usual time of its
+	// service, in thousandths, or 0 where it was not compared yet.
+	answer   atomic.Int64
+	slowness atomic.Int64
+	silent   atomic.Bool
+	leaving  atomic.Bool
 	// placed counts flows placed here since the last report.
 	placed atomic.Int64
 }
@@ -57,6 +62,9 @@
 	Mean float64
 	// Failing is the share of late requests that failed, 0 to 1.
 	Failing float64
+	// Answer is the mean time that the endpoint works on a request, or 0 where it
+	// has not answered lately.
+	Answer time.Duration
 	// Silent tells that the endpoint does not answer its agent.
 	Silent bool
 	// Leaving tells that the agent stops soon.
@@ -69,6 +77,7 @@
 	g.mean.Store(int64(u.Mean * 1000))
 	g.flows.Store(int64(u.Flows))
 	g.failing.Store(int64(u.Failing * 1000))
+	g.answer.Store(int64(u.Answer))
 	g.silent.Store(u.Silent)
 	g.leaving.Store(u.Leaving)
 	g.placed.Store(0)
@@ -82,6 +91,10 @@
 // the last report, and one for each flow placed since.
 func (g *Gauge) Running() int64 { return g.running.Load() + g.placed.Load() }
 
+// Slowness returns how many times the usual answer time of its service the
+// endpoint needs; 1 where that is below slowRatio.
+func (g *Gauge) Slowness() float64 { return max(1, float64(g.slowness.Load())/1000) }
+
 // Alive tells whether the agent has reported lately.
 func (g *Gauge) Alive(now time.Duration) bool {
 	heard := g.Heard()
@@ -134,6 +147,8 @@
 	if now < c.ColdUntil {
 		cost = cost*coldCost + 1/float64(max(c.Slots, 1))
 	}
+	// An answer takes slowness times as long, also from an endpoint without load.
+	cost = (cost+1)*g.Slowness() - 1
 	if c.Remote {
 		cost += remoteCost
 	}
--- /dev/null
+++ b/placement/slowness_test.go
@@ -0,0 +1,183 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func answering(answers ...time.Duration) []*Candidate {
+	var candidates []*Candidate
+	for _, answer := range answers {
+		candidates = append(candidates, candidate(reported(Usage{Answer: answer})))
+	}
+	return candidates
+}
+
+func TestCompare(t *testing.T) {
+	const usual = 10 * time.Millisecond
+	for name, c := range map[string]struct {
+		answers []time.Duration
+		slow    []int
+	}{
+		"equal":                  {answers: []time.Duration{usual, usual, usual}},
+		"within what varies":     {answers: []time.Duration{usual, usual * 19 / 10, usual}},
+		"one slow":               {answers: []time.Duration{usual, 5 * usual, usual}, slow: []int{1}},
+		"two of five slow":       {answers: []time.Duration{usual, 5 * usual, usual, 3 * usual, usual}, slow: []int{1, 3}},
+		"most slow":              {answers: []time.Duration{usual, 5 * usual, 5 * usual, 5 * usual}},
+		"too few to compare":     {answers: []time.Duration{usual, 5 * usual, 0, 0}},
+		"unknown is not slow":    {answers: []time.Duration{usual, usual, 0, usual}},
+		"no endpoint of a route": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			candidates := answering(c.answers...)
+			var changed []int
+			Compare(candidates, func(i int, _ float64) { changed = append(changed, i) })
+			must.Eq(t, c.slow, changed)
+			Compare(candidates, func(i int, _ float64) { t.Fatalf("endpoint %d changed again", i) })
+		})
+	}
+}
+
+// An endpoint that has recovered, or whose answers are too old to tell, is as good
+// as any other again.
+func TestSlowEndpointRecovers(t *testing.T) {
+	candidates := answering(10, 10, 100)
+	Compare(candidates, func(int, float64) {})
+	must.EqOp(t, 10, candidates[2].Gauge.Slowness())
+	candidates[2].Gauge.Report(balanceNow, Usage{})
+	var ratios []float64
+	Compare(candidates, func(_ int, ratio float64) { ratios = append(ratios, ratio) })
+	must.Eq(t, []float64{1}, ratios)
+}
+
+func TestChooseAvoidsSlowEndpoint(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 20 {
+		candidates := answering(10, 50, 10)
+		candidates[0].Gauge.Report(balanceNow, Usage{Running: 2, Mean: 2, Answer: 10})
+		candidates[2].Gauge.Report(balanceNow, Usage{Running: 2, Mean: 2, Answer: 10})
+		Compare(candidates, func(int, float64) {})
+		first, _ := Choose(balanceNow, random, candidates, nil)
+		must.NotEqOp(t, 1, first)
+	}
+}
+
+// Scenario of the policies for slow endpoints: the association's orders at a third of
+// their capacity, of which one endpoint in seven turns five times as slow.
+const (
+	slowEndpoints = 7
+	slowFactor    = 5
+	slowArrivals  = 120.0 // a second
+	slowWork      = 13 * time.Millisecond
+	slowTime      = 120 * time.Second
+	slowTarget    = 100 * time.Millisecond
+	// slowReportDelay is how long a report is under way.
+	slowReportDelay = time.Millisecond
+)
+
+// slowServer works on requests in their order, slots at a time.
+type slowServer struct {
+	factor float64
+	// free is when each slot is.
+	free [2]time.Duration
+	ends []time.Duration
+	mean float64
+	last time.Duration
+}
+
+func (s *slowServer) serve(now time.Duration, work float64) (took time.Duration) {
+	slot := 0
+	if s.free[1] < s.free[0] {
+		slot = 1
+	}
+	begin := max(now, s.free[slot])
+	worked := time.Duration(work * s.factor)
+	s.free[slot] = begin + worked
+	s.ends = append(s.ends, s.free[slot])
+	if s.mean == 0 {
+		s.mean = float64(worked)
+	}
+	s.mean += (float64(worked) - s.mean) / 10
+	s.last = s.free[slot]
+	return s.free[slot] - now
+}
+
+func (s *slowServer) running(now time.Duration) int {
+	s.ends = slices.DeleteFunc(s.ends, func(end time.Duration) bool { return end <= now })
+	return len(s.ends)
+}
+
+// simulateSlow returns the share of requests later than the target, and the share that
+// the slow endpoint got. spoil changes what the balancer hears of an endpoint.
+func simulateSlow(spoil func(*Usage)) (late, atSlow float64) {
+	random := rand.New(rand.NewPCG(1, 2))
+	servers := make([]*slowServer, slowEndpoints)
+	var candidates []*Candidate
+	for i := range servers {
+		servers[i] = &slowServer{factor: 1}
+		candidates = append(candidates, candidate(nil))
+	}
+	servers[0].factor = slowFactor
+	requests, lateOnes, slowOnes := 0, 0, 0
+	next := time.Duration(0)
+	for at := ReportInterval; at < slowTime; at += ReportInterval {
+		for i, s := range servers {
+			u := Usage{Running: s.running(at), Mean: float64(s.running(at))}
+			if at-s.last < 3*time.Second {
+				u.Answer = time.Duration(s.mean)
+			}
+			spoil(&u)
+			candidates[i].Gauge.Report(at, u)
+		}
+		Compare(candidates, func(int, float64) {})
+		for ; next < at+ReportInterval; next += time.Duration(random.ExpFloat64() / slowArrivals * float64(time.Second)) {
+			chosen, _ := Choose(max(next, at+slowReportDelay), random, candidates, nil)
+			took := servers[chosen].serve(next, random.ExpFloat64()*float64(slowWork))
+			requests++
+			if took > slowTarget {
+				lateOnes++
+			}
+			if chosen == 0 {
+				slowOnes++
+			}
+		}
+	}
+	return float64(lateOnes) / float64(requests), float64(slowOnes) / float64(requests)
+}
+
+// What the balancer hears under each policy.
+var slowPolicies = []struct {
+	name  string
+	spoil func(*Usage)
+}{
+	{"load alone", func(u *Usage) { u.Answer = 0 }},
+	{"load and answer time", func(*Usage) {}},
+	{"slow endpoints as silent", func(u *Usage) {
+		u.Silent = u.Answer > slowRatio*slowWork
+		u.Answer = 0
+	}},
+}
+
+func TestSlowEndpointGetsLess(t *testing.T) {
+	before, _ := simulateSlow(slowPolicies[0].spoil)
+	late, atSlow := simulateSlow(slowPolicies[1].spoil)
+	must.Less(t, before/2, late)
+	must.Between(t, 0.0001, atSlow, 0.5/slowEndpoints)
+}
+
+// BenchmarkSlowEndpoint weighs the policies.
+func BenchmarkSlowEndpoint(b *testing.B) {
+	for _, policy := range slowPolicies {
+		b.Run(policy.name, func(b *testing.B) {
+			for range b.N {
+				late, atSlow := simulateSlow(policy.spoil)
+				b.ReportMetric(100*late, "late-%")
+				b.ReportMetric(100*atSlow, "at-slow-%")
+			}
+		})
+	}
+}
