Send again to an agent that starts what it was sent in vain

Cause: after a loss of power agents start up to 0.2 s after the first balancers. What went to them before was lost: a search ended only when the caller sent again, after its pause of up to 1.6 s, and agents that had missed a greeting were not heard for 0.5 s. Change: an agent that is heard gets the packets of flows that are searched for, and opening packets that went to agents not heard; agents not heard are greeted at each tick for 3 s after a change of the directory. Test: TestSearchReachesAnAgentThatStartsLater, TestOpeningReachesAnAgentThatStartsLater, TestNothingIsSentAgainInVain; the model test hears agents too. Ruled out: repeating searches by time; an agent that stays down would cost the link.

--- /dev/null
+++ b/flow/heard_test.go
@@ -0,0 +1,89 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"cactustray/placement"
+
+	"github.com/shoenig/test/must"
+)
+
+// unheardMap has one service with agents that were not heard yet.
+func unheardMap(agents int) *Map {
+	m, service := testMap(agents)
+	for _, site := range service.Takers {
+		site.Gauge = new(placement.Gauge)
+	}
+	return m
+}
+
+func (m *Map) hear(now Stamp, agent Address) { m.Agents[agent].Gauge.Report(now, placement.Usage{}) }
+
+// An agent that starts after a flow was searched for is asked for it as soon as it is
+// heard; once it has denied it too, the flow is over.
+func TestSearchReachesAnAgentThatStartsLater(t *testing.T) {
+	p, m := newTestPicks(), unheardMap(2)
+	first, second := agentAt(0), agentAt(1)
+	now := time.Second
+	m.hear(now, first)
+	packet := Packet{Flow: callerKey(1), Acknowledged: 77, Data: 10}
+	must.Len(t, 2, p.FromCaller(now, packet, m, []byte("data")).All)
+	must.False(t, p.Denied(now, callerKey(1), first, m).End)
+	now += 50 * time.Millisecond
+	again := p.Heard(now, second, m)
+	must.Len(t, 1, again)
+	must.Eq(t, []Address{second}, again[0].Decision.All)
+	must.EqOp(t, "data", string(again[0].Datagram))
+	must.SliceEmpty(t, p.Heard(now, first, m))
+	ended := p.Denied(now, callerKey(1), second, m)
+	must.True(t, ended.End)
+	must.EqOp(t, 77, ended.Reset.Acknowledged)
+}
+
+// An opening packet that went to an agent which had not started goes to one that has,
+// or to the same one once it has.
+func TestOpeningReachesAnAgentThatStartsLater(t *testing.T) {
+	opening := Packet{Flow: callerKey(1), Opening: true}
+	for name, heard := range map[string]func(placed Address, m *Map) Address{
+		"the same": func(placed Address, _ *Map) Address { return placed },
+		"another": func(placed Address, m *Map) Address {
+			for agent := range m.Agents {
+				if agent != placed {
+					return agent
+				}
+			}
+			return Address{}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, m := newTestPicks(), unheardMap(2)
+			placed := p.FromCaller(time.Second, opening, m, []byte("opening")).To
+			now := time.Second + 50*time.Millisecond
+			agent := heard(placed, m)
+			m.hear(now, agent)
+			again := p.Heard(now, agent, m)
+			must.Len(t, 1, again)
+			must.EqOp(t, agent, again[0].Decision.To)
+			must.EqOp(t, "opening", string(again[0].Datagram))
+			must.SliceEmpty(t, p.Heard(now, agent, m))
+			must.EqOp(t, agent, p.FromCaller(now, Packet{Flow: callerKey(1), Data: 1}, m, nil).To)
+		})
+	}
+}
+
+// Packets that were surely received, or are too old to be of use, are not sent again.
+func TestNothingIsSentAgainInVain(t *testing.T) {
+	p, m := newTestPicks(), unheardMap(2)
+	opening := Packet{Flow: callerKey(1), Opening: true}
+	for agent := range m.Agents {
+		m.hear(time.Second, agent)
+	}
+	placed := p.FromCaller(time.Second, opening, m, []byte("opening")).To
+	must.SliceEmpty(t, p.Heard(time.Second, placed, m))
+	must.SliceEmpty(t, p.Heard(time.Second, Address{Port: 1}, m))
+	late := time.Minute
+	other := Packet{Flow: callerKey(2), Opening: true}
+	to := p.FromCaller(late, other, m, []byte("opening")).To
+	must.SliceEmpty(t, p.Heard(late+openingKeep+1, to, m))
+}
--- a/flow/picks.go
+++ b/flow/picks.go
@@ -46,6 +46,7 @@
 type Picks struct {
 	flows    map[Key]pick
 	searches searches
+	openings openings
 	lifetime time.Duration
 	random   *rand.Rand
 }
@@ -83,10 +84,10 @@
 }
 
 // FromCaller decides on a packet that the fabric brought. datagram is copied if the
-// packet must wait until its flow is found.
+// packet may have to be sent again.
 func (p *Picks) FromCaller(now Stamp, packet Packet, m *Map, datagram []byte) Decision {
 	if packet.Opening {
-		return p.open(now, packet, m)
+		return p.open(now, packet, m, datagram)
 	}
 	known, ok := p.flows[packet.Flow]
 	switch {
@@ -109,7 +110,7 @@
 }
 
 // open places a new flow, or a copy of its opening packet.
-func (p *Picks) open(now Stamp, packet Packet, m *Map) Decision {
+func (p *Picks) open(now Stamp, packet Packet, m *Map, datagram []byte) Decision {
 	known, ok := p.flows[packet.Flow]
 	if ok && now-known.placed > openingTime {
 		known, ok = pick{}, false // the caller uses its port again
@@ -126,6 +127,7 @@
 		return Decision{End: now-m.Current() < currentFor, Reset: resetOf(packet), Reason: UnknownAddress}
 	}
 	d := p.place(now, packet, route.Service(packet.Flow), known)
+	p.openings.keep(now, packet, d.To, m, datagram)
 	if d.To.IsZero() && ok && !known.ended {
 		return p.again(packet, m, known)
 	}
--- a/flow/search.go
+++ b/flow/search.go
@@ -1,6 +1,9 @@
 package flow
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// searchTime bounds how long answers to a search are put together.
@@ -27,8 +30,9 @@
 	acknowledged uint32
 	began        Stamp
 	last         Stamp
-	// sent is when all agents were asked last, or 0.
-	sent Stamp
+	// sent is when all agents were asked last, or 0, and packet what they got.
+	sent   Stamp
+	packet []byte
 	// kept are the packets that wait for the flow's agent.
 	kept [][]byte
 }
@@ -125,7 +129,7 @@
 		p.searches.keep(s, datagram)
 		return Decision{Reason: SearchWaits}
 	}
-	s.sent = now
+	s.sent, s.packet = now, slices.Clone(datagram)
 	return d
 }
 
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -356,11 +356,24 @@
 			w.follow(a, Packet{Flow: u.Flow, Opening: true}, u.Verdict.Balancer, u.Verdict)
 		}
 		if w.draw("heard", 3) > 0 {
-			w.table.Agents[a.address].Gauge.Report(w.now, placement.Usage{})
+			w.report(a)
 		}
 	}
 }
 
+// report lets the balancers hear of an agent; the gauge stands for both.
+func (w *world) report(a *worldAgent) {
+	gauge := w.table.Agents[a.address].Gauge
+	if heard := gauge.Alive(w.now); !heard {
+		for b, picks := range w.balancers {
+			for _, again := range picks.Heard(w.now, a.address, w.table) {
+				w.carryOut(b, again.Packet, again.Decision, 0)
+			}
+		}
+	}
+	gauge.Report(w.now, placement.Usage{})
+}
+
 // No flow that an endpoint holds is reset, whatever is lost, restarted or
 // delivered late; and once messages arrive again, a packet of a flow reaches the
 // endpoint that holds it.
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -21,6 +21,10 @@
 	// helloInterval is how often agents are greeted; they report to balancers
 	// that greeted them within the last two seconds.
 	helloInterval = 500 * time.Millisecond
+	// eagerFor is how long after a change of the directory agents that are not heard
+	// are greeted at each tick: machines that lost power together start within
+	// seconds of each other.
+	eagerFor = 3 * time.Second
 	// seedDelay is how long the registry may take at the start before other
 	// balancers are asked: many times its usual 4 ms.
 	seedDelay = 150 * time.Millisecond
@@ -131,6 +135,8 @@
 	s.askSeeds(now)
 	if now-s.greeted >= helloInterval {
 		s.greet(now)
+	} else if now-s.mapped < eagerFor {
+		s.greetUnheard(now)
 	}
 	if s.unsettled && now-s.mapped >= remapInterval {
 		s.publish(now)
@@ -291,12 +297,25 @@
 // greet tells the agents that this balancer may send them flows.
 func (s *state) greet(now time.Duration) {
 	s.greeted = now
-	for agent, site := range s.traffic.table.Load().Agents {
-		hello := wire.Encode(wire.Hello{Slots: site.Slots, Leaving: s.leaving})
-		s.traffic.counters.Send(s.traffic.peers, hello, agent.AddrPort())
+	for _, site := range s.traffic.table.Load().Agents {
+		s.greetAgent(site)
 	}
 }
 
+// greetUnheard greets the agents that have not answered, which may be starting.
+func (s *state) greetUnheard(now time.Duration) {
+	for _, site := range s.traffic.table.Load().Agents {
+		if !site.Gauge.Alive(now) {
+			s.greetAgent(site)
+		}
+	}
+}
+
+func (s *state) greetAgent(site *flow.Site) {
+	hello := wire.Encode(wire.Hello{Slots: site.Slots, Leaving: s.leaving})
+	s.traffic.counters.Send(s.traffic.peers, hello, site.Agent.AddrPort())
+}
+
 func (s *state) publish(now time.Duration) {
 	s.mapped = now
 	s.directory.Forget(now, s.settings.Packets.FlowLifetime())
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -14,6 +14,7 @@
 	"cactustray/flow"
 	"cactustray/flow/traffic"
 	"cactustray/flow/wire"
+	"cactustray/placement"
 	"cactustray/settings"
 	"cactustray/steering/datagram"
 )
@@ -185,9 +186,7 @@
 	now := clock.Now()
 	switch m := message.(type) {
 	case wire.Report:
-		if site := t.table.Load().Agents[sender]; site != nil {
-			site.Gauge.Report(now, m.Usage)
-		}
+		t.reported(now, sender, m.Usage)
 		t.loop.Offer(reported{balancers: m.Balancers})
 	case wire.Owner:
 		if m.Agent.IsZero() {
@@ -212,6 +211,28 @@
 	}
 }
 
+// reported takes the load of an agent's endpoint in. One that was not heard before
+// gets what was sent to it in vain.
+func (t *forwarder) reported(now time.Duration, agent flow.Address, usage placement.Usage) {
+	table := t.table.Load()
+	site := table.Agents[agent]
+	if site == nil {
+		return
+	}
+	heard := site.Gauge.Alive(now)
+	site.Gauge.Report(now, usage)
+	if heard {
+		return
+	}
+	t.mu.Lock()
+	again := t.picks.Heard(now, agent, table)
+	t.mu.Unlock()
+	for _, a := range again {
+		buffer := append(make([]byte, wire.EnvelopeSize), a.Datagram...)
+		t.carryOut(a.Packet.Flow, a.Decision, buffer, 0)
+	}
+}
+
 // searchShare is the part of the machine's link that searches may take.
 const searchShare = 0.25
 
