--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -78,10 +78,25 @@
 	return t.held.Usage(clock.Now())
 }
 
-func (t *forwarder) setSlots(slots int) {
+// serve sets how many requests the endpoint works on at once, and how long one may
+// take to be in time.
+func (t *forwarder) serve(slots int, target time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.held.Slots(slots)
+	t.held.Serve(slots, target)
+}
+
+// release delivers the requests that have waited for the endpoint and have room now.
+func (t *forwarder) release() {
+	t.mu.Lock()
+	released := t.held.Release(clock.Now())
+	t.mu.Unlock()
+	for _, r := range released {
+		for _, datagram := range r.Datagrams {
+			t.counters.Send(t.outbound, datagram, t.endpoint)
+		}
+		t.explainRequest(EventRequest, r.Flow, r.Request, 0)
+	}
 }
 
 func (t *forwarder) sweep() {
@@ -130,9 +145,12 @@
 	}
 	verdict := t.decide(packet, envelope, payload)
 	if verdict.Begins {
-		t.name(packet.Flow, payload)
+		t.name(packet.Flow, verdict.Move, payload)
 	}
 	t.carryOut(packet.Flow, verdict, envelope.Balancer, buffer)
+	if packet.Reset {
+		t.release()
+	}
 	if verdict.Reason == flow.Opened {
 		time.AfterFunc(flow.AnswerTime, t.tick)
 	}
@@ -140,13 +158,17 @@
 
 // name notes the id of a request that begins, for the logs, and logs it: should
 // the machine be lost, this line is all that tells where it was.
-func (t *forwarder) name(key flow.Key, payload []byte) {
+func (t *forwarder) name(key flow.Key, move flow.Move, payload []byte) {
 	id := t.codec.RequestID(payload)
 	t.mu.Lock()
 	t.held.Name(key, id)
 	beside := t.held.Usage(clock.Now()).Running - 1
 	t.mu.Unlock()
-	t.explainRequest(EventRequest, key, flow.Request{ID: id, Beside: beside}, 0)
+	e := EventRequest
+	if move == flow.Wait {
+		e = EventQueued
+	}
+	t.explainRequest(e, key, flow.Request{ID: id, Beside: beside}, 0)
 }
 
 // decide asks the table of flows, unless the packet is for another service: the
@@ -179,6 +201,9 @@
 		t.mu.Unlock()
 		t.noteSilence()
 		t.carryOut(packet.Flow, verdict, verdict.Balancer, buffer)
+		if verdict.Ends {
+			t.release()
+		}
 		t.noteEnd(packet.Flow, verdict, payload)
 	})
 }
