--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,9 +27,6 @@
 	Name    string         `json:"name"`
 	Address netip.AddrPort `json:"address"`
 	Shares  []Share        `json:"shares"`
-	// Target is how long a request may take to be in time, or 0 where that is not
-	// published.
-	Target time.Duration `json:"target"`
 }
 
 // Desired is the desired state: all of it comes into force at once.
--- a/directory/exchange/codec.go
+++ b/directory/exchange/codec.go
@@ -29,7 +29,7 @@
 		Version: d.Version, Changed: uint64(d.Changed), IdleUs: uint64(d.IdleTime.Microseconds()),
 	}
 	for _, route := range d.Routes {
-		r := &directorypb.Route{Name: route.Name, Address: route.Address.String(), TargetUs: uint64(route.Target.Microseconds())}
+		r := &directorypb.Route{Name: route.Name, Address: route.Address.String()}
 		for _, share := range route.Shares {
 			r.Shares = append(r.Shares, &directorypb.Share{Service: share.Service, Weight: share.Weight})
 		}
@@ -69,7 +69,7 @@
 		if err != nil {
 			continue
 		}
-		r := directory.Route{Name: route.GetName(), Address: address, Target: microseconds(route.GetTargetUs())}
+		r := directory.Route{Name: route.GetName(), Address: address}
 		for _, share := range route.GetShares() {
 			r.Shares = append(r.Shares, directory.Share{Service: share.GetService(), Weight: share.GetWeight()})
 		}
--- a/flow/answering.go
+++ b/flow/answering.go
@@ -21,9 +21,9 @@
 // an endpoint that works on slots of them at once. The wait for a slot is taken
 // off, so that a busy endpoint does not look slow.
 func (a *answering) ended(now Stamp, r Request, slots int) {
-	worked := r.Took - r.Waited
-	if beside := min(r.Beside, slots+spareRequests-1); beside >= slots {
-		worked = worked * time.Duration(slots) / time.Duration(beside+1)
+	worked := r.Took
+	if r.Beside >= slots {
+		worked = worked * time.Duration(slots) / time.Duration(r.Beside+1)
 	}
 	if a.now(now) == 0 {
 		a.mean = worked
--- a/flow/held.go
+++ b/flow/held.go
@@ -16,10 +16,6 @@
 	// closedKeep is how long a closed flow is remembered for late packets: the
 	// longest pause between two retransmissions of either end, 1.6 s, twice.
 	closedKeep = 3200 * time.Millisecond
-	// firstCopyAfter and secondCopyAfter are when callers repeat an opening packet
-	// that was not answered.
-	firstCopyAfter  = 200 * time.Millisecond
-	secondCopyAfter = 600 * time.Millisecond
 	// maxHeld bounds the table; an endpoint takes about 2,000 flows.
 	maxHeld = 1 << 15
 )
@@ -46,10 +42,8 @@
 type hold struct {
 	state holdState
 	// announce tells that the balancer searches for the flow.
-	announce bool
-	busy     bool
-	// queued tells that a request waits for a slot.
-	queued       bool
+	announce     bool
+	busy         bool
 	callerDone   bool
 	endpointDone bool
 	// sequence is the endpoint's first, in its acceptance.
@@ -63,13 +57,9 @@
 	last  Stamp
 	// received is the end of the caller's data so far, in its sequence.
 	received uint32
-	// delay is how long the caller repeated its opening packet before the flow
-	// came here.
-	delay time.Duration
-	// asked is when the request in progress came, started when it reached the
-	// endpoint, request its id, and beside how many others were in progress.
+	// asked is when the request in progress reached the endpoint, request its
+	// id, and beside how many others were in progress.
 	asked   Stamp
-	started Stamp
 	request string
 	beside  uint16
 	// opening is the opening datagram until the endpoint answers.
@@ -91,19 +81,6 @@
 	Hops uint8
 }
 
-// openingDelay returns how long a caller has repeated its opening packet when it
-// sends a copy of it.
-func openingDelay(copies uint32) time.Duration {
-	switch copies {
-	case 0:
-		return 0
-	case 1:
-		return firstCopyAfter
-	default:
-		return secondCopyAfter
-	}
-}
-
 // maxHops bounds how often a packet goes from node to node: three endpoints that
 // refuse it, and one that takes it, with their balancer in between.
 const maxHops = 7
@@ -126,8 +103,6 @@
 	Deny
 	// End: the caller gets a reset.
 	End
-	// Wait: the agent keeps the packet until Release.
-	Wait
 )
 
 // Verdict is a decision on a packet at an agent.
@@ -171,8 +146,6 @@
 	runningTime time.Duration
 	counted     Stamp
 
-	queue        queue
-	working      []atEndpoint
 	pending      []pendingOpen
 	silence      silence
 	failing      failing
@@ -195,11 +168,8 @@
 	}
 }
 
-// Serve sets how many requests the endpoint works on at once, and how long one may
-// take to be in time; 0 means that this is not known.
-func (h *Held) Serve(slots int, target time.Duration) {
-	h.slots, h.queue.target = max(slots, 1), target
-}
+// Slots sets how many requests the endpoint works on at once.
+func (h *Held) Slots(slots int) { h.slots = max(slots, 1) }
 
 // SetLifetime sets the longest life of a flow.
 func (h *Held) SetLifetime(lifetime time.Duration) { h.lifetime = lifetime }
@@ -227,7 +197,7 @@
 	if !known {
 		return h.unknown(now, p, d)
 	}
-	return h.carry(now, p, d, r, datagram)
+	return h.carry(now, p, d, r)
 }
 
 // offer decides on an opening packet.
@@ -251,7 +221,7 @@
 		return Verdict{Move: Return, To: d.Balancer, Reason: TableFull}
 	}
 	h.put(p.Flow, hold{
-		state: offered, balancer: d.Balancer, hops: d.Hops, other: d.Alternative, last: now, delay: openingDelay(p.Copy),
+		state: offered, balancer: d.Balancer, hops: d.Hops, other: d.Alternative, last: now,
 		opening: append([]byte(nil), datagram...),
 	})
 	h.pending = append(h.pending, pendingOpen{key: p.Flow, due: now + AnswerTime})
@@ -264,7 +234,7 @@
 	if h.silence.at(now) || h.silence.trial && len(h.pending) > 0 {
 		return EndpointSilent, true
 	}
-	return EndpointBusy, h.load() >= h.slots && h.load() > int(d.AlternativeRunning)
+	return EndpointBusy, h.running >= h.slots && h.running > int(d.AlternativeRunning)
 }
 
 func (h *Held) pass(now Stamp, key Key, balancer, to Address, reason Reason) Verdict {
@@ -281,11 +251,7 @@
 		return h.notHeld(d)
 	}
 	r := hold{state: trial, announce: d.Search, balancer: d.Balancer, hops: d.Hops, last: now}
-	begins := r.begins(p)
-	if begins {
-		h.arrive(now, &r)
-		h.start(now, &r)
-	}
+	begins := h.setBusy(now, &r, p)
 	h.put(p.Flow, r)
 	return Verdict{Move: Deliver, Reason: Tried, Begins: begins}
 }
@@ -298,7 +264,7 @@
 }
 
 // carry decides on a packet of a known flow.
-func (h *Held) carry(now Stamp, p Packet, d Delivery, r hold, datagram []byte) Verdict {
+func (h *Held) carry(now Stamp, p Packet, d Delivery, r hold) Verdict {
 	switch r.state {
 	case passed:
 		r.last = now
@@ -319,32 +285,14 @@
 		}
 		r.state = open
 	}
-	r.announce = r.announce || d.Search && r.state == trial
-	r.last, r.balancer, r.hops = now, d.Balancer, d.Hops
-	v := h.toEndpoint(now, p, r, datagram)
+	v := Verdict{Move: Deliver, Reason: Known}
 	if d.Search && r.state == open {
 		v.Tell = d.Balancer
 	}
-	return v
-}
-
-// toEndpoint decides when a packet of a flow that is here reaches the endpoint: a
-// request waits while the endpoint has no room for it.
-func (h *Held) toEndpoint(now Stamp, p Packet, r hold, datagram []byte) Verdict {
-	if r.queued {
-		return h.whileQueued(now, p, r, datagram)
-	}
-	v := Verdict{Move: Deliver, Reason: Known, Begins: r.begins(p)}
-	switch {
-	case v.Begins && r.state == open && !p.Closing && !h.room(now) && len(h.queue.requests) < maxQueued:
-		return h.enqueue(now, p.Flow, r, datagram)
-	case v.Begins:
-		h.arrive(now, &r)
-		h.occupy(now, p.Flow)
-		h.start(now, &r)
-	}
+	r.announce = r.announce || d.Search && r.state == trial
+	r.last, r.balancer, r.hops = now, d.Balancer, d.Hops
+	v.Begins = h.setBusy(now, &r, p)
 	r.callerDone = r.callerDone || p.Closing || p.Reset
-	r.endpointDone = r.endpointDone || p.Reset
 	h.put(p.Flow, r)
 	return v
 }
--- a/flow/held_endpoint.go
+++ b/flow/held_endpoint.go
@@ -34,7 +34,7 @@
 	}
 	if (p.Data > 0 || p.Reset) && r.busy {
 		v.Ends, v.Ended = true, r.ended(now)
-		h.settle(p.Flow, &r)
+		h.settle(&r)
 		if !p.Reset {
 			h.answering.ended(now, v.Ended, h.slots)
 		}
@@ -132,7 +132,7 @@
 // unanswered; every second is enough.
 func (h *Held) Sweep(now Stamp) []Left {
 	h.account(now)
-	left := h.expireQueued(now)
+	var left []Left
 	for key, r := range h.flows {
 		age := now - r.last
 		if age <= closedKeep || age <= h.lifetime && !r.done() && (r.state == open || r.state == accepted) {
--- a/flow/map.go
+++ b/flow/map.go
@@ -1,8 +1,6 @@
 package flow
 
 import (
-	"time"
-
 	"cactustray/placement"
 )
 
@@ -20,8 +18,6 @@
 	// Tag is a hash of the name that packets carry, so that an agent whose
 	// endpoint belongs to another service does not deliver them.
 	Tag uint16
-	// Target is the least time that the routes allow a request to be in time, or 0.
-	Target time.Duration
 	// Takers take new flows; Candidates has their loads, in the same order.
 	Takers     []*Site
 	Candidates []*placement.Candidate
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -25,7 +25,6 @@
 	TooManyHops
 	EndpointReset
 	SearchWaits
-	Queued
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
@@ -36,7 +35,6 @@
 	EndpointLost: "endpoint-lost", NotHeld: "not-held", Closed: "closed", TableFull: "table-full",
 	UnknownAddress: "unknown-address", NoEndpoint: "no-endpoint", Searched: "searched", NobodyHolds: "nobody-holds",
 	ForeignService: "foreign-service", TooManyHops: "too-many-hops", EndpointReset: "endpoint-reset", SearchWaits: "search-waits",
-	Queued: "queued",
 }
 
 func (r Reason) String() string {
--- a/flow/usage.go
+++ b/flow/usage.go
@@ -1,9 +1,6 @@
 package flow
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Request is what an agent saw of a request.
 type Request struct {
@@ -11,8 +8,6 @@
 	// Took is the time from its first packet to the first of the answer, or
 	// until it was given up.
 	Took time.Duration
-	// Waited is the part of it in which the agent kept it, for want of a slot.
-	Waited time.Duration
 	// Beside is how many other requests were in progress when it came.
 	Beside int
 }
@@ -21,8 +16,7 @@
 type Usage struct {
 	// Flows counts flows that are accepted or open.
 	Flows int
-	// Running counts flows whose request has no answer yet, be it at the endpoint or
-	// waiting for it.
+	// Running counts flows whose request has no answer yet.
 	Running int
 	// RunningTime is the sum of the running requests' time so far: the
 	// difference of two readings over their distance is the mean number.
@@ -46,14 +40,14 @@
 func (h *Held) Usage(now Stamp) Usage {
 	h.account(now)
 	return Usage{
-		Flows: h.count, Running: h.load(), RunningTime: h.runningTime,
+		Flows: h.count, Running: h.running, RunningTime: h.runningTime,
 		Silent: h.silence.at(now), Failing: h.failing.now(now), Answer: h.answering.now(now),
 	}
 }
 
 // account adds the time since the last call to the running requests' time.
 func (h *Held) account(now Stamp) {
-	h.runningTime += time.Duration(h.load()) * (now - h.counted)
+	h.runningTime += time.Duration(h.running) * (now - h.counted)
 	h.counted = now
 }
 
@@ -71,74 +65,50 @@
 		h.count++
 	}
 	if !r.counts() && r.state != trial {
-		h.settle(key, &r)
+		h.settle(&r)
 	}
 	h.flows[key] = r
 }
 
-// begins tells whether a request begins with a packet of the caller.
-func (r *hold) begins(p Packet) bool {
+// setBusy notes that the caller's request is at the endpoint, and tells whether
+// it begins with this packet.
+func (h *Held) setBusy(now Stamp, r *hold, p Packet) bool {
 	end := p.Sequence + uint32(p.Data)
 	if p.Data == 0 || r.received != 0 && int32(end-r.received) <= 0 {
 		return false // nothing, or sent again
 	}
 	r.received = end
-	return !r.busy
-}
-
-// arrive notes that a request has come.
-func (h *Held) arrive(now Stamp, r *hold) {
-	r.asked, r.request, r.beside = now, "", uint16(h.load())
-}
-
-// start notes that a request reaches the endpoint.
-func (h *Held) start(now Stamp, r *hold) {
-	r.busy, r.started = true, now
+	if r.busy {
+		return false
+	}
+	r.busy, r.asked, r.request, r.beside = true, now, "", uint16(h.running)
 	h.running++
+	return true
 }
 
-// occupy notes that a request takes one of the endpoint's slots.
-func (h *Held) occupy(now Stamp, key Key) {
-	h.working = append(h.working, atEndpoint{flow: key, since: now})
-}
-
-// load is how many requests are in progress: at the endpoint, or waiting for it.
-func (h *Held) load() int { return h.running + len(h.queue.requests) }
-
 // Name notes the id of the request in progress on a flow.
 func (h *Held) Name(key Key, id string) {
-	if r, known := h.flows[key]; known && (r.busy || r.queued) {
+	if r, known := h.flows[key]; known && r.busy {
 		r.request = id
 		h.flows[key] = r
 	}
 }
 
 func (r hold) ended(now Stamp) Request {
-	waited := r.started - r.asked
-	if r.queued {
-		waited = now - r.asked
-	}
-	return Request{ID: r.request, Took: now - r.asked, Waited: waited, Beside: int(r.beside)}
+	return Request{ID: r.request, Took: now - r.asked, Beside: int(r.beside)}
 }
 
-// settle ends the request in progress on a flow, if there is one.
-func (h *Held) settle(key Key, r *hold) {
+func (h *Held) settle(r *hold) {
 	if r.busy {
 		r.busy = false
 		h.running--
-		h.working = slices.DeleteFunc(h.working, func(w atEndpoint) bool { return w.flow == key })
-	}
-	if r.queued {
-		r.queued = false
-		h.queue.remove(key)
 	}
 }
 
 func (h *Held) remove(key Key) {
 	r := h.flows[key]
-	counted := r.counts()
-	h.settle(key, &r)
-	if counted {
+	h.settle(&r)
+	if r.counts() {
 		h.count--
 	}
 	delete(h.flows, key)
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -114,10 +114,7 @@
 
 // Hello tells an agent that the sender may send it flows.
 type Hello struct {
-	Slots int
-	// Target is how long a request may take to be in time, or 0 where that is not
-	// known.
-	Target  time.Duration
+	Slots   int
 	Leaving bool
 }
 
@@ -160,7 +157,7 @@
 func notice(m Message) *flowpb.Notice {
 	switch m := m.(type) {
 	case Hello:
-		hello := &flowpb.Hello{Slots: uint32(m.Slots), TargetUs: micros32(m.Target), Leaving: m.Leaving}
+		hello := &flowpb.Hello{Slots: uint32(m.Slots), Leaving: m.Leaving}
 		return &flowpb.Notice{Kind: &flowpb.Notice_Hello{Hello: hello}}
 	case Report:
 		return &flowpb.Notice{Kind: &flowpb.Notice_Report{Report: encodeReport(m)}}
@@ -192,7 +189,7 @@
 	r := &flowpb.Report{
 		Flows: uint32(m.Flows), Running: uint32(m.Running), MeanMilli: uint32(m.Mean * 1000),
 		Silent: m.Silent, Leaving: m.Leaving, FailingMilli: uint32(m.Failing * 1000),
-		AnswerUs: micros32(m.Answer),
+		AnswerUs: uint32(min(m.Answer.Microseconds(), math.MaxUint32)),
 	}
 	for _, b := range m.Balancers[:min(len(m.Balancers), maxBalancers)] {
 		r.Balancers = appendAddress(r.Balancers, b)
@@ -200,11 +197,6 @@
 	return r
 }
 
-// micros32 returns a time in microseconds; an hour is the most that fits.
-func micros32(d time.Duration) uint32 {
-	return uint32(min(max(d.Microseconds(), 0), math.MaxUint32))
-}
-
 func encodeFlow(k flow.Key) *flowpb.Flow {
 	return &flowpb.Flow{
 		CallerIp: binary.BigEndian.Uint32(k.Caller.IP[:]), CallerPort: uint32(k.Caller.Port),
@@ -232,8 +224,7 @@
 	}
 	switch kind := n.GetKind().(type) {
 	case *flowpb.Notice_Hello:
-		target := time.Duration(kind.Hello.GetTargetUs()) * time.Microsecond
-		return Hello{Slots: int(kind.Hello.GetSlots()), Target: target, Leaving: kind.Hello.GetLeaving()}, nil
+		return Hello{Slots: int(kind.Hello.GetSlots()), Leaving: kind.Hello.GetLeaving()}, nil
 	case *flowpb.Notice_Report:
 		return decodeReport(kind.Report), nil
 	case *flowpb.Notice_Owner:
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -72,7 +72,7 @@
 }
 
 func (s *state) greeted(now time.Duration, m greeted) {
-	s.traffic.serve(m.Slots, m.Target)
+	s.traffic.setSlots(m.Slots)
 	_, known := s.balancers[m.balancer]
 	switch {
 	case m.Leaving && known:
@@ -110,7 +110,6 @@
 			s.log.Emit(EventBalancerLost, event.Fields{"balancer": balancer.String()})
 		}
 	}
-	s.traffic.release()
 	s.report(now)
 	if now-s.swept >= sweepInterval {
 		s.swept = now
--- a/packetagent/events.go
+++ b/packetagent/events.go
@@ -27,7 +27,6 @@
 	EventRequest        = event.Define(3500, logrus.InfoLevel, "request reached the endpoint")
 	EventAnswered       = event.Define(3501, logrus.InfoLevel, "request answered")
 	EventUnanswered     = event.Define(3502, logrus.WarnLevel, "request left without an answer")
-	EventQueued         = event.Define(3503, logrus.InfoLevel, "request waits for a slot")
 	EventFlowTried      = event.Define(3404, logrus.InfoLevel, "unknown flow tried at the endpoint")
 )
 
@@ -38,12 +37,9 @@
 		return
 	}
 	fields := event.Fields{"request": r.ID, "flow": key.String(), "beside": r.Beside}
-	if r.Took > 0 {
+	if e.Number != EventRequest.Number {
 		fields["took_ms"] = r.Took.Milliseconds()
 	}
-	if r.Waited > 0 {
-		fields["waited_ms"] = r.Waited.Milliseconds()
-	}
 	if status != 0 {
 		fields["status"] = status
 	}
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -78,25 +78,10 @@
 	return t.held.Usage(clock.Now())
 }
 
-// serve sets how many requests the endpoint works on at once, and how long one may
-// take to be in time.
-func (t *forwarder) serve(slots int, target time.Duration) {
+func (t *forwarder) setSlots(slots int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.held.Serve(slots, target)
-}
-
-// release delivers the requests that have waited for the endpoint and have room now.
-func (t *forwarder) release() {
-	t.mu.Lock()
-	released := t.held.Release(clock.Now())
-	t.mu.Unlock()
-	for _, r := range released {
-		for _, datagram := range r.Datagrams {
-			t.counters.Send(t.outbound, datagram, t.endpoint)
-		}
-		t.explainRequest(EventRequest, r.Flow, r.Request, 0)
-	}
+	t.held.Slots(slots)
 }
 
 func (t *forwarder) sweep() {
@@ -145,12 +130,9 @@
 	}
 	verdict := t.decide(packet, envelope, payload)
 	if verdict.Begins {
-		t.name(packet.Flow, verdict.Move, payload)
+		t.name(packet.Flow, payload)
 	}
 	t.carryOut(packet.Flow, verdict, envelope.Balancer, buffer)
-	if packet.Reset {
-		t.release()
-	}
 	if verdict.Reason == flow.Opened {
 		time.AfterFunc(flow.AnswerTime, t.tick)
 	}
@@ -158,17 +140,13 @@
 
 // name notes the id of a request that begins, for the logs, and logs it: should
 // the machine be lost, this line is all that tells where it was.
-func (t *forwarder) name(key flow.Key, move flow.Move, payload []byte) {
+func (t *forwarder) name(key flow.Key, payload []byte) {
 	id := t.codec.RequestID(payload)
 	t.mu.Lock()
 	t.held.Name(key, id)
 	beside := t.held.Usage(clock.Now()).Running - 1
 	t.mu.Unlock()
-	e := EventRequest
-	if move == flow.Wait {
-		e = EventQueued
-	}
-	t.explainRequest(e, key, flow.Request{ID: id, Beside: beside}, 0)
+	t.explainRequest(EventRequest, key, flow.Request{ID: id, Beside: beside}, 0)
 }
 
 // decide asks the table of flows, unless the packet is for another service: the
@@ -201,9 +179,6 @@
 		t.mu.Unlock()
 		t.noteSilence()
 		t.carryOut(packet.Flow, verdict, verdict.Balancer, buffer)
-		if verdict.Ends {
-			t.release()
-		}
 		t.noteEnd(packet.Flow, verdict, payload)
 	})
 }
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -312,7 +312,7 @@
 }
 
 func (s *state) greetAgent(site *flow.Site) {
-	hello := wire.Encode(wire.Hello{Slots: site.Slots, Target: site.Service.Target, Leaving: s.leaving})
+	hello := wire.Encode(wire.Hello{Slots: site.Slots, Leaving: s.leaving})
 	s.traffic.counters.Send(s.traffic.peers, hello, site.Agent.AddrPort())
 }
 
--- a/packetbalancer/table.go
+++ b/packetbalancer/table.go
@@ -98,20 +98,11 @@
 	return service
 }
 
-// aim takes the target of a route in for one of its services.
-func (b *mapBuilder) aim(share directory.Share, target time.Duration) {
-	service := b.service(share.Service)
-	if share.Weight > 0 && target > 0 && (service.Target == 0 || target < service.Target) {
-		service.Target = target
-	}
-}
-
 func (b *mapBuilder) addRoute(r directory.Route) {
 	route := new(flow.Route)
 	for _, share := range r.Shares {
 		route.Shares = append(route.Shares, flow.Share{Service: b.service(share.Service), Weight: share.Weight})
 		route.Weight += share.Weight
-		b.aim(share, r.Target)
 	}
 	b.table.Routes[flow.AddressOf(r.Address)] = route
 }
