--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -82,7 +82,7 @@
 	now := clock.Now()
 	return &state{
 		settings: s, log: log, traffic: t, reader: r, healthy: healthy,
-		directory: directory.NewState(), turn: directory.NewTurn(s.Packets.Peer),
+		directory: directory.NewState(), turn: directory.NewTurn(s.Packets.ReachedPeer()),
 		gauges:  make(map[flow.Address]*placement.Gauge),
 		started: now, ticked: now, whole: true, seeds: s.Packets.SeedAddresses(),
 	}
@@ -287,7 +287,7 @@
 func (s *state) tell(now time.Duration) {
 	news := wire.Encode(wire.News{
 		Revision: s.directory.Revision(), Digest: s.directory.Digest(), Age: now - s.directory.AsOf(),
-		Control: flow.AddressOf(s.settings.Packets.Control),
+		Control: flow.AddressOf(s.settings.Packets.ReachedControl()),
 	})
 	for _, peer := range s.turn.Peers(now) {
 		s.traffic.counters.Send(s.traffic.peers, news, peer)
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -63,7 +63,7 @@
 	}
 	t := &forwarder{
 		edge: edge, peers: peers, codec: codec, loop: loop, log: log, early: newEarly(),
-		self: flow.AddressOf(p.Peer), callerPort: p.Edge.Port(),
+		self: flow.AddressOf(p.ReachedPeer()), callerPort: p.Edge.Port(),
 		picks: flow.NewPicks(p.FlowLifetime(), newRandom()),
 	}
 	t.table.Store(flow.NewMap())
--- a/settings/packets.go
+++ b/settings/packets.go
@@ -32,6 +32,9 @@
 	Registry netip.AddrPort `json:"registry,omitzero"`
 	// Control is where other balancers fetch the directory; a balancer's.
 	Control netip.AddrPort `json:"control,omitzero"`
+	// Advertised is the address under which other nodes reach Peer and Control, where
+	// an address translation stands between; a balancer's.
+	Advertised netip.Addr `json:"advertised,omitzero"`
 	// Seeds are control addresses of balancers, asked at the start when the
 	// registry does not answer; a balancer's. They may be wrong.
 	Seeds []string `json:"seeds,omitempty"`
@@ -54,12 +57,25 @@
 	return time.Duration(p.StopMillis) * time.Millisecond
 }
 
+// ReachedPeer returns where other nodes reach Peer.
+func (p *PacketSettings) ReachedPeer() netip.AddrPort { return p.reached(p.Peer) }
+
+// ReachedControl returns where other nodes reach Control.
+func (p *PacketSettings) ReachedControl() netip.AddrPort { return p.reached(p.Control) }
+
+func (p *PacketSettings) reached(bound netip.AddrPort) netip.AddrPort {
+	if !p.Advertised.IsValid() {
+		return bound
+	}
+	return netip.AddrPortFrom(p.Advertised, bound.Port())
+}
+
 // SeedAddresses returns the seeds that are addresses; others are of no use, and
 // no cause to refuse settings that a platform wrote.
 func (p *PacketSettings) SeedAddresses() []netip.AddrPort {
 	var seeds []netip.AddrPort
 	for _, text := range p.Seeds {
-		if seed, err := netip.ParseAddrPort(text); err == nil && seed != p.Control {
+		if seed, err := netip.ParseAddrPort(text); err == nil && seed != p.ReachedControl() {
 			seeds = append(seeds, seed)
 		}
 	}
@@ -99,6 +115,9 @@
 	c.ipv4("packets.registry", p.Registry)
 	c.ipv4("packets.control", p.Control)
 	c.Require(p.Service == "", "packets.service", p.Service, "nothing on a balancer")
+	if p.Advertised.IsValid() {
+		c.ipv4("packets.advertised", p.ReachedPeer())
+	}
 	c.distinct([]use{{"packets.edge", p.Edge}, {"packets.peer", p.Peer}})
 	c.distinct([]use{{"packets.health", p.Health}, {"packets.control", p.Control}, {"metrics", metrics}})
 }
@@ -107,6 +126,7 @@
 	c.name("packets.service", p.Service)
 	c.ipv4("packets.endpoint", p.Endpoint)
 	c.ipv4("packets.outbound", p.Outbound)
+	c.Require(!p.Advertised.IsValid(), "packets.advertised", p.Advertised, "nothing on an agent")
 	c.distinct([]use{{"packets.peer", p.Peer}, {"packets.outbound", p.Outbound}, {"packets.endpoint", p.Endpoint}})
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -44,6 +44,8 @@
 		{PacketBalancer, "packets.peer", func(s *Settings) { s.Packets.Peer = s.Packets.Edge }},
 		{PacketBalancer, "packets.flow_seconds", func(s *Settings) { s.Packets.FlowSeconds = 0 }},
 		{PacketBalancer, "packets.link_mbps", func(s *Settings) { s.Packets.LinkMbps = 0 }},
+		{PacketBalancer, "packets.advertised", func(s *Settings) { s.Packets.Advertised = netip.MustParseAddr("::1") }},
+		{PacketAgent, "packets.advertised", func(s *Settings) { s.Packets.Advertised = netip.MustParseAddr("10.0.0.1") }},
 		{PacketAgent, "packets.stop_ms", func(s *Settings) { s.Packets.StopMillis = -1 }},
 		{PacketAgent, "packets.service", func(s *Settings) { s.Packets.Service = "" }},
 		{PacketAgent, "packets.outbound", func(s *Settings) { s.Packets.Outbound = s.Packets.Peer }},
--- a/standin/cmd/standin/packets.go
+++ b/standin/cmd/standin/packets.go
@@ -91,7 +91,7 @@
 	group.Go(server.ListenAndServe)
 	d.router = packets.NewRouter(edges, health)
 	var err error
-	if d.caller, err = packets.NewCaller(d.At(packets.CallerHost, "edge"), d.router); err != nil {
+	if d.caller, err = packets.NewCaller(netip.MustParseAddr(d.IP(packets.CallerHost)), d.At(packets.CallerHost, "edge"), d.router); err != nil {
 		return err
 	}
 	return d.writeSettings(hosts)
--- a/standin/e2e/packets_fleet_test.go
+++ b/standin/e2e/packets_fleet_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +16,7 @@
 
 	"cactustray/standin/fleet"
 	"cactustray/standin/packets"
+	"cactustray/standin/process"
 
 	"github.com/shoenig/test/must"
 )
@@ -34,7 +34,7 @@
 	caller    *packets.Caller
 	balancers []string
 	endpoints []*packets.Endpoint
-	daemons   map[string]*exec.Cmd
+	daemons   map[string]*process.Process
 	version   int
 }
 
@@ -52,11 +52,11 @@
 func newPacketFleet(t testing.TB, balancers int) *packetFleet {
 	pid := os.Getpid()
 	f := &packetFleet{
-		t: t, dir: t.TempDir(), binary: filepath.Join(t.TempDir(), "cactustrayd"),
-		daemons: make(map[string]*exec.Cmd), store: packets.NewStore(),
+		t: t, dir: t.TempDir(), daemons: make(map[string]*process.Process), store: packets.NewStore(),
 	}
-	output, err := exec.Command("go", "build", "-o", f.binary, "cactustray/cmd/cactustrayd").CombinedOutput()
-	must.NoError(t, err, must.Sprint(string(output)))
+	var err error
+	f.binary, err = process.BuildDaemon(t.TempDir())
+	must.NoError(t, err)
 	var release func()
 	f.Deployment, release, err = packets.NewDeployment([2]byte{128 | byte(pid)&0x7f, byte(packetFleets.Add(1))})
 	must.NoError(t, err)
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go f.router.Run(ctx)
-	f.caller, err = packets.NewCaller(f.At(packets.CallerHost, "edge"), f.router)
+	f.caller, err = packets.NewCaller(netip.MustParseAddr(f.IP(packets.CallerHost)), f.At(packets.CallerHost, "edge"), f.router)
 	must.NoError(t, err)
 	t.Cleanup(f.caller.Close)
 	f.await(func() bool { return f.tryRequest(ordersAddress) && f.tryRequest(drawingsAddress) })
@@ -122,24 +122,16 @@
 
 // runWith starts the daemon of a machine with other settings.
 func (f *packetFleet) runWith(host int, raw []byte) {
-	file := filepath.Join(f.dir, fmt.Sprint(host)+".json")
-	must.NoError(f.t, os.WriteFile(file, raw, 0o600))
-	log, err := os.OpenFile(filepath.Join(f.dir, fmt.Sprint(host)+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	file := filepath.Join(f.dir, fmt.Sprint(host))
+	must.NoError(f.t, os.WriteFile(file+".json", raw, 0o600))
+	daemon, err := process.Start(f.binary, file+".json", file+".log")
 	must.NoError(f.t, err)
-	command := exec.Command(f.binary, file)
-	command.Stdout, command.Stderr = log, log
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	must.NoError(f.t, command.Start())
-	f.daemons[f.IP(host)] = command
-	f.t.Cleanup(func() {
-		_ = command.Process.Kill()
-		_ = command.Wait()
-		_ = log.Close()
-	})
+	f.daemons[f.IP(host)] = daemon
+	f.t.Cleanup(daemon.Kill)
 }
 
 func (f *packetFleet) signal(host int, signal syscall.Signal) {
-	must.NoError(f.t, f.daemons[f.IP(host)].Process.Signal(signal))
+	must.NoError(f.t, f.daemons[f.IP(host)].Signal(signal))
 }
 
 // restart ends a daemon by a signal and starts it anew.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -24,6 +23,7 @@
 	"cactustray/standin/fabric"
 	"cactustray/standin/layout"
 	"cactustray/standin/platform"
+	"cactustray/standin/process"
 	"cactustray/status/statuspb"
 	"cactustray/status/statuspb/statuspbconnect"
 	"cactustray/ticket"
@@ -36,7 +36,6 @@
 	// Patience bounds each wait for a condition; it is no measure of speed.
 	Patience   = 60 * time.Second
 	pollPeriod = 10 * time.Millisecond
-	daemonPath = "cactustray/cmd/cactustrayd"
 )
 
 // Fleet is one running deployment.
@@ -49,7 +48,7 @@
 	t        testing.TB
 	binary   string
 	operator *http.Client
-	daemons  map[string]*exec.Cmd
+	daemons  map[string]*process.Process
 }
 
 // New writes a deployment and starts the stand-ins; no daemon runs yet.
@@ -65,7 +64,7 @@
 		t:          t,
 		binary:     build(t),
 		operator:   rpc.NewClient(id),
-		daemons:    make(map[string]*exec.Cmd),
+		daemons:    make(map[string]*process.Process),
 	}
 	f.startStandins()
 	f.publishAll()
@@ -85,9 +84,8 @@
 }
 
 func build(t testing.TB) string {
-	binary := filepath.Join(t.TempDir(), "cactustrayd")
-	output, err := exec.Command("go", "build", "-o", binary, daemonPath).CombinedOutput()
-	must.NoError(t, err, must.Sprint(string(output)))
+	binary, err := process.BuildDaemon(t.TempDir())
+	must.NoError(t, err)
 	return binary
 }
 
@@ -163,33 +161,24 @@
 
 // Run starts one daemon.
 func (f *Fleet) Run(name string) {
-	command := exec.Command(f.binary, filepath.Join(f.Dir, name+".json"))
-	log, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	file := filepath.Join(f.Dir, name)
+	daemon, err := process.Start(f.binary, file+".json", file+".log")
 	must.NoError(f.t, err)
-	command.Stdout, command.Stderr = log, log
-	// A test that ends without its clean-up leaves no daemon behind.
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	must.NoError(f.t, command.Start())
-	f.daemons[name] = command
-	f.t.Cleanup(func() {
-		_ = command.Process.Kill()
-		_ = command.Wait()
-		_ = log.Close()
-	})
+	f.daemons[name] = daemon
+	f.t.Cleanup(daemon.Kill)
 }
 
 // Signal sends a signal to one daemon: SIGKILL, SIGTERM, SIGSTOP or SIGCONT.
 func (f *Fleet) Signal(name string, signal syscall.Signal) {
-	must.NoError(f.t, f.daemons[name].Process.Signal(signal))
+	must.NoError(f.t, f.daemons[name].Signal(signal))
 }
 
 // PID returns the process id of one daemon.
-func (f *Fleet) PID(name string) int { return f.daemons[name].Process.Pid }
+func (f *Fleet) PID(name string) int { return f.daemons[name].PID() }
 
 // AwaitExit waits until a daemon has ended and returns its exit code.
 func (f *Fleet) AwaitExit(name string) int {
-	_ = f.daemons[name].Wait()
-	return f.daemons[name].ProcessState.ExitCode()
+	return f.daemons[name].Wait()
 }
 
 // Caller returns a new caller with a connection of its own.
--- a/standin/packets/caller.go
+++ b/standin/packets/caller.go
@@ -18,6 +18,8 @@
 	openWait = 200 * time.Millisecond
 	// retransmitAfter is the first pause before a packet is sent again.
 	retransmitAfter = 200 * time.Millisecond
+	// retransmitMost is the longest one.
+	retransmitMost = 1600 * time.Millisecond
 	// inboxSize bounds the packets that wait for a flow.
 	inboxSize = 64
 )
@@ -96,19 +98,22 @@
 type Caller struct {
 	router *Router
 	socket *net.UDPConn
+	// ip is the address that flows are opened from.
+	ip netip.Addr
 
 	mu    sync.Mutex
 	flows map[netip.AddrPort]*Flow
 	port  uint16
 }
 
-// NewCaller returns a caller that takes packets at an address.
-func NewCaller(at netip.AddrPort, router *Router) (*Caller, error) {
+// NewCaller returns a caller with an address, which takes packets where it binds its
+// socket.
+func NewCaller(ip netip.Addr, at netip.AddrPort, router *Router) (*Caller, error) {
 	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
 	if err != nil {
 		return nil, err
 	}
-	c := &Caller{router: router, socket: socket, flows: make(map[netip.AddrPort]*Flow), port: 1024}
+	c := &Caller{router: router, socket: socket, ip: ip, flows: make(map[netip.AddrPort]*Flow), port: 1024}
 	go c.serve()
 	return c, nil
 }
@@ -161,10 +166,9 @@
 func (c *Caller) Open(service netip.AddrPort) (*Flow, error) {
 	c.mu.Lock()
 	c.port++
-	at := c.socket.LocalAddr().(*net.UDPAddr).AddrPort()
 	f := &Flow{
 		caller: c, inbox: make(chan packet, inboxSize), sequence: uint32(c.port) << 16,
-		ends: flowEnds{caller: netip.AddrPortFrom(at.Addr().Unmap(), c.port), service: service},
+		ends: flowEnds{caller: netip.AddrPortFrom(c.ip, c.port), service: service},
 	}
 	c.flows[f.ends.caller] = f
 	c.mu.Unlock()
@@ -189,7 +193,7 @@
 func (f *Flow) Request(id string, limit time.Duration) (endpoint string, err error) {
 	data := []byte("GET / HTTP/1.1\r\n" + RequestIDHeader + ": " + id + "\r\n\r\n")
 	end := time.Now().Add(limit)
-	for wait := retransmitAfter; time.Now().Before(end); wait *= 2 {
+	for wait := retransmitAfter; time.Now().Before(end); wait = min(2*wait, retransmitMost) {
 		f.send(packet{flags: flagAcknowledge, sequence: f.sequence, acknowledged: f.acknowledged, data: data})
 		again := time.Now().Add(wait)
 		for time.Now().Before(again) && time.Now().Before(end) {
--- a/standin/packets/deployment.go
+++ b/standin/packets/deployment.go
@@ -45,14 +45,17 @@
 // Deployment says where the machines of a deployment are: each is a loopback
 // address of its own, so that ports are the same on all of them.
 type Deployment struct {
-	net   [2]byte
+	net [2]byte
+	// bound is the network in which daemons bind their addresses: that of the
+	// machines, unless links stand between.
+	bound [2]byte
 	ports map[string]uint16
 }
 
 // NewDeployment returns a deployment in the network 127.A.B.0/24. The kernel picks
 // the ports on a host that stands for all; they stay taken there until release.
 func NewDeployment(network [2]byte) (d *Deployment, release func(), err error) {
-	d = &Deployment{net: network, ports: make(map[string]uint16)}
+	d = &Deployment{net: network, bound: network, ports: make(map[string]uint16)}
 	var listeners []net.Listener
 	release = func() {
 		for _, l := range listeners {
@@ -71,9 +74,20 @@
 	return d, release, nil
 }
 
+// Translate makes the daemons bind their addresses in another network. Something must
+// carry what is sent to the machines' addresses there, as Links does.
+func (d *Deployment) Translate(bound [2]byte) { d.bound = bound }
+
 // IP returns the address of a machine.
-func (d *Deployment) IP(host int) string {
-	return fmt.Sprintf("127.%d.%d.%d", d.net[0], d.net[1], host)
+func (d *Deployment) IP(host int) string { return ip(d.net, host) }
+
+func ip(network [2]byte, host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", network[0], network[1], host)
+}
+
+// Bound returns the address that a machine's daemon binds, by the name of its port.
+func (d *Deployment) Bound(host int, port string) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr(ip(d.bound, host)), d.ports[port])
 }
 
 // At returns an address of a machine by the name of its port.
@@ -84,16 +98,19 @@
 // Settings returns the settings of a machine's daemon.
 func (d *Deployment) Settings(host int) *settings.Settings {
 	p := &settings.PacketSettings{
-		Edge: d.At(host, "edge"), Peer: d.At(host, "peer"), Health: d.At(host, "health"),
+		Edge: d.Bound(host, "edge"), Peer: d.Bound(host, "peer"), Health: d.Bound(host, "health"),
 		FlowSeconds: flowSeconds, StopMillis: stopMillis, LinkMbps: linkMbps,
 	}
-	s := &settings.Settings{Node: d.IP(host), Zone: zone, Packets: p, Metrics: d.At(host, "metrics")}
+	s := &settings.Settings{Node: d.IP(host), Zone: zone, Packets: p, Metrics: d.Bound(host, "metrics")}
 	if host >= EndpointHost {
 		s.Role, p.Service = settings.PacketAgent, ServiceOf(host)
-		p.Endpoint, p.Outbound = d.At(host, "endpoint"), d.At(host, "outbound")
+		p.Endpoint, p.Outbound = d.Bound(host, "endpoint"), d.Bound(host, "outbound")
 		return s
 	}
-	s.Role, p.Registry, p.Control = settings.PacketBalancer, d.At(StoreHost, "store"), d.At(host, "control")
+	s.Role, p.Registry, p.Control = settings.PacketBalancer, d.At(StoreHost, "store"), d.Bound(host, "control")
+	if d.bound != d.net {
+		p.Advertised = netip.MustParseAddr(d.IP(host))
+	}
 	const seeds = 3
 	for i := range seeds {
 		p.Seeds = append(p.Seeds, d.At(BalancerHost+i, "control").String())
@@ -125,5 +142,5 @@
 
 // NewEndpointOn starts the endpoint of a machine.
 func (d *Deployment) NewEndpointOn(host int) (*Endpoint, error) {
-	return NewEndpoint(EndpointID(host), ServiceOf(host), d.At(host, "endpoint"), d.At(host, "outbound"))
+	return NewEndpoint(EndpointID(host), ServiceOf(host), d.Bound(host, "endpoint"), d.Bound(host, "outbound"))
 }
