Break the packet roles' real programs at random and check what users see

standin/soak runs balancers and agents as separate processes. By a seed it draws faults that come in series and overlap: processes killed, stopped and paused by signals; datagrams between machines cut, cut one way, lost, doubled and delayed by links that hold the machines' advertised addresses; streams to the store and between balancers silenced, reset and slowed by proxies; entries that lapse, endpoints that crash, go dark, refuse, drain, and addresses that go to another service; routes that come and go. It checks at most once, the right service, unchanged packets, no reset of a flow that its endpoint holds, nothing broken by planned work, drains and routes within their bounds, recovery, and that no daemon ends by itself or late. Each check has a test that puts in the one thing it looks for; a forged reset is noticed end to end. Not covered: clocks (these roles use the steady clock alone), the QUIC roles.

--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -32,6 +32,7 @@
 	Request  requestCommand  `cmd:"" help:"Send one request as a caller."`
 	Feed     feedCommand     `cmd:"" help:"Keep feeds open as callers."`
 	Packets  packetsCommand  `cmd:"" help:"Run the store, endpoints and callers of the packet roles, and keep feeds open."`
+	Soak     soakCommand     `cmd:"" help:"Break the packet roles' real programs at random and check what callers and endpoints see."`
 	Measure  measureCommand  `cmd:"" help:"Take the measures of the brief in virtual time."`
 }
 
--- a/standin/packets/caller.go
+++ b/standin/packets/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"hash/fnv"
 	"net"
@@ -188,6 +189,17 @@
 	return nil, &SilentError{}
 }
 
+// Balancer returns where the router sends the flow's packets now.
+func (f *Flow) Balancer() netip.AddrPort { return f.caller.router.route(f.ends) }
+
+// Reset returns a reset of the flow as the system may send it.
+func (f *Flow) Reset() []byte {
+	reset := packet{flags: flagReset, to: f.ends.caller, from: f.ends.service}
+	raw := reset.encode()
+	binary.BigEndian.PutUint32(raw, 0)
+	return raw
+}
+
 // Request sends a request and returns the name of the endpoint that ran it. It
 // fails with *ResetError or *SilentError.
 func (f *Flow) Request(id string, limit time.Duration) (endpoint string, err error) {
--- a/standin/packets/deployment.go
+++ b/standin/packets/deployment.go
@@ -121,10 +121,15 @@
 // EndpointID returns the name of the endpoint on a machine.
 func EndpointID(host int) string { return fmt.Sprintf("i-%d", host) }
 
-// Register writes an endpoint's entry to a store.
+// Register writes the entry of a machine's endpoint to a store.
 func (d *Deployment) Register(store *Store, host int, state string, born int) {
-	store.Put("servers/"+EndpointID(host), map[string]any{
-		"service": ServiceOf(host), "address": d.At(host, "endpoint").String(), "zone": zone, "version": "v1",
+	d.RegisterAs(store, EndpointID(host), host, ServiceOf(host), state, born)
+}
+
+// RegisterAs writes the entry of an endpoint with an id and a service of its own.
+func (d *Deployment) RegisterAs(store *Store, id string, host int, service, state string, born int) {
+	store.Put("servers/"+id, map[string]any{
+		"service": service, "address": d.At(host, "endpoint").String(), "zone": zone, "version": "v1",
 		"capacity": slots, "state": state, "cold-left-ms": 0, "seq": 1, "born": born,
 	})
 }
--- a/standin/packets/endpoint.go
+++ b/standin/packets/endpoint.go
@@ -53,6 +53,11 @@
 	return e, nil
 }
 
+// Address returns where the endpoint takes packets.
+func (e *Endpoint) Address() netip.AddrPort {
+	return e.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
 // Close ends the endpoint.
 func (e *Endpoint) Close() { _ = e.socket.Close() }
 
