An endpoint whose entry is gone may hold flows until its agent has left

A balancer dropped an endpoint 3 s after its entry was gone unless its agent was heard in the last 0.35 s, though the agent may be cut off or starting; a search concluded without it and reset its flows. Test: TestGoneEndpointHoldsUntilItsAgentLeft.

--- a/directory/state.go
+++ b/directory/state.go
@@ -23,8 +23,6 @@
 	// outageGap is the pause between two successful readings that counts as an
 	// outage: several times the pause that pacing makes.
 	outageGap = 2 * time.Second
-	// goneKeep is how long an endpoint that is gone is searched for open flows.
-	goneKeep = 3 * time.Second
 )
 
 // Entry is an endpoint and how it stands here.
@@ -51,11 +49,10 @@
 	return e.GoneAt == 0 || alive && now < e.Until
 }
 
-// Holds tells whether the endpoint may hold open flows. One that departed before this
-// process knew of it is given the time to be heard.
-func (e *Entry) Holds(now time.Duration, alive bool) bool {
-	return e.GoneAt == 0 || alive || now-max(e.GoneAt, e.Learned) < goneKeep
-}
+// Holds tells whether the endpoint may hold open flows; left tells that its agent said
+// it would stop, and did. An entry can lapse while the endpoint lives, and an agent that
+// is not heard may be cut off, so that neither tells that its flows are over.
+func (e *Entry) Holds(left bool) bool { return e.GoneAt == 0 || !left }
 
 // State is what a balancer holds of the directory. The control goroutine owns
 // it.
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -252,6 +253,10 @@
 func (s *state) wholeDirectory(now time.Duration) directory.Change {
 	change := s.directory.Whole(now)
 	change.Complete = s.elders.complete
+	change.Departed = slices.DeleteFunc(change.Departed, func(d directory.Departed) bool {
+		gauge := s.gauges[s.agentOf(d.Address)]
+		return gauge != nil && gauge.Left(now)
+	})
 	return change
 }
 
--- a/packetbalancer/table.go
+++ b/packetbalancer/table.go
@@ -1,6 +1,7 @@
 package packetbalancer
 
 import (
+	"net/netip"
 	"time"
 
 	"cactustray/directory"
@@ -45,7 +46,7 @@
 func (b *mapBuilder) latest() map[flow.Address]*directory.Entry {
 	latest := make(map[flow.Address]*directory.Entry)
 	b.state.directory.Each(func(e *directory.Entry) {
-		agent := b.agentOf(e)
+		agent := b.state.agentOf(e.Address)
 		held := latest[agent]
 		if held == nil || held.GoneAt != 0 && e.GoneAt == 0 || (held.GoneAt != 0) == (e.GoneAt != 0) && e.Changed > held.Changed {
 			latest[agent] = e
@@ -56,14 +57,14 @@
 
 // agentOf returns where the agent beside an endpoint takes datagrams: on the
 // same machine, at the port that all nodes share.
-func (b *mapBuilder) agentOf(e *directory.Entry) flow.Address {
-	agent := flow.AddressOf(e.Address)
-	agent.Port = b.state.settings.Packets.Peer.Port()
+func (s *state) agentOf(endpoint netip.AddrPort) flow.Address {
+	agent := flow.AddressOf(endpoint)
+	agent.Port = s.settings.Packets.Peer.Port()
 	return agent
 }
 
 func (b *mapBuilder) add(e *directory.Entry) {
-	agent := b.agentOf(e)
+	agent := b.state.agentOf(e.Address)
 	gauge := b.state.gauges[agent]
 	if gauge == nil {
 		gauge = new(placement.Gauge)
@@ -71,7 +72,7 @@
 	}
 	alive := gauge.Alive(b.now)
 	b.unsettled = b.unsettled || e.GoneAt != 0
-	if !e.Holds(b.now, alive) {
+	if !e.Holds(gauge.Left(b.now)) {
 		return
 	}
 	service := b.service(e.Service)
--- a/packetbalancer/table_test.go
+++ b/packetbalancer/table_test.go
@@ -115,3 +115,18 @@
 		s.directory.Apply(clock.Now(), change)
 	}
 }
+
+// An endpoint whose entry is gone may hold flows until its agent has said that it stops
+// and has not come back; an agent that is merely not heard says nothing.
+func TestGoneEndpointHoldsUntilItsAgentLeft(t *testing.T) {
+	s := stateWith(directory.Change{Revision: 9, Whole: true, Desired: new(directory.Desired), Endpoints: []directory.Endpoint{endpointOf(1, "orders", 2), endpointOf(2, "orders", 3)}})
+	began := clock.Now()
+	held := func(now time.Duration) int { return len(newMapBuilder(now, s).build().Agents) }
+	must.EqOp(t, 2, held(began))
+	s.directory.Apply(began, directory.Change{Revision: 12, After: 9, Gone: []directory.Gone{{ID: "i-1", Changed: 12}, {ID: "i-2", Changed: 12}}})
+	s.gauges[s.agentOf(endpointOf(1, "orders", 2).Address)].Report(began, placement.Usage{Leaving: true})
+	s.gauges[s.agentOf(endpointOf(2, "orders", 3).Address)].Report(began, placement.Usage{})
+	must.EqOp(t, 2, held(began+5*time.Second))
+	must.EqOp(t, 1, held(began+11*time.Second))
+	must.Len(t, 1, s.wholeDirectory(began+11*time.Second).Departed)
+}
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -13,6 +13,9 @@
 	// reportedFor is how long an endpoint counts as reachable after a report:
 	// three are lost in a row once in 40,000 at 3% loss.
 	reportedFor = 350 * time.Millisecond
+	// leftAfter is how long after its last report an agent that said it would stop
+	// counts as gone for good: longer than a planned restart takes.
+	leftAfter = 10 * time.Second
 	// newFor is how long a new endpoint may take to send its first report.
 	newFor = time.Second
 	// remoteCost is what a failure domain away costs, in shares of all slots:
@@ -101,6 +104,11 @@
 	return heard > 0 && now-heard <= reportedFor
 }
 
+// Left tells whether the agent has said that it stops, and has not come back.
+func (g *Gauge) Left(now time.Duration) bool {
+	return g.leaving.Load() && now-g.Heard() > leftAfter
+}
+
 // Candidate is an endpoint that may take a new flow.
 type Candidate struct {
 	Gauge *Gauge
