Name the service of packets that are handed on or of known flows

A busy agent handed an opening packet to another whose address had gone to another service 0.15 s before. The envelope did not name the service, so that the agent there delivered it: a request ran at the wrong service. Change: an agent that hands a packet on names its service; a balancer also names that of a flow it knows. Ruled out: a stale directory; the balancer's choice was right, and the agent's alternative was as old as the packet.

--- a/flow/picks.go
+++ b/flow/picks.go
@@ -31,6 +31,8 @@
 // pick is where a balancer placed or found a flow.
 type pick struct {
 	agent Address
+	// tag is the service's of the agent, or 0 where it is not known.
+	tag uint16
 	// placed is when the flow was offered to the agent.
 	placed Stamp
 	last   Stamp
@@ -71,7 +73,8 @@
 	To Address
 	// All are the agents that may hold a flow that is searched for.
 	All []Address
-	// Tag is the service's, or 0 when the flow was placed before.
+	// Tag is that of the service whose endpoint gets the packet, or 0 where it is not
+	// known.
 	Tag uint16
 	// Alternative is the agent for an opening packet if To's endpoint is busy.
 	Alternative Address
@@ -98,7 +101,7 @@
 			known.last = now
 			p.flows[packet.Flow] = known
 		}
-		return Decision{To: known.agent, Reason: Known}
+		return Decision{To: known.agent, Tag: known.tag, Reason: Known}
 	case packet.Reset:
 		return Decision{Reason: NotHeld}
 	}
@@ -155,7 +158,7 @@
 		return p.unplaced(packet, known)
 	}
 	site := service.Takers[first]
-	known.agent, known.placed, known.last, known.ended = site.Agent, now, now, false
+	known.agent, known.tag, known.placed, known.last, known.ended = site.Agent, service.Tag, now, now, false
 	known.tried[known.tries] = site.Agent
 	known.tries++
 	p.flows[packet.Flow] = known
@@ -186,12 +189,12 @@
 	return false
 }
 
-// Found takes in that a flow is at an agent, and returns the datagrams that waited
-// for it.
-func (p *Picks) Found(now Stamp, key Key, agent Address) [][]byte {
+// Found takes in that a flow is at an agent of the service with a tag, and returns the
+// datagrams that waited for it.
+func (p *Picks) Found(now Stamp, key Key, agent Address, tag uint16) [][]byte {
 	kept := p.searches.end(key)
 	known := p.flows[key]
-	known.agent, known.last, known.ended = agent, now, false
+	known.agent, known.tag, known.last, known.ended = agent, tag, now, false
 	if known.placed == 0 {
 		known.placed = now
 	}
@@ -207,7 +210,7 @@
 	known, ok := p.flows[packet.Flow]
 	if !packet.Opening {
 		if ok && known.agent != agent && !known.ended && hops <= 1 {
-			return Decision{To: known.agent, Reason: Known}
+			return Decision{To: known.agent, Tag: known.tag, Reason: Known}
 		}
 		delete(p.flows, packet.Flow)
 		return p.search(now, packet, m, agent, datagram)
--- a/flow/picks_test.go
+++ b/flow/picks_test.go
@@ -113,9 +113,9 @@
 	must.EqOp(t, 3, len(first.All))
 	second := p.FromCaller(time.Second+time.Millisecond, packet, m, []byte("b"))
 	must.Eq(t, Decision{Reason: SearchWaits}, second)
-	must.Eq(t, [][]byte{[]byte("b")}, p.Found(time.Second, packet.Flow, agentAt(2)))
+	must.Eq(t, [][]byte{[]byte("b")}, p.Found(time.Second, packet.Flow, agentAt(2), 0))
 	must.EqOp(t, agentAt(2), p.FromCaller(time.Second, packet, m, []byte("c")).To)
-	must.SliceEmpty(t, p.Found(time.Second, packet.Flow, agentAt(2)))
+	must.SliceEmpty(t, p.Found(time.Second, packet.Flow, agentAt(2), 0))
 	must.EqOp(t, 0, p.searches.kept)
 }
 
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -207,7 +207,7 @@
 		}
 		b := int(v.Tell.IP[3] - 1)
 		w.post(fmt.Sprintf("%v is at %v", p.Flow, owner), func() {
-			for _, datagram := range w.balancers[b].Found(w.now, p.Flow, owner) {
+			for _, datagram := range w.balancers[b].Found(w.now, p.Flow, owner, 0) {
 				w.carryOut(b, w.packetOf(datagram), Decision{To: owner}, 0)
 			}
 		})
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -246,7 +246,8 @@
 	case flow.ToCaller:
 		t.counters.Send(t.outbound, payload, t.callerAt(key))
 	case flow.Pass:
-		wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
+		// The other agent's address may have gone to another service.
+		wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: t.tag, Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
 		t.counters.Send(t.peers, buffer, v.To.AddrPort())
 	case flow.Return:
 		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
--- a/packetbalancer/forward_test.go
+++ b/packetbalancer/forward_test.go
@@ -56,7 +56,7 @@
 	f.table.Store(newMapBuilder(clock.Now(), held).build())
 	for i := range flows {
 		packet, _ := plainCodec{}.Decode([]byte{byte(i >> 8), byte(i)})
-		f.picks.Found(clock.Now(), packet.Flow, flow.AddressOf(agent))
+		f.picks.Found(clock.Now(), packet.Flow, flow.AddressOf(agent), 0)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -192,12 +192,16 @@
 		if m.Agent.IsZero() {
 			m.Agent = sender
 		}
+		var tag uint16
+		if site := t.table.Load().Agents[m.Agent]; site != nil {
+			tag = site.Service.Tag
+		}
 		t.mu.Lock()
-		kept := t.picks.Found(now, m.Flow, m.Agent)
+		kept := t.picks.Found(now, m.Flow, m.Agent, tag)
 		t.mu.Unlock()
 		for _, datagram := range kept {
 			buffer := append(make([]byte, wire.EnvelopeSize), datagram...)
-			t.carryOut(m.Flow, flow.Decision{To: m.Agent, Reason: flow.Known}, buffer, 0)
+			t.carryOut(m.Flow, flow.Decision{To: m.Agent, Tag: tag, Reason: flow.Known}, buffer, 0)
 		}
 	case wire.Denied:
 		t.mu.Lock()
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -26,6 +26,11 @@
 		cause: "it did not know that the endpoint may hold flows, and ended one that all others had denied",
 		seed:  28, size: Size{Balancers: 3, Endpoints: 7, Length: 12 * time.Second},
 	},
+	{
+		name:  "an address changes its service while an agent hands a flow to it",
+		cause: "a packet that was handed on did not name its service, and opened a flow at another",
+		seed:  40, size: Size{Balancers: 3, Endpoints: 7, Length: 12 * time.Second},
+	},
 }
 
 func play(t *testing.T, plan Plan) Result {
