Random faults for the roles that speak HTTP/3

By a seed: balancers and one agent killed and stopped, balancers paused, the fabric cut one way and noisy, the platform down and stale, tickets published, all overlapping. Callers retry under their key where the outcome is not known; a key is recorded at most once, callers are told the truth, and feeds outlive everything but the loss of their agent. A long run: CACTUSTRAY_SOAK_SEEDS=FIRST-LAST.

--- /dev/null
+++ b/standin/e2e/random_test.go
@@ -0,0 +1,216 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cactustray/standin/fabric"
+	"cactustray/standin/fleet"
+	"cactustray/standin/layout"
+	"cactustray/standin/platform"
+	"cactustray/ticket"
+
+	"github.com/shoenig/test/must"
+)
+
+// seedsVariable names the environment variable for long runs: FIRST-LAST.
+const seedsVariable = "CACTUSTRAY_SOAK_SEEDS"
+
+const (
+	randomFaults = 8
+	// longestFault is below the 30 s after which a connection without a packet ends.
+	longestFault = 2500 * time.Millisecond
+	// faultPause is the mean time between the beginnings of two faults.
+	faultPause = 700 * time.Millisecond
+	retries    = 2
+)
+
+func soakSeeds(t *testing.T) (first, last uint64) {
+	first, last = 1, 1
+	if text := os.Getenv(seedsVariable); text != "" {
+		_, err := fmt.Sscanf(text, "%d-%d", &first, &last)
+		must.NoError(t, err, must.Sprint("want FIRST-LAST"))
+	}
+	return first, last
+}
+
+// Random faults that overlap, by a seed: confirmations are recorded at most once also
+// when callers retry, callers are told the truth, feeds outlive everything but the loss
+// of their agent, and service is back afterwards.
+func TestRandomFaults(t *testing.T) {
+	t.Parallel()
+	first, last := soakSeeds(t)
+	for seed := first; seed <= last; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { newRandomRun(t, seed).play(t) })
+	}
+}
+
+// randomRun is one run: its faults hit one agent at most, which is what at most once is
+// promised for.
+type randomRun struct {
+	fleet  *fleet.Fleet
+	random *rand.Rand
+	victim string
+	lost   bool
+	number ticket.Number
+	group  sync.WaitGroup
+	busy   map[string]*sync.Mutex
+}
+
+func newRandomRun(t *testing.T, seed uint64) *randomRun {
+	f := fleet.Start(t, layout.Size{Balancers: 3, Services: []string{"orders"}, Backends: 4})
+	r := &randomRun{fleet: f, random: rand.New(rand.NewPCG(seed, seed)), number: 1, busy: make(map[string]*sync.Mutex)}
+	for _, name := range f.Names() {
+		r.busy[name] = new(sync.Mutex)
+	}
+	r.victim = f.Backends[r.random.IntN(len(f.Backends))].Name
+	return r
+}
+
+func (r *randomRun) play(t *testing.T) {
+	f := r.fleet
+	open := openFeeds(t, f, "orders", 12)
+	sent := startRetried(t, f)
+	faults := []func(time.Duration) string{r.kill, r.stop, r.pause, r.cut, r.cut, r.noise, r.platform, r.platform, r.change}
+	for range randomFaults {
+		length := time.Duration(r.random.Int64N(int64(longestFault)))
+		t.Log(faults[r.random.IntN(len(faults))](length))
+		time.Sleep(time.Duration(r.random.ExpFloat64() * float64(faultPause))) // the pause between two faults
+	}
+	r.group.Wait()
+	sent.awaitMore(f, 100)
+	counts := sent.finish(t, f)
+	must.Positive(t, counts[confirmed])
+	t.Logf("confirmations: %d confirmed, %d not run, %d unknown", counts[confirmed], counts[notRun], counts[unknown])
+	on, other := open.split(r.victim)
+	if !r.lost {
+		other = append(other, on...)
+	}
+	other.mustFlow(t, f)
+	open.stop()
+}
+
+// startRetried sends confirmations, and again under their key where the outcome is not
+// known.
+func startRetried(t *testing.T, f *fleet.Fleet) *confirmations {
+	const senders, work, timeout = 4, 5, 5000
+	running, stop := context.WithCancel(context.Background())
+	c := &confirmations{outcomes: make(map[string]outcome), stop: stop}
+	t.Cleanup(func() {
+		stop()
+		c.group.Wait()
+	})
+	for s := range senders {
+		c.group.Go(func() {
+			for i := 0; running.Err() == nil; i++ {
+				key := fmt.Sprintf("random-%d-%d", s, i)
+				o := confirm(context.Background(), f, "orders", key, work, timeout)
+				for again := 0; o == unknown && again < retries; again++ {
+					o = confirm(context.Background(), f, "orders", key, work, timeout)
+					if o == notRun {
+						o = unknown // this one did not run; an earlier one may have
+					}
+				}
+				c.settle(key, o)
+			}
+		})
+	}
+	return c
+}
+
+// during runs a fault on a daemon, one after another where they meet.
+func (r *randomRun) during(name string, fault func()) {
+	r.group.Go(func() {
+		r.busy[name].Lock()
+		defer r.busy[name].Unlock()
+		fault()
+	})
+}
+
+// daemon draws a balancer or the one agent that faults may end.
+func (r *randomRun) daemon() string {
+	if r.random.IntN(3) == 0 {
+		r.lost = true
+		return r.victim
+	}
+	return r.balancer()
+}
+
+func (r *randomRun) balancer() string {
+	return r.fleet.Balancers[r.random.IntN(len(r.fleet.Balancers))].Node
+}
+
+func (r *randomRun) kill(length time.Duration) string { return r.restart(syscall.SIGKILL, length) }
+
+func (r *randomRun) stop(time.Duration) string { return r.restart(syscall.SIGTERM, 0) }
+
+func (r *randomRun) restart(signal syscall.Signal, after time.Duration) string {
+	name := r.daemon()
+	r.during(name, func() {
+		r.fleet.Signal(name, signal)
+		r.fleet.AwaitExit(name)
+		time.Sleep(after) // the length of the fault
+		r.fleet.Run(name)
+	})
+	return fmt.Sprintf("%v to %s, started again after %v", signal, name, after)
+}
+
+func (r *randomRun) pause(length time.Duration) string {
+	name := r.balancer()
+	r.during(name, func() {
+		r.fleet.Signal(name, syscall.SIGSTOP)
+		time.Sleep(length) // the length of the fault
+		r.fleet.Signal(name, syscall.SIGCONT)
+	})
+	return fmt.Sprintf("%s paused for %v", name, length)
+}
+
+func (r *randomRun) cut(length time.Duration) string {
+	b := r.fleet.Balancers[r.random.IntN(len(r.fleet.Balancers))]
+	direction, address := fabric.To, b.Balancer.Edge
+	if r.random.IntN(2) == 0 {
+		direction = fabric.From
+	}
+	r.group.Go(func() {
+		r.fleet.Fabric.Faults().Cut(direction, address, true)
+		time.Sleep(length) // the length of the fault
+		r.fleet.Fabric.Faults().Cut(direction, address, false)
+	})
+	return fmt.Sprintf("%s cut, direction %d, for %v", b.Node, direction, length)
+}
+
+func (r *randomRun) noise(length time.Duration) string {
+	r.group.Go(func() {
+		r.fleet.Fabric.Faults().SetNoise(fabric.Noise{Lost: 0.05, Doubled: 0.05, Delayed: 0.2, Delay: 30 * time.Millisecond})
+		time.Sleep(length) // the length of the fault
+		r.fleet.Fabric.Faults().SetNoise(fabric.Noise{})
+	})
+	return fmt.Sprintf("datagrams lost, doubled and delayed for %v", length)
+}
+
+func (r *randomRun) platform(length time.Duration) string {
+	modes := []platform.Mode{platform.Down, platform.Stale}
+	mode := modes[r.random.IntN(len(modes))]
+	r.group.Go(func() {
+		r.fleet.Platform.SetMode(mode)
+		time.Sleep(length) // the length of the fault
+		r.fleet.Platform.SetMode(platform.Healthy)
+	})
+	return fmt.Sprintf("platform %s for %v", mode, length)
+}
+
+// change publishes a ticket that changes a limit.
+func (r *randomRun) change(time.Duration) string {
+	next := *r.fleet.Tickets["orders"]
+	r.number++
+	next.Number = r.number
+	next.Limits.QueueMillis += uint32(r.number)
+	r.fleet.Publish(&next)
+	return fmt.Sprintf("ticket %d", r.number)
+}
