Show the packet roles' nodes to operators, and metrics as text

Cause: cactustray status knows nothing of these nodes, and collectors read no JSON. Change: cactustray nodes asks nodes for their metrics and prints a line each; metrics are written in the text format of Prometheus to callers that accept text, by its library.

--- a/cmd/cactustray/main.go
+++ b/cmd/cactustray/main.go
@@ -31,6 +31,7 @@
 	Ticket      ticketCommands               `cmd:"" help:"Check tickets, hand them over and follow them."`
 	Status      statusCommand                `cmd:"" help:"Show which ticket is in force where."`
 	Flows       flowsCommand                 `cmd:"" help:"Show open flows and requests of each node."`
+	Nodes       nodesCommand                 `cmd:"" help:"Show how nodes of the packet roles stand."`
 	Explain     explainCommand               `cmd:"" help:"Show what the nodes' logs tell of one request or flow."`
 	Settings    settingsCommands             `cmd:"" help:"Check a daemon's settings."`
 	Version     versionCommand               `cmd:"" help:"Show the version."`
--- /dev/null
+++ b/cmd/cactustray/nodes.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"cactustray/status/packetnode"
+)
+
+// nodesTimeout bounds a call of the command nodes: metrics are answered in
+// milliseconds.
+const nodesTimeout = 3 * time.Second
+
+type nodesCommand struct {
+	Addresses []string `arg:"" help:"Metrics addresses of the nodes, IP:port."`
+	JSON      bool     `help:"Write JSON." name:"json"`
+}
+
+// Help is the command's page.
+func (*nodesCommand) Help() string {
+	return `One line a node of the packet roles, by the metrics that it serves. VERSION is the
+desired state in force, AGE how old the directory is. ENDPOINTS are those ready, draining,
+gone and slow, as the balancer sees them. FLOWS are those that a balancer remembers or an
+endpoint holds; RESETS were ended towards callers, UNPLACED counts packets that no endpoint
+took.`
+}
+
+// Run prints one line for each node.
+func (c *nodesCommand) Run(ctx context.Context, out io.Writer) error {
+	client := &http.Client{Timeout: nodesTimeout}
+	nodes := packetnode.Ask(ctx, client, c.Addresses)
+	if c.JSON {
+		return writeJSON(out, nodes)
+	}
+	if err := writeNodes(out, nodes); err != nil {
+		return err
+	}
+	for _, n := range nodes {
+		if n.Failure == "" {
+			return nil
+		}
+	}
+	return &NoAnswerError{Nodes: c.Addresses}
+}
+
+func writeNodes(out io.Writer, nodes []packetnode.Node) error {
+	table := newTable(out, "NODE\tROLE\tVERSION\tAGE\tENDPOINTS\tFLOWS\tREQUESTS\tRESETS\tUNPLACED\tNOTE")
+	for _, n := range nodes {
+		fmt.Fprintln(table, strings.Join(nodeColumns(n), "\t"))
+	}
+	return table.Flush()
+}
+
+func nodeColumns(n packetnode.Node) []string {
+	if n.Failure != "" {
+		return []string{n.Address, absent, absent, absent, absent, absent, absent, absent, absent, n.Failure}
+	}
+	version, age, endpoints, note := absent, absent, absent, absent
+	if n.Role == packetnode.Balancer {
+		version, age = fmt.Sprint(n.Version), n.Age.String()
+		endpoints = fmt.Sprintf("%d+%d+%d, %d slow", n.Ready, n.Draining, n.Gone, n.Slow)
+		if n.Age < 0 {
+			version, age, note = absent, absent, "no directory yet"
+		}
+	}
+	return []string{
+		n.Address, string(n.Role), version, age, endpoints,
+		fmt.Sprint(n.Flows), fmt.Sprint(n.Requests), fmt.Sprint(n.Resets), fmt.Sprint(n.Unplaced), note,
+	}
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"cactustray/control/rpc"
 	"cactustray/event"
 
+	"github.com/prometheus/common/expfmt"
 	gometrics "github.com/rcrowley/go-metrics"
 )
 
@@ -87,10 +89,16 @@
 	_ = r.registry.Register(name, gometrics.NewFunctionalGaugeFloat64(read))
 }
 
-// ServeHTTP writes every instrument as JSON.
-func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", contentTypeJSON)
-	gometrics.WriteJSONOnce(r.registry, w)
+// ServeHTTP writes every instrument: in the text format of Prometheus to callers that
+// accept text, as collectors do, else as JSON.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if !strings.Contains(request.Header.Get("Accept"), "text/plain") {
+		w.Header().Set("Content-Type", contentTypeJSON)
+		gometrics.WriteJSONOnce(r.registry, w)
+		return
+	}
+	w.Header().Set("Content-Type", string(expfmt.NewFormat(expfmt.TypeTextPlain)))
+	_ = r.WriteText(w) // the caller has gone
 }
 
 // Serve shows the registry on an address until the context ends; without a
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -15,7 +17,7 @@
 	r.Gauge("ticket.services", func() int64 { return 7 })
 	r.Float("control.core_share", func() float64 { return 0.5 })
 	response := httptest.NewRecorder()
-	r.ServeHTTP(response, nil)
+	r.ServeHTTP(response, httptest.NewRequest(http.MethodGet, Path, nil))
 	var shown map[string]map[string]float64
 	must.NoError(t, json.Unmarshal(response.Body.Bytes(), &shown))
 	must.Eq(t, map[string]map[string]float64{
@@ -24,3 +26,27 @@
 		"control.core_share": {"value": 0.5},
 	}, shown)
 }
+
+// Collectors ask for text: names without dots, histograms in seconds.
+func TestInstrumentsAreShownAsText(t *testing.T) {
+	r := New()
+	r.Counter("steering.replies").Add(3)
+	r.Gauge("packets.not-held", func() int64 { return 7 })
+	r.Float("control.core_share", func() float64 { return 0.5 })
+	times := NewTimes()
+	times.Add(2 * time.Second)
+	r.Times("requests.answer", times)
+	request := httptest.NewRequest(http.MethodGet, Path, nil)
+	request.Header.Set("Accept", "application/openmetrics-text;version=1.0.0,text/plain;version=0.0.4;q=0.5")
+	response := httptest.NewRecorder()
+	r.ServeHTTP(response, request)
+	must.StrHasPrefix(t, "text/plain", response.Header().Get("Content-Type"))
+	for _, line := range []string{
+		"# TYPE cactustray_steering_replies counter", "cactustray_steering_replies 3",
+		"cactustray_packets_not_held 7", "cactustray_control_core_share 0.5",
+		"cactustray_requests_answer_seconds{quantile=\"0.99\"} 2",
+		"cactustray_requests_answer_seconds_sum 2", "cactustray_requests_answer_seconds_count 1",
+	} {
+		must.StrContains(t, response.Body.String(), line+"\n")
+	}
+}
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -78,8 +78,12 @@
 	// unsettled tells that endpoints that are gone may still be in use.
 	unsettled bool
 	elders    elders
+	shown     shown
 }
 
+// shown is what the metrics show of the control state.
+type shown struct{ version, ready, draining, gone, slow atomic.Int64 }
+
 func newState(s *settings.Settings, log *event.Log, t *forwarder, r *reader, healthy *atomic.Bool) *state {
 	now := clock.Now()
 	return &state{
@@ -155,8 +159,9 @@
 
 // compareAnswers finds the endpoints that answer slowly.
 func (s *state) compareAnswers() {
+	slow := 0
 	for _, service := range s.traffic.table.Load().Services {
-		placement.Compare(service.Candidates, func(i int, ratio float64) {
+		slow += placement.Compare(service.Candidates, func(i int, ratio float64) {
 			e := EventEndpointSlow
 			if ratio == 1 {
 				e = EventEndpointUsual
@@ -164,6 +169,7 @@
 			s.log.Emit(e, event.Fields{"service": service.Name, "agent": service.Takers[i].Agent.String(), "ratio": ratio})
 		})
 	}
+	s.shown.slow.Store(int64(slow))
 }
 
 func (s *state) readIfDue(now time.Duration) {
@@ -285,12 +291,21 @@
 
 func (s *state) logChange(source string) {
 	desired := s.directory.Desired()
+	ready, draining, gone := s.countEndpoints()
+	s.shown.version.Store(desired.Version)
+	s.shown.ready.Store(ready)
+	s.shown.draining.Store(draining)
+	s.shown.gone.Store(gone)
 	fields := event.Fields{"revision": s.directory.Revision(), "version": desired.Version, "source": source}
 	if desired.Changed == s.directory.Revision() {
 		s.log.Emit(EventDesired, fields)
 		return
 	}
-	ready, draining, gone := 0, 0, 0
+	fields["ready"], fields["draining"], fields["gone"] = ready, draining, gone
+	s.log.Emit(EventEndpoints, fields)
+}
+
+func (s *state) countEndpoints() (ready, draining, gone int64) {
 	s.directory.Each(func(e *directory.Entry) {
 		switch {
 		case e.GoneAt != 0:
@@ -301,8 +316,7 @@
 			ready++
 		}
 	})
-	fields["ready"], fields["draining"], fields["gone"] = ready, draining, gone
-	s.log.Emit(EventEndpoints, fields)
+	return ready, draining, gone
 }
 
 // tell sends the news to the other balancers.
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -103,6 +103,13 @@
 	t.carryOut(packet.Flow, decision, buffer, 0)
 }
 
+// flows returns how many flows are remembered.
+func (t *forwarder) flows() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return int64(t.picks.Len())
+}
+
 // age returns how old the directory is that flows are placed by.
 func (t *forwarder) age() time.Duration { return clock.Now() - t.table.Load().Current() }
 
--- a/placement/slowness.go
+++ b/placement/slowness.go
@@ -15,20 +15,22 @@
 )
 
 // Compare finds the endpoints of one service that answer slowly beside the others,
-// and calls changed for each that begins or ends to. ratio is its answer time over
-// the usual one, or 1.
-func Compare(candidates []*Candidate, changed func(index int, ratio float64)) {
+// returns how many they are, and calls changed for each that begins or ends to. ratio
+// is its answer time over the usual one, or 1.
+func Compare(candidates []*Candidate, changed func(index int, ratio float64)) (slow int) {
 	usual := usualAnswer(candidates)
 	for i, c := range candidates {
 		ratio := 1.0
 		if answer := c.Gauge.answer.Load(); usual > 0 && float64(answer) >= slowRatio*float64(usual) {
 			ratio = float64(answer) / float64(usual)
+			slow++
 		}
 		if (ratio > 1) != (c.Gauge.Slowness() > 1) {
 			changed(i, ratio)
 		}
 		c.Gauge.slowness.Store(int64(ratio * 1000))
 	}
+	return slow
 }
 
 // usualAnswer returns the median of the answer times, or 0 where too few are known.
