Place a flow anew when its agent's address went to another service

An opening packet was lost with the agent it went to; its address went to another service. The caller's copy, 0.2 s later, was sent to the same agent under that agent's new service, which opened the flow at the wrong endpoint; its next packet, which named the right service, was refused and the flow reset. Change: a flow keeps the service that it was placed for; an agent that belongs to another one gets no copy. Ruled out: a late directory; it was up to date, and the copy was sent by it.

--- a/flow/heard.go
+++ b/flow/heard.go
@@ -86,7 +86,7 @@
 	p.openings.kept = slices.DeleteFunc(p.openings.kept, func(k opening) bool {
 		known := p.flows[k.packet.Flow]
 		placed := m.Agents[k.agent]
-		if placed == nil || placed.Service != site.Service || known.agent != k.agent {
+		if placed == nil || placed.Service != site.Service || known.agent != k.agent || !known.serves(placed) {
 			return false
 		}
 		d := Decision{To: k.agent, Tag: site.Service.Tag, Reason: Repeated}
--- a/flow/picks.go
+++ b/flow/picks.go
@@ -118,12 +118,10 @@
 	if ok && now-known.placed > openingTime {
 		known, ok = pick{}, false // the caller uses its port again
 	}
-	if ok && !known.ended {
-		if site := m.Agents[known.agent]; packet.Copy == 0 || site == nil || site.Gauge.Heard() > known.placed {
-			known.last = now
-			p.flows[packet.Flow] = known
-			return p.again(packet, m, known)
-		}
+	if ok && !known.ended && known.stays(packet, m) {
+		known.last = now
+		p.flows[packet.Flow] = known
+		return p.again(m, known)
 	}
 	route := m.Routes[packet.Flow.Service]
 	if route == nil {
@@ -132,15 +130,28 @@
 	d := p.place(now, packet, route.Service(packet.Flow), known)
 	p.openings.keep(now, packet, d.To, m, datagram)
 	if d.To.IsZero() && ok && !known.ended {
-		return p.again(packet, m, known)
+		return p.again(m, known)
 	}
 	return d
 }
 
+// stays tells whether an opening packet that comes again goes to the agent that has it
+// already: not when that agent is silent, or its address went to another service.
+func (k pick) stays(packet Packet, m *Map) bool {
+	site := m.Agents[k.agent]
+	if site == nil {
+		return true
+	}
+	return k.serves(site) && (packet.Copy == 0 || site.Gauge.Heard() > k.placed)
+}
+
+// serves tells whether a site still belongs to the flow's service.
+func (k pick) serves(site *Site) bool { return k.tag == 0 || k.tag == site.Service.Tag }
+
 // again repeats an opening packet at the agent that has it already.
-func (p *Picks) again(packet Packet, m *Map, known pick) Decision {
+func (p *Picks) again(m *Map, known pick) Decision {
 	site := m.Agents[known.agent]
-	if site == nil {
+	if site == nil || !known.serves(site) {
 		return Decision{Reason: NoEndpoint}
 	}
 	return Decision{To: known.agent, Tag: site.Service.Tag, Reason: Repeated}
--- a/flow/picks_test.go
+++ b/flow/picks_test.go
@@ -158,3 +158,18 @@
 	}
 	must.MapLen(t, flows, asked, must.Sprint(fmt.Sprint(sent)))
 }
+
+// A copy of an opening packet does not follow an agent whose address went to another
+// service meanwhile.
+func TestCopyOfAnOpeningLeavesAnAddressThatMoved(t *testing.T) {
+	m, orders := testMap(2)
+	p := newTestPicks()
+	placed := p.FromCaller(time.Second, Packet{Flow: callerKey(1), Opening: true}, m, nil).To
+	moved := m.Agents[placed]
+	moved.Service = &Service{Name: "drawings", Tag: orders.Tag + 2}
+	for copies := range uint32(2) {
+		d := p.FromCaller(time.Second, Packet{Flow: callerKey(1), Opening: true, Copy: copies}, m, nil)
+		must.NotEqOp(t, placed, d.To)
+		must.EqOp(t, orders.Tag, d.Tag)
+	}
+}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -31,6 +31,11 @@
 		cause: "a packet that was handed on did not name its service, and opened a flow at another",
 		seed:  40, size: Size{Balancers: 3, Endpoints: 7, Length: 12 * time.Second},
 	},
+	{
+		name:  "an opening packet is repeated after its agent's address changed its service",
+		cause: "the copy took the agent's new service for the flow's, and opened it there",
+		seed:  258, size: Size{Balancers: 3, Endpoints: 7, Length: 12 * time.Second},
+	},
 }
 
 func play(t *testing.T, plan Plan) Result {
