--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -116,6 +116,8 @@
 		s.readEnded(now, m)
 	case fetchEnded:
 		s.fetchEnded(now, m)
+	case elderAnswered:
+		s.elderAnswered(now, m)
 	case heardNews:
 		s.heardNews(now, m)
 	case reported:
@@ -237,22 +239,9 @@
 	s.fetching = false
 	if m.err != nil {
 		s.log.Emit(EventPeerFailed, event.Fields{"peer": m.from, "cause": m.err.Error()})
-		s.learnDeparted(now)
 		return
 	}
-	changed, ok := s.directory.Apply(now, m.change)
-	if !ok {
-		return
-	}
-	s.whole = false
-	s.renew(now, changed, m.from.String())
-	if changed {
-		s.tell(now)
-	}
-	if m.change.Complete && !s.elders.complete {
-		s.completed(now, m.from.String())
-	}
-	s.learnDeparted(now)
+	s.adopt(now, m.from, m.change)
 }
 
 // wholeDirectory returns what this balancer knows, to hand on.
