Place flows among a few by rendezvous hashing, and search those first

Cause: a search cost a datagram an endpoint of the service. Change: in a service of more than 12 endpoints a flow is placed among 8 that it prefers, unless all are busy; a search asks the first 12, then all others once those that are heard have denied it or the caller sends again. Test: TestPreferred, TestFlowsArePlacedWhereASearchAsksFirst, TestSearchAsksFewFirst, TestSearchDoesNotWaitForAgentsThatAreNotHeard; the model test plays a large service too.

--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -19,8 +19,8 @@
 	for s := range services {
 		service := &Service{Name: fmt.Sprint(s), Tag: TagOf(uint64(s))}
 		for e := s; e < endpoints; e += services {
-			site := &Site{Agent: Address{IP: [4]byte{10, byte(e >> 16), byte(e >> 8), byte(e)}, Port: 7720}, Service: service}
-			site.Candidate = placement.Candidate{Gauge: new(placement.Gauge), Slots: 2}
+			agent := Address{IP: [4]byte{10, byte(e >> 16), byte(e >> 8), byte(e)}, Port: 7720}
+			site := NewSite(agent, service, placement.Candidate{Gauge: new(placement.Gauge), Slots: 2})
 			site.Gauge.Report(now, placement.Usage{Flows: e % 50, Running: e % 2})
 			service.Takers = append(service.Takers, site)
 			service.Candidates = append(service.Candidates, &site.Candidate)
--- a/flow/heard_test.go
+++ b/flow/heard_test.go
@@ -29,16 +29,16 @@
 	m.hear(now, first)
 	packet := Packet{Flow: callerKey(1), Acknowledged: 77, Data: 10}
 	must.Len(t, 2, p.FromCaller(now, packet, m, []byte("data")).All)
-	must.False(t, p.Denied(now, callerKey(1), first, m).End)
+	must.False(t, ended(p.Denied(now, callerKey(1), first, m)).End)
 	now += 50 * time.Millisecond
 	again := p.Heard(now, second, m)
 	must.Len(t, 1, again)
 	must.Eq(t, []Address{second}, again[0].Decision.All)
 	must.EqOp(t, "data", string(again[0].Datagram))
 	must.SliceEmpty(t, p.Heard(now, first, m))
-	ended := p.Denied(now, callerKey(1), second, m)
-	must.True(t, ended.End)
-	must.EqOp(t, 77, ended.Reset.Acknowledged)
+	over := ended(p.Denied(now, callerKey(1), second, m))
+	must.True(t, over.End)
+	must.EqOp(t, 77, over.Reset.Acknowledged)
 }
 
 // An opening packet that went to an agent which had not started goes to one that has,
@@ -95,11 +95,14 @@
 	m.Complete = false
 	agent, now := agentAt(0), time.Second
 	must.Len(t, 1, p.FromCaller(now, Packet{Flow: callerKey(1), Acknowledged: 5, Data: 10}, m, []byte("data")).All)
-	must.False(t, p.Denied(now, callerKey(1), agent, m).End)
+	must.False(t, ended(p.Denied(now, callerKey(1), agent, m)).End)
 	must.SliceEmpty(t, p.Concluded(now, m))
 	m.Complete = true
-	ended := p.Concluded(now, m)
-	must.Len(t, 1, ended)
-	must.EqOp(t, 5, ended[0].Reset.Acknowledged)
+	over := p.Concluded(now, m)
+	must.Len(t, 1, over)
+	must.EqOp(t, 5, over[0].Reset.Acknowledged)
 	must.SliceEmpty(t, p.Concluded(now, m))
 }
+
+// ended returns what a denial decides of the flow.
+func ended(d Decision, _ []byte) Decision { return d }
--- a/flow/map.go
+++ b/flow/map.go
@@ -10,6 +10,13 @@
 	Agent   Address
 	Service *Service
 	placement.Candidate
+	// hash is the agent's, for the order that flows prefer.
+	hash uint64
+}
+
+// NewSite returns the site of an endpoint.
+func NewSite(agent Address, service *Service, candidate placement.Candidate) *Site {
+	return &Site{Agent: agent, Service: service, Candidate: candidate, hash: Key{Caller: agent}.hash()}
 }
 
 // Service is one service as the traffic side sees it.
--- a/flow/picks.go
+++ b/flow/picks.go
@@ -4,8 +4,6 @@
 	"math"
 	"math/rand/v2"
 	"time"
-
-	"cactustray/placement"
 )
 
 const (
@@ -162,9 +160,7 @@
 	if service == nil || int(known.tries) >= maxTried || len(p.flows) >= maxPicks {
 		return p.unplaced(packet, known)
 	}
-	first, second := placement.Choose(now, p.random, service.Candidates, func(i int) bool {
-		return known.triedBefore(service.Takers[i].Agent)
-	})
+	first, second := p.choose(now, service, packet.Flow, known)
 	if first < 0 {
 		return p.unplaced(packet, known)
 	}
--- a/flow/picks_test.go
+++ b/flow/picks_test.go
@@ -17,8 +17,7 @@
 	m.Current = func() Stamp { return time.Second }
 	service := &Service{Name: "orders", Tag: 1}
 	for i := range endpoints {
-		site := &Site{Agent: agentAt(i), Service: service}
-		site.Candidate = placement.Candidate{Gauge: new(placement.Gauge), Slots: 2}
+		site := NewSite(agentAt(i), service, placement.Candidate{Gauge: new(placement.Gauge), Slots: 2})
 		site.Gauge.Report(time.Second, placement.Usage{Running: i})
 		service.Takers = append(service.Takers, site)
 		service.Candidates = append(service.Candidates, &site.Candidate)
@@ -124,10 +123,10 @@
 	p := newTestPicks()
 	packet := Packet{Flow: callerKey(1), Data: 100, Acknowledged: 77}
 	p.FromCaller(time.Second, packet, m, nil)
-	must.False(t, p.Denied(time.Second, packet.Flow, agentAt(0), m).End)
+	must.False(t, ended(p.Denied(time.Second, packet.Flow, agentAt(0), m)).End)
 	again := p.FromCaller(time.Second+searchPause, packet, m, nil)
 	must.Eq(t, []Address{agentAt(1)}, again.All)
-	d := p.Denied(time.Second, packet.Flow, agentAt(1), m)
+	d := ended(p.Denied(time.Second, packet.Flow, agentAt(1), m))
 	must.True(t, d.End)
 	must.EqOp(t, 77, d.Reset.Acknowledged)
 	must.EqOp(t, EndpointLost, p.FromCaller(time.Second, packet, m, nil).Reason)
--- /dev/null
+++ b/flow/prefer_test.go
@@ -0,0 +1,195 @@
+package flow
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"cactustray/placement"
+
+	"github.com/shoenig/test/must"
+)
+
+// largeMap has one service that is too large to be searched as a whole at once, a
+// quarter of it in the balancer's failure domain. All agents are heard.
+func largeMap(endpoints int) (*Map, *Service) {
+	m, service := testMap(0)
+	m.Complete = true
+	for i := range endpoints {
+		addSite(m, service, i)
+	}
+	return m, service
+}
+
+func addSite(m *Map, service *Service, i int) {
+	site := NewSite(agentAt(i), service, placement.Candidate{Gauge: new(placement.Gauge), Slots: 2, Remote: i%4 != 0})
+	site.Gauge.Report(time.Second, placement.Usage{})
+	service.Takers = append(service.Takers, site)
+	service.Candidates = append(service.Candidates, &site.Candidate)
+	service.Holders = append(service.Holders, site)
+	m.Agents[site.Agent] = site
+}
+
+func preferredAgents(sites []*Site, key Key, each int) []Address {
+	p := preferred(sites, key, each)
+	var agents []Address
+	for _, i := range p.appendTo(nil) {
+		agents = append(agents, sites[i].Agent)
+	}
+	return agents
+}
+
+// The order of the endpoints makes no difference, those of a shorter list are in a longer
+// one, and another endpoint takes the place of one at most.
+func TestPreferred(t *testing.T) {
+	m, service := largeMap(40)
+	random := rand.New(rand.NewPCG(1, 1))
+	taken := make(map[Address]int)
+	for i := range 400 {
+		key := callerKey(i)
+		few, more := preferredAgents(service.Holders, key, placeAmong), preferredAgents(service.Holders, key, searchAmong)
+		must.Len(t, 2*placeAmong, few)
+		must.Len(t, 2*searchAmong, more)
+		must.SliceContainsSubset(t, more, few)
+		shuffled := slices.Clone(service.Holders)
+		random.Shuffle(len(shuffled), func(a, b int) { shuffled[a], shuffled[b] = shuffled[b], shuffled[a] })
+		must.Eq(t, few, preferredAgents(shuffled, key, placeAmong))
+		for _, agent := range few {
+			taken[agent]++
+		}
+	}
+	for agent, n := range taken {
+		fair := 400 * placeAmong / 10 // each of 10 local ones, and of 30 remote ones a third
+		if m.Agents[agent].Remote {
+			fair /= 3
+		}
+		must.Between(t, fair/2, n, 2*fair)
+	}
+	before := preferredAgents(service.Holders, callerKey(1), placeAmong)
+	addSite(m, service, 40)
+	kept := 0
+	for _, agent := range preferredAgents(service.Holders, callerKey(1), placeAmong) {
+		if slices.Contains(before, agent) {
+			kept++
+		}
+	}
+	must.Between(t, 2*placeAmong-1, kept, 2*placeAmong)
+}
+
+// A flow is placed where a search asks first, unless all of those are busy.
+func TestFlowsArePlacedWhereASearchAsksFirst(t *testing.T) {
+	m, service := largeMap(40)
+	p := newTestPicks()
+	for i := range 100 {
+		to := p.FromCaller(time.Second, Packet{Flow: callerKey(i), Opening: true}, m, nil).To
+		must.SliceContains(t, preferredAgents(service.Holders, callerKey(i), searchAmong), to)
+		m.hear(time.Second, to)
+	}
+	key := callerKey(1000)
+	for _, agent := range preferredAgents(service.Holders, key, placeAmong) {
+		m.Agents[agent].Gauge.Report(time.Second, placement.Usage{Running: 2, Mean: 2})
+	}
+	to := p.FromCaller(time.Second, Packet{Flow: key, Opening: true}, m, nil).To
+	must.SliceNotContains(t, preferredAgents(service.Holders, key, placeAmong), to)
+}
+
+// A search asks few first, and all others only once those have denied the flow or the
+// caller sends again.
+func TestSearchAsksFewFirst(t *testing.T) {
+	const endpoints = 40
+	packet := Packet{Flow: callerKey(1), Acknowledged: 5, Data: 10}
+	now := time.Second
+	m, _ := largeMap(endpoints)
+	p := newTestPicks()
+	first := p.FromCaller(now, packet, m, []byte("data"))
+	must.Len(t, 2*searchAmong, first.All)
+	for i, agent := range first.All {
+		d, datagram := p.Denied(now, packet.Flow, agent, m)
+		must.False(t, d.End)
+		if i < len(first.All)-1 {
+			must.SliceEmpty(t, d.All)
+			continue
+		}
+		must.Len(t, endpoints-2*searchAmong, d.All)
+		must.EqOp(t, "data", string(datagram))
+		first = d
+	}
+	var last Decision
+	for _, agent := range first.All {
+		must.False(t, last.End)
+		last, _ = p.Denied(now, packet.Flow, agent, m)
+	}
+	must.True(t, last.End)
+
+	p = newTestPicks()
+	p.FromCaller(now, packet, m, []byte("data"))
+	must.Len(t, endpoints, p.FromCaller(now+searchPause, packet, m, []byte("data")).All)
+}
+
+// Agents that are not heard keep nobody waiting.
+func TestSearchDoesNotWaitForAgentsThatAreNotHeard(t *testing.T) {
+	m, _ := largeMap(40)
+	p := newTestPicks()
+	packet := Packet{Flow: callerKey(1), Data: 10}
+	first := p.FromCaller(time.Second, packet, m, []byte("data"))
+	for _, agent := range first.All[1:] {
+		m.Agents[agent].Gauge = new(placement.Gauge)
+	}
+	d, _ := p.Denied(time.Second, packet.Flow, first.All[0], m)
+	must.Len(t, 39, d.All)
+}
+
+// How long requests wait when flows are placed among the few that they prefer, and
+// among all: 40 endpoints with 2 slots, one request a flow, reports each 100 ms.
+func BenchmarkPlacementAmongFew(b *testing.B) {
+	for _, load := range []float64{0.33, 0.7} {
+		for name, service := range map[string]func(m *Map, s *Service) *Service{
+			"few": func(_ *Map, s *Service) *Service { return s },
+			"all": nil,
+		} {
+			b.Run(name+" at "+map[float64]string{0.33: "a third", 0.7: "0.7"}[load], func(b *testing.B) {
+				for range b.N {
+					b.ReportMetric(simulateFew(load, service == nil), "p99-ms")
+				}
+			})
+		}
+	}
+}
+
+func simulateFew(load float64, all bool) (p99 float64) {
+	const endpoints, work, length = 40, 13 * time.Millisecond, 60 * time.Second
+	_, service := largeMap(endpoints)
+	p := newTestPicks()
+	random := rand.New(rand.NewPCG(3, 4))
+	free := make([][2]time.Duration, endpoints)
+	ends := make([][]time.Duration, endpoints)
+	var waits []time.Duration
+	rate := load * endpoints * 2 / work.Seconds()
+	next, flow := time.Second, 0
+	for at := time.Second; at < length; at += placement.ReportInterval {
+		for i, site := range service.Takers {
+			ends[i] = slices.DeleteFunc(ends[i], func(end time.Duration) bool { return end <= at })
+			site.Gauge.Report(at, placement.Usage{Running: len(ends[i]), Mean: float64(len(ends[i]))})
+		}
+		for ; next < at+placement.ReportInterval; next += time.Duration(random.ExpFloat64() / rate * float64(time.Second)) {
+			flow++
+			index := 0
+			if all {
+				index, _ = placement.Choose(next, random, service.Candidates, nil)
+			} else {
+				index, _ = p.choose(next, service, callerKey(flow), pick{})
+			}
+			slot := 0
+			if free[index][1] < free[index][0] {
+				slot = 1
+			}
+			begin := max(next, free[index][slot])
+			free[index][slot] = begin + time.Duration(random.ExpFloat64()*float64(work))
+			ends[index] = append(ends[index], free[index][slot])
+			waits = append(waits, begin-next)
+		}
+	}
+	slices.Sort(waits)
+	return float64(waits[len(waits)*99/100].Microseconds()) / 1000
+}
--- a/flow/search.go
+++ b/flow/search.go
@@ -30,9 +30,11 @@
 	acknowledged uint32
 	began        Stamp
 	last         Stamp
-	// sent is when all agents were asked last, or 0, and packet what they got.
+	// sent is when agents were asked last, or 0, and packet what they got.
 	sent   Stamp
 	packet []byte
+	// wide tells that all agents were asked, not only those that the flow prefers.
+	wide bool
 	// kept are the packets that wait for the flow's agent.
 	kept [][]byte
 }
@@ -105,8 +107,9 @@
 	}
 }
 
-// search sends a packet to all agents that may hold its flow, unless they were
-// asked just now. except has said already that it does not.
+// search sends a packet to the agents that may hold its flow, unless they were asked
+// just now: first to those that the flow prefers, then to all. except has said already
+// that it does not hold it.
 func (p *Picks) search(now Stamp, packet Packet, m *Map, except Address, datagram []byte) Decision {
 	route := m.Routes[packet.Flow.Service]
 	if route == nil {
@@ -121,16 +124,44 @@
 		p.searches.keep(s, datagram)
 		return Decision{Reason: SearchWaits}
 	}
-	d := Decision{Reason: Searched, Tag: tagOf(route), All: s.asked(route)}
-	if len(d.All) == 0 {
-		s.packet = slices.Clone(datagram)
+	s.packet = slices.Clone(datagram)
+	d := p.ask(now, packet.Flow, s, route)
+	switch {
+	case len(d.All) == 0 && d.Reason != SearchWaits:
 		return p.conclude(now, packet.Flow, m)
-	}
-	if !p.searches.take(now, len(d.All)*(len(datagram)+searchOverhead)) {
+	case d.Reason == SearchWaits:
 		p.searches.keep(s, datagram)
+	}
+	return d
+}
+
+// ask asks those that the flow prefers, or all once they were asked or have denied it.
+func (p *Picks) ask(now Stamp, key Key, s *search, route *Route) Decision {
+	if s.sent == 0 {
+		if first := s.askedFirst(key, route); len(first) > 0 {
+			return p.send(now, s, route, first)
+		}
+	}
+	return p.askAll(now, s, route)
+}
+
+// askAll asks all that have not denied the flow.
+func (p *Picks) askAll(now Stamp, s *search, route *Route) Decision {
+	d := p.send(now, s, route, s.asked(route))
+	s.wide = s.wide || d.Reason == Searched
+	return d
+}
+
+// send sends the packet of a search to agents, if the rate of searches allows it.
+func (p *Picks) send(now Stamp, s *search, route *Route, to []Address) Decision {
+	d := Decision{Reason: Searched, Tag: tagOf(route), All: to}
+	if len(to) == 0 {
+		return d
+	}
+	if !p.searches.take(now, len(to)*(len(s.packet)+searchOverhead)) {
 		return Decision{Reason: SearchWaits}
 	}
-	s.sent, s.packet = now, slices.Clone(datagram)
+	s.sent = now
 	return d
 }
 
@@ -142,6 +173,33 @@
 	return r.Shares[0].Service.Tag
 }
 
+// askedFirst returns the agents that the flow prefers and that have not denied it; none
+// where a service is too small for preferences.
+func (s *search) askedFirst(key Key, r *Route) []Address {
+	var asked []Address
+	for _, share := range r.Shares {
+		sites := share.Service.Holders
+		if len(sites) <= preferAll {
+			return nil
+		}
+		preferences := preferred(sites, key, searchAmong)
+		var room [2 * searchAmong]int
+		for _, i := range preferences.appendTo(room[:0]) {
+			if !s.denied[sites[i].Agent] {
+				asked = append(asked, sites[i].Agent)
+			}
+		}
+	}
+	return asked
+}
+
+// awaitsPreferred tells whether an agent that the flow prefers may still answer.
+func (s *search) awaitsPreferred(now Stamp, key Key, r *Route, m *Map) bool {
+	return slices.ContainsFunc(s.askedFirst(key, r), func(agent Address) bool {
+		return m.Agents[agent].Gauge.Alive(now)
+	})
+}
+
 // asked returns the agents that may hold the flow and have not denied it.
 func (s *search) asked(r *Route) []Address {
 	var asked []Address
@@ -155,15 +213,21 @@
 	return asked
 }
 
-// Denied takes in that an agent does not hold a flow that was searched for.
-// When none does, the flow is over.
-func (p *Picks) Denied(now Stamp, key Key, agent Address, m *Map) Decision {
-	s := p.searches.flows[key]
+// Denied takes in that an agent does not hold a flow that was searched for. Once all
+// that the flow prefers have denied it the others are asked, with the datagram that is
+// returned; when none holds it the flow is over.
+func (p *Picks) Denied(now Stamp, key Key, agent Address, m *Map) (Decision, []byte) {
+	s, route := p.searches.flows[key], m.Routes[key.Service]
 	if s == nil {
-		return Decision{Reason: NotHeld}
+		return Decision{Reason: NotHeld}, nil
 	}
 	s.denied[agent] = true
-	return p.conclude(now, key, m)
+	if route != nil && !s.wide && s.packet != nil && !s.awaitsPreferred(now, key, route, m) {
+		if d := p.askAll(now, s, route); len(d.All) > 0 {
+			return d, s.packet
+		}
+	}
+	return p.conclude(now, key, m), nil
 }
 
 // conclude ends a flow once every endpoint that may hold it has denied it.
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -75,8 +75,7 @@
 		a := &worldAgent{address: Address{IP: [4]byte{10, 0, 0, byte(i + 1)}, Port: 7}, endpoint: newWorldEndpoint(uint32(i))}
 		a.held = NewHeld(w.now, 2, worldLifetime, true)
 		w.agents = append(w.agents, a)
-		site := &Site{Agent: a.address, Service: service}
-		site.Candidate = placement.Candidate{Gauge: new(placement.Gauge), Slots: 2, Learned: w.now}
+		site := NewSite(a.address, service, placement.Candidate{Gauge: new(placement.Gauge), Slots: 2, Learned: w.now, Remote: i%2 == 1})
 		service.Takers = append(service.Takers, site)
 		service.Candidates = append(service.Candidates, &site.Candidate)
 		service.Holders = append(service.Holders, site)
@@ -193,7 +192,11 @@
 		})
 	case Deny:
 		w.post(fmt.Sprintf("%v denied by %v", p.Flow, a.address), func() {
-			w.carryOut(b, p, w.balancers[b].Denied(w.now, p.Flow, a.address, w.table), 0)
+			d, datagram := w.balancers[b].Denied(w.now, p.Flow, a.address, w.table)
+			if datagram != nil {
+				p = w.packetOf(datagram)
+			}
+			w.carryOut(b, p, d, 0)
 		})
 	case End:
 		w.reset(v.Reset)
@@ -396,6 +399,24 @@
 	})
 }
 
+// The same for a service that is too large to be searched as a whole at once.
+func TestFlowsOfALargeServiceAreFound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, preferAll+4, 2)
+		w.lossy = rapid.Bool().Draw(t, "lossy")
+		w.newCaller()
+		w.newCaller()
+		for range rapid.IntRange(10, 60).Draw(t, "steps") {
+			w.step()
+		}
+		w.lossy = false
+		w.settle()
+		for _, c := range w.callers {
+			w.mustReach(c)
+		}
+	})
+}
+
 // mustReach sends on a flow until it is found: a caller repeats its packet too.
 func (w *world) mustReach(c *worldCaller) {
 	holder := w.heldBy(c)
--- a/packetbalancer/table.go
+++ b/packetbalancer/table.go
@@ -76,13 +76,10 @@
 		return
 	}
 	service := b.service(e.Service)
-	site := &flow.Site{
-		Agent: agent, Service: service,
-		Candidate: placement.Candidate{
-			Gauge: gauge, Slots: e.Slots, Remote: e.Zone != b.state.settings.Zone,
-			ColdUntil: e.WarmAt, Learned: e.Learned,
-		},
-	}
+	site := flow.NewSite(agent, service, placement.Candidate{
+		Gauge: gauge, Slots: e.Slots, Remote: e.Zone != b.state.settings.Zone,
+		ColdUntil: e.WarmAt, Learned: e.Learned,
+	})
 	service.Holders = append(service.Holders, site)
 	b.table.Agents[agent] = site
 	if e.TakesNew(b.now, alive) {
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -212,10 +212,10 @@
 		}
 	case wire.Denied:
 		t.mu.Lock()
-		decision := t.picks.Denied(now, m.Flow, sender, t.table.Load())
+		decision, datagram := t.picks.Denied(now, m.Flow, sender, t.table.Load())
 		t.mu.Unlock()
-		if decision.End {
-			t.carryOut(m.Flow, decision, nil, 0)
+		if decision.End || len(decision.All) > 0 {
+			t.carryOut(m.Flow, decision, append(make([]byte, wire.EnvelopeSize), datagram...), 0)
 		}
 	case wire.News:
 		t.loop.Offer(heardNews{News: m, from: sender})
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -30,6 +30,9 @@
 	// failingCost is what an endpoint costs whose requests all fail, in shares of
 	// all slots: more than a queue that is still in time.
 	failingCost = 4.0
+	// freeFailing is the share of failed requests, in thousandths, from which an
+	// endpoint is not taken for free: two of the last twenty.
+	freeFailing = 100
 	// jitter keeps balancers with equal reports from one choice, in shares of
 	// all slots.
 	jitter = 0.1
@@ -147,6 +150,12 @@
 	}
 }
 
+// Free tells whether a new flow would find a slot at an endpoint that is well.
+func (c *Candidate) Free(now time.Duration) bool {
+	well := c.standing(now) == usable && c.Gauge.Slowness() == 1 && c.Gauge.failing.Load() < freeFailing
+	return well && c.Gauge.Running() < int64(c.Slots)
+}
+
 func (c *Candidate) cost(now time.Duration, random *rand.Rand) float64 {
 	g := c.Gauge
 	load := (float64(g.running.Load()) + float64(g.mean.Load())/1000) / 2
