Report loads less often in larger deployments, and name balancers now and then

Change: reports name the balancers twice a second and when one comes or goes; with more than 24 balancers an agent reports less often, and says how often, so that it still counts as heard.

--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -118,8 +118,8 @@
 	Leaving bool
 }
 
-// Report tells a balancer the load of the sender's endpoint, and which balancers
-// greet the sender.
+// Report tells a balancer the load of the sender's endpoint and, now and then, which
+// balancers greet the sender.
 type Report struct {
 	placement.Usage
 	Balancers []flow.Address
@@ -189,7 +189,8 @@
 	r := &flowpb.Report{
 		Flows: uint32(m.Flows), Running: uint32(m.Running), MeanMilli: uint32(m.Mean * 1000),
 		Silent: m.Silent, Leaving: m.Leaving, FailingMilli: uint32(m.Failing * 1000),
-		AnswerUs: uint32(min(m.Answer.Microseconds(), math.MaxUint32)),
+		AnswerUs:   uint32(min(m.Answer.Microseconds(), math.MaxUint32)),
+		IntervalMs: uint32(m.Interval.Milliseconds()),
 	}
 	for _, b := range m.Balancers[:min(len(m.Balancers), maxBalancers)] {
 		r.Balancers = appendAddress(r.Balancers, b)
@@ -256,7 +257,8 @@
 	m := Report{Usage: placement.Usage{
 		Flows: int(r.GetFlows()), Running: int(r.GetRunning()), Mean: float64(r.GetMeanMilli()) / 1000,
 		Silent: r.GetSilent(), Leaving: r.GetLeaving(), Failing: float64(r.GetFailingMilli()) / 1000,
-		Answer: time.Duration(r.GetAnswerUs()) * time.Microsecond,
+		Answer:   time.Duration(r.GetAnswerUs()) * time.Microsecond,
+		Interval: time.Duration(r.GetIntervalMs()) * time.Millisecond,
 	}}
 	for b := r.GetBalancers(); len(b) >= addressSize; b = b[addressSize:] {
 		m.Balancers = append(m.Balancers, address(b))
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -16,6 +16,14 @@
 	// helloFor is how long a balancer counts after it greeted this agent: four
 	// greetings.
 	helloFor = 2 * time.Second
+	// reportFanout is how many balancers get a report each placement.ReportInterval;
+	// more of them get theirs less often, so that reports cost an agent the same in a
+	// larger deployment. reportSlowest bounds how seldom.
+	reportFanout  = 24
+	reportSlowest = time.Second
+	// nameInterval is how often reports name the balancers, from which they learn of each
+	// other: several times the 2 s after which they forget.
+	nameInterval = 500 * time.Millisecond
 	// maxBalancers bounds how many balancers get reports.
 	maxBalancers = 256
 	// sweepInterval is how often old flows are forgotten.
@@ -45,6 +53,9 @@
 	// last is the usage at the last report.
 	last   flow.Usage
 	lastAt time.Duration
+	// reported is when the load was reported last, named when with the balancers.
+	reported time.Duration
+	named    time.Duration
 }
 
 func newState(log *event.Log, t *forwarder) *state {
@@ -77,12 +88,14 @@
 	switch {
 	case m.Leaving && known:
 		delete(s.balancers, m.balancer)
+		s.named = 0
 		s.log.Emit(EventBalancerLeft, event.Fields{"balancer": m.balancer.String()})
 	case m.Leaving || !known && len(s.balancers) >= maxBalancers:
 	default:
 		s.balancers[m.balancer] = now
 		if !known {
 			s.log.Emit(EventBalancerMet, event.Fields{"balancer": m.balancer.String()})
+			s.named = 0
 			s.report(now)
 		}
 	}
@@ -110,23 +123,35 @@
 			s.log.Emit(EventBalancerLost, event.Fields{"balancer": balancer.String()})
 		}
 	}
-	s.report(now)
+	if now-s.reported >= s.interval()-placement.ReportInterval/2 {
+		s.report(now)
+	}
 	if now-s.swept >= sweepInterval {
 		s.swept = now
 		s.traffic.sweep()
 	}
 }
 
+// interval returns the pause between two reports.
+func (s *state) interval() time.Duration {
+	slower := placement.ReportInterval * time.Duration(len(s.balancers)) / reportFanout
+	return min(max(slower, placement.ReportInterval), reportSlowest)
+}
+
 // report tells the balancers how busy the endpoint is.
 func (s *state) report(now time.Duration) {
+	s.reported = now
 	usage := s.traffic.usage()
 	report := wire.Report{Usage: placement.Usage{
 		Flows: usage.Flows, Running: usage.Running, Mean: s.mean(now, usage), Failing: usage.Failing,
-		Answer: usage.Answer,
-		Silent: usage.Silent, Leaving: s.leaving,
+		Answer:   usage.Answer,
+		Interval: s.interval(), Silent: usage.Silent, Leaving: s.leaving,
 	}}
-	for balancer := range s.balancers {
-		report.Balancers = append(report.Balancers, balancer)
+	if s.named == 0 || now-s.named >= nameInterval {
+		s.named = now
+		for balancer := range s.balancers {
+			report.Balancers = append(report.Balancers, balancer)
+		}
 	}
 	datagram := wire.Encode(report)
 	for balancer := range s.balancers {
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -194,7 +194,9 @@
 	switch m := message.(type) {
 	case wire.Report:
 		t.reported(now, sender, m.Usage)
-		t.loop.Offer(reported{balancers: m.Balancers})
+		if len(m.Balancers) > 0 {
+			t.loop.Offer(reported{balancers: m.Balancers})
+		}
 	case wire.Owner:
 		if m.Agent.IsZero() {
 			m.Agent = sender
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -8,11 +8,12 @@
 
 const (
 	// ReportInterval is how often an agent reports its endpoint's load to the
-	// balancers: a few times a caller's latency target of 100 ms or more.
+	// balancers of a small deployment: a few times a caller's latency target of 100 ms
+	// or more.
 	ReportInterval = 100 * time.Millisecond
-	// reportedFor is how long an endpoint counts as reachable after a report:
-	// three are lost in a row once in 40,000 at 3% loss.
-	reportedFor = 350 * time.Millisecond
+	// reportedFor is how long an endpoint counts as reachable after a report, in
+	// intervals: three are lost in a row once in 40,000 at 3% loss.
+	reportedFor = 3.5
 	// leftAfter is how long after its last report an agent that said it would stop
 	// counts as gone for good: longer than a planned restart takes.
 	leftAfter = 10 * time.Second
@@ -42,8 +43,10 @@
 // of it is safe for concurrent use: reports arrive on one goroutine and new
 // flows are placed on another.
 type Gauge struct {
-	heard   atomic.Int64
-	running atomic.Int64
+	heard atomic.Int64
+	// interval is the pause until the next report, in nanoseconds.
+	interval atomic.Int64
+	running  atomic.Int64
 	// mean is the mean number of running requests, in thousandths.
 	mean  atomic.Int64
 	flows atomic.Int64
@@ -71,6 +74,8 @@
 	// Answer is the mean time that the endpoint works on a request, or 0 where it
 	// has not answered lately.
 	Answer time.Duration
+	// Interval is the pause until the next report.
+	Interval time.Duration
 	// Silent tells that the endpoint does not answer its agent.
 	Silent bool
 	// Leaving tells that the agent stops soon.
@@ -87,6 +92,7 @@
 	g.silent.Store(u.Silent)
 	g.leaving.Store(u.Leaving)
 	g.placed.Store(0)
+	g.interval.Store(int64(max(u.Interval, ReportInterval)))
 	g.heard.Store(int64(max(now, 1)))
 }
 
@@ -104,7 +110,7 @@
 // Alive tells whether the agent has reported lately.
 func (g *Gauge) Alive(now time.Duration) bool {
 	heard := g.Heard()
-	return heard > 0 && now-heard <= reportedFor
+	return heard > 0 && now-heard <= time.Duration(reportedFor*float64(g.interval.Load()))
 }
 
 // Left tells whether the agent has said that it stops, and has not come back.
