--- a/standin/soak/links.go
+++ b/standin/soak/links.go
@@ -116,7 +116,13 @@
 	}
 }
 
-func hostOf(a netip.AddrPort) int { return int(a.Addr().Unmap().As4()[3]) }
+// hostOf returns the host of an address, or 0 of none.
+func hostOf(a netip.AddrPort) int {
+	if !a.IsValid() {
+		return 0
+	}
+	return int(a.Addr().Unmap().As4()[3])
+}
 
 // fates returns the delay of each copy of a datagram.
 func (l *links) fates(w way) []time.Duration {
