--- a/flow/heard.go
+++ b/flow/heard.go
@@ -67,7 +67,7 @@
 		if route == nil || s.packet == nil || s.denied[site.Agent] || !route.leadsTo(site.Service) {
 			continue
 		}
-		if first := s.askedFirst(key, route); !s.wide && len(first) > 0 && !slices.Contains(first, site.Agent) {
+		if s.wave < everyWave && !slices.Contains(s.askedBy(s.wave, key, route), site.Agent) {
 			continue
 		}
 		if !p.searches.take(now, len(s.packet)+searchOverhead) {
--- a/flow/prefer.go
+++ b/flow/prefer.go
@@ -66,7 +66,7 @@
 }
 
 // appendTo appends the indexes of the sites.
-func (p *preferences) appendTo(indexes []int) []int {
+func (p preferences) appendTo(indexes []int) []int {
 	for _, r := range p.local[:p.locals] {
 		indexes = append(indexes, r.index)
 	}
--- a/flow/prefer_test.go
+++ b/flow/prefer_test.go
@@ -94,36 +94,38 @@
 	must.SliceNotContains(t, preferredAgents(service.Holders, key, placeAmong), to)
 }
 
-// A search asks few first, and all others only once those have denied the flow or the
-// caller sends again.
+// A search asks few first, and others only once those have denied the flow or the caller
+// sends again.
 func TestSearchAsksFewFirst(t *testing.T) {
 	const endpoints = 40
 	packet := Packet{Flow: callerKey(1), Acknowledged: 5, Data: 10}
 	now := time.Second
 	m, _ := largeMap(endpoints)
 	p := newTestPicks()
-	first := p.FromCaller(now, packet, m, []byte("data"))
-	must.Len(t, 2*searchAmong, first.All)
-	for i, agent := range first.All {
-		d, datagram := p.Denied(now, packet.Flow, agent, m)
-		must.False(t, d.End)
-		if i < len(first.All)-1 {
-			must.SliceEmpty(t, d.All)
-			continue
+	asked := p.FromCaller(now, packet, m, []byte("data")).All
+	for _, others := range []int{2*searchAmong - placeAmong, endpoints - 2*searchAmong, 0} {
+		for i, agent := range asked {
+			d, datagram := p.Denied(now, packet.Flow, agent, m)
+			if i < len(asked)-1 {
+				must.False(t, d.End)
+				must.SliceEmpty(t, d.All)
+				continue
+			}
+			must.EqOp(t, others == 0, d.End)
+			must.Len(t, others, d.All)
+			if others > 0 {
+				must.EqOp(t, "data", string(datagram))
+			}
+			asked = d.All
 		}
-		must.Len(t, endpoints-2*searchAmong, d.All)
-		must.EqOp(t, "data", string(datagram))
-		first = d
 	}
-	var last Decision
-	for _, agent := range first.All {
-		must.False(t, last.End)
-		last, _ = p.Denied(now, packet.Flow, agent, m)
-	}
-	must.True(t, last.End)
 
 	p = newTestPicks()
-	p.FromCaller(now, packet, m, []byte("data"))
+	near := p.FromCaller(now, packet, m, []byte("data")).All
+	must.Len(t, placeAmong, near)
+	for _, agent := range near {
+		must.False(t, m.Agents[agent].Remote)
+	}
 	must.Len(t, endpoints, p.FromCaller(now+searchPause, packet, m, []byte("data")).All)
 }
 
@@ -137,7 +139,7 @@
 		m.Agents[agent].Gauge = new(placement.Gauge)
 	}
 	d, _ := p.Denied(time.Second, packet.Flow, first.All[0], m)
-	must.Len(t, 39, d.All)
+	must.Len(t, 2*searchAmong-1, d.All)
 }
 
 // How long requests wait when flows are placed among the few that they prefer, and
--- a/flow/search.go
+++ b/flow/search.go
@@ -33,8 +33,8 @@
 	// sent is when agents were asked last, or 0, and packet what they got.
 	sent   Stamp
 	packet []byte
-	// wide tells that all agents were asked, not only those that the flow prefers.
-	wide bool
+	// wave is whom that went to.
+	wave wave
 	// kept are the packets that wait for the flow's agent.
 	kept [][]byte
 }
@@ -108,8 +108,8 @@
 }
 
 // search sends a packet to the agents that may hold its flow, unless they were asked
-// just now: first to those that the flow prefers, then to all. except has said already
-// that it does not hold it.
+// just now, in waves: first to few that the flow prefers, last to all. except has said
+// already that it does not hold it.
 func (p *Picks) search(now Stamp, packet Packet, m *Map, except Address, datagram []byte) Decision {
 	route := m.Routes[packet.Flow.Service]
 	if route == nil {
@@ -125,6 +125,10 @@
 		return Decision{Reason: SearchWaits}
 	}
 	s.packet = slices.Clone(datagram)
+	if s.sent != 0 {
+		// The caller sends again: whoever was asked may not have got it.
+		s.wave = max(s.wave, preferredWave)
+	}
 	d := p.ask(now, packet.Flow, s, route)
 	switch {
 	case len(d.All) == 0 && d.Reason != SearchWaits:
@@ -135,23 +139,6 @@
 	return d
 }
 
-// ask asks those that the flow prefers, or all once they were asked or have denied it.
-func (p *Picks) ask(now Stamp, key Key, s *search, route *Route) Decision {
-	if s.sent == 0 {
-		if first := s.askedFirst(key, route); len(first) > 0 {
-			return p.send(now, s, route, first)
-		}
-	}
-	return p.askAll(now, s, route)
-}
-
-// askAll asks all that have not denied the flow.
-func (p *Picks) askAll(now Stamp, s *search, route *Route) Decision {
-	d := p.send(now, s, route, s.asked(route))
-	s.wide = s.wide || d.Reason == Searched
-	return d
-}
-
 // send sends the packet of a search to agents, if the rate of searches allows it.
 func (p *Picks) send(now Stamp, s *search, route *Route, to []Address) Decision {
 	d := Decision{Reason: Searched, Tag: tagOf(route), All: to}
@@ -173,33 +160,6 @@
 	return r.Shares[0].Service.Tag
 }
 
-// askedFirst returns the agents that the flow prefers and that have not denied it; none
-// where a service is too small for preferences.
-func (s *search) askedFirst(key Key, r *Route) []Address {
-	var asked []Address
-	for _, share := range r.Shares {
-		sites := share.Service.Holders
-		if len(sites) <= preferAll {
-			return nil
-		}
-		preferences := preferred(sites, key, searchAmong)
-		var room [2 * searchAmong]int
-		for _, i := range preferences.appendTo(room[:0]) {
-			if !s.denied[sites[i].Agent] {
-				asked = append(asked, sites[i].Agent)
-			}
-		}
-	}
-	return asked
-}
-
-// awaitsPreferred tells whether an agent that the flow prefers may still answer.
-func (s *search) awaitsPreferred(now Stamp, key Key, r *Route, m *Map) bool {
-	return slices.ContainsFunc(s.askedFirst(key, r), func(agent Address) bool {
-		return m.Agents[agent].Gauge.Alive(now)
-	})
-}
-
 // asked returns the agents that may hold the flow and have not denied it.
 func (s *search) asked(r *Route) []Address {
 	var asked []Address
@@ -214,16 +174,16 @@
 }
 
 // Denied takes in that an agent does not hold a flow that was searched for. Once all
-// that the flow prefers have denied it the others are asked, with the datagram that is
-// returned; when none holds it the flow is over.
+// of a wave have denied it the next one is asked, with the datagram that is returned;
+// when none holds it the flow is over.
 func (p *Picks) Denied(now Stamp, key Key, agent Address, m *Map) (Decision, []byte) {
 	s, route := p.searches.flows[key], m.Routes[key.Service]
 	if s == nil {
 		return Decision{Reason: NotHeld}, nil
 	}
 	s.denied[agent] = true
-	if route != nil && !s.wide && s.packet != nil && !s.awaitsPreferred(now, key, route, m) {
-		if d := p.askAll(now, s, route); len(d.All) > 0 {
+	if route != nil && s.wave < everyWave && s.packet != nil && !s.awaits(now, key, route, m) {
+		if d := p.ask(now, key, s, route); len(d.All) > 0 {
 			return d, s.packet
 		}
 	}
