Return a flow that was handed on to a silent endpoint; split the balancer's control

A flow was placed at an endpoint that refused it, handed on to one that was silent, and stayed there until its caller gave up: an agent that a flow is handed on to knows no other. A packet that is handed on for silence keeps its count of hops.

--- a/flow/held.go
+++ b/flow/held.go
@@ -79,6 +79,9 @@
 	Search bool
 	// Hops counts the nodes that have passed the packet on or returned it.
 	Hops uint8
+	// Silent tells of a returned packet that the endpoint left it unanswered: it may
+	// still answer, while one that gave the packet back does not.
+	Silent bool
 }
 
 // maxHops bounds how often a packet goes from node to node: three endpoints that
--- a/flow/held_endpoint.go
+++ b/flow/held_endpoint.go
@@ -90,7 +90,7 @@
 }
 
 // Unanswered is an opening packet that the endpoint left unanswered and that
-// another agent gets too.
+// another agent gets too, named or found by the balancer.
 type Unanswered struct {
 	Verdict  Verdict
 	Flow     Key
@@ -112,16 +112,29 @@
 		if h.endpointLast <= first.due-AnswerTime {
 			h.silence.unanswered(now)
 		}
-		if r.other.IsZero() {
-			continue
+		if v, ok := h.elsewhere(now, first.key, r); ok {
+			overdue = append(overdue, Unanswered{Verdict: v, Flow: first.key, Datagram: r.opening})
 		}
-		datagram := r.opening
-		v := h.pass(now, first.key, r.balancer, r.other, EndpointSilent)
-		overdue = append(overdue, Unanswered{Verdict: v, Flow: first.key, Datagram: datagram})
 	}
 	return overdue
 }
 
+// elsewhere decides where an opening packet goes that the endpoint has not answered: to
+// the alternative, or back to the balancer if it was handed on to this agent, which is
+// not told of another one. The only endpoint of a service may take its time.
+func (h *Held) elsewhere(now Stamp, key Key, r hold) (v Verdict, ok bool) {
+	switch {
+	case !r.other.IsZero():
+		v = h.pass(now, key, r.balancer, r.other, EndpointSilent)
+	case r.hops > 0:
+		v = Verdict{Move: Return, To: r.balancer, Reason: EndpointSilent, Balancer: r.balancer}
+	default:
+		return Verdict{}, false
+	}
+	v.Hops = r.hops + 1
+	return v, true
+}
+
 // Left is a request that a flow left behind without an answer.
 type Left struct {
 	Flow Key
--- a/flow/picks.go
+++ b/flow/picks.go
@@ -212,11 +212,11 @@
 }
 
 // Returned decides on a packet that an agent gave back: an opening packet goes
-// to another endpoint, any other is searched for. hops came with the packet.
-func (p *Picks) Returned(now Stamp, packet Packet, agent Address, hops uint8, m *Map, datagram []byte) Decision {
+// to another endpoint, any other is searched for. d came with the packet.
+func (p *Picks) Returned(now Stamp, packet Packet, agent Address, d Delivery, m *Map, datagram []byte) Decision {
 	known, ok := p.flows[packet.Flow]
 	if !packet.Opening {
-		if ok && known.agent != agent && !known.ended && hops <= 1 {
+		if ok && known.agent != agent && !known.ended && d.Hops <= 1 {
 			return Decision{To: known.agent, Tag: known.tag, Reason: Known}
 		}
 		delete(p.flows, packet.Flow)
@@ -226,13 +226,13 @@
 	if route == nil {
 		return Decision{Reason: UnknownAddress}
 	}
-	known.refuse(agent)
+	known.failed(agent, d.Silent)
 	return p.place(now, packet, route.Service(packet.Flow), known)
 }
 
-// refuse notes that an endpoint gave the opening packet back.
-func (k *pick) refuse(agent Address) {
-	k.refused = true
+// failed notes that an endpoint gave the opening packet back, or left it unanswered.
+func (k *pick) failed(agent Address, silent bool) {
+	k.refused = k.refused || !silent
 	if !k.triedBefore(agent) && int(k.tries) < maxTried {
 		k.tried[k.tries] = agent
 		k.tries++
--- a/flow/picks_test.go
+++ b/flow/picks_test.go
@@ -70,8 +70,8 @@
 	p := newTestPicks()
 	packet := Packet{Flow: callerKey(1), Opening: true}
 	must.EqOp(t, agentAt(0), p.FromCaller(time.Second, packet, m, nil).To)
-	must.EqOp(t, agentAt(1), p.Returned(time.Second, packet, agentAt(0), 1, m, nil).To)
-	d := p.Returned(time.Second, packet, agentAt(1), 1, m, nil)
+	must.EqOp(t, agentAt(1), p.Returned(time.Second, packet, agentAt(0), Delivery{Hops: 1}, m, nil).To)
+	d := p.Returned(time.Second, packet, agentAt(1), Delivery{Hops: 1}, m, nil)
 	must.True(t, d.End)
 	must.EqOp(t, 0, d.Reset.Acknowledged)
 }
@@ -172,3 +172,34 @@
 		must.EqOp(t, orders.Tag, d.Tag)
 	}
 }
+
+// An endpoint that leaves a flow unanswered which was handed on to it is no refusal: the
+// flow goes to another, and is not ended where there is none.
+func TestSilentEndpointReturnsAFlowThatWasHandedOn(t *testing.T) {
+	h := NewHeld(time.Second, 2, time.Minute, true)
+	balancer := agentAt(9)
+	opening := Packet{Flow: callerKey(1), Opening: true}
+	h.FromBalancer(time.Second, opening, Delivery{Balancer: balancer, Hops: 1}, []byte("opening"))
+	overdue := h.Tick(time.Second + AnswerTime)
+	must.Len(t, 1, overdue)
+	must.EqOp(t, Return, overdue[0].Verdict.Move)
+	must.EqOp(t, balancer, overdue[0].Verdict.To)
+	must.EqOp(t, "opening", string(overdue[0].Datagram))
+	must.SliceEmpty(t, h.Tick(time.Second+2*AnswerTime))
+
+	m, _ := testMap(2)
+	p := newTestPicks()
+	first := p.FromCaller(time.Second, opening, m, nil).To
+	d := p.Returned(time.Second, opening, first, Delivery{Hops: 2, Silent: true}, m, nil)
+	must.NotEqOp(t, first, d.To)
+	d = p.Returned(time.Second, opening, d.To, Delivery{Hops: 3, Silent: true}, m, nil)
+	must.True(t, d.To.IsZero())
+	must.False(t, d.End)
+}
+
+// The only endpoint of a service may take its time.
+func TestSilentEndpointKeepsAFlowThatHasNoOther(t *testing.T) {
+	h := NewHeld(time.Second, 2, time.Minute, true)
+	h.FromBalancer(time.Second, Packet{Flow: callerKey(1), Opening: true}, Delivery{}, []byte("opening"))
+	must.SliceEmpty(t, h.Tick(time.Second+AnswerTime))
+}
--- a/flow/wave.go
+++ b/flow/wave.go
@@ -6,15 +6,13 @@
 // first, since few endpoints of a service are preferred by a flow.
 type wave uint8
 
+// Waves, in their order, after 0: nobody was asked. The first are the most preferred
+// agents of the balancer's own failure domain, where flows are placed first.
 const (
-	unasked wave = iota
-	// nearWave are the most preferred of the balancer's own failure domain, where flows
-	// are placed first.
-	nearWave
 	// preferredWave are all that the flow prefers.
-	preferredWave
+	preferredWave wave = 2
 	// everyWave are all that may hold it.
-	everyWave
+	everyWave wave = 3
 )
 
 // ask asks the next wave that has anyone, or all again after the last.
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -33,6 +33,7 @@
 	EnvelopeSize = 17
 	addressSize  = 6
 	searchFlag   = 1
+	silentFlag   = 2
 	hopsShift    = 4
 	// maxBalancers bounds the balancers that a report names.
 	maxBalancers = 32
@@ -69,6 +70,9 @@
 	if e.Search {
 		b[1] |= searchFlag
 	}
+	if e.Silent {
+		b[1] |= silentFlag
+	}
 	binary.BigEndian.PutUint16(b[2:], e.Tag)
 	putAddress(b[4:], e.Balancer)
 	putAddress(b[4+addressSize:], e.Alternative)
@@ -83,6 +87,7 @@
 	}
 	e := Envelope{Tag: binary.BigEndian.Uint16(b[2:])}
 	e.Search = b[1]&searchFlag != 0
+	e.Silent = b[1]&silentFlag != 0
 	e.Hops = b[1] >> hopsShift
 	e.Balancer = address(b[4:])
 	e.Alternative = address(b[4+addressSize:])
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -188,7 +188,7 @@
 		w.toAgent(v.To, p, Delivery{Balancer: balancer, Hops: v.Hops})
 	case Return:
 		w.post(fmt.Sprintf("%v returned by %v", p.Flow, a.address), func() {
-			w.carryOut(b, p, w.balancers[b].Returned(w.now, p, a.address, v.Hops, w.table, w.datagram(p)), v.Hops)
+			w.carryOut(b, p, w.balancers[b].Returned(w.now, p, a.address, Delivery{Hops: v.Hops, Silent: v.Reason == EndpointSilent}, w.table, w.datagram(p)), v.Hops)
 		})
 	case Deny:
 		w.post(fmt.Sprintf("%v denied by %v", p.Flow, a.address), func() {
@@ -382,39 +382,30 @@
 // delivered late; and once messages arrive again, a packet of a flow reaches the
 // endpoint that holds it.
 func TestFlowsAreFoundAndNeverResetInError(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, 3, 2)
-		w.lossy = rapid.Bool().Draw(t, "lossy")
-		for range 3 {
-			w.newCaller()
-		}
-		for range rapid.IntRange(10, 120).Draw(t, "steps") {
-			w.step()
-		}
-		w.lossy = false
-		w.settle()
-		for _, c := range w.callers {
-			w.mustReach(c)
-		}
-	})
+	rapid.Check(t, func(t *rapid.T) { playWorld(t, 3, 3, 120) })
+}
+
+// playWorld plays steps of a world with agents and callers, and then looks for their
+// flows.
+func playWorld(t *rapid.T, agents, callers, steps int) {
+	w := newWorld(t, agents, 2)
+	w.lossy = rapid.Bool().Draw(t, "lossy")
+	for range callers {
+		w.newCaller()
+	}
+	for range rapid.IntRange(10, steps).Draw(t, "steps") {
+		w.step()
+	}
+	w.lossy = false
+	w.settle()
+	for _, c := range w.callers {
+		w.mustReach(c)
+	}
 }
 
 // The same for a service that is too large to be searched as a whole at once.
 func TestFlowsOfALargeServiceAreFound(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, preferAll+4, 2)
-		w.lossy = rapid.Bool().Draw(t, "lossy")
-		w.newCaller()
-		w.newCaller()
-		for range rapid.IntRange(10, 60).Draw(t, "steps") {
-			w.step()
-		}
-		w.lossy = false
-		w.settle()
-		for _, c := range w.callers {
-			w.mustReach(c)
-		}
-	})
+	rapid.Check(t, func(t *rapid.T) { playWorld(t, preferAll+4, 2, 60) })
 }
 
 // mustReach sends on a flow until it is found: a caller repeats its packet too.
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -250,7 +250,7 @@
 		wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: t.tag, Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
 		t.counters.Send(t.peers, buffer, v.To.AddrPort())
 	case flow.Return:
-		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
+		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops, Silent: v.Reason == flow.EndpointSilent}})
 		t.counters.Send(t.peers, buffer, v.To.AddrPort())
 	case flow.Deny:
 		t.counters.Send(t.peers, wire.Encode(wire.Denied{Flow: key}), v.To.AddrPort())
--- a/packetbalancer/balancer.go
+++ b/packetbalancer/balancer.go
@@ -51,8 +51,8 @@
 	group.Go(func() error { return loop.Run(running, state) })
 	group.Go(func() error { return reader.run(running) })
 	group.Go(func() error { return reader.runFetches(running) })
-	for range elderQuestions {
-		group.Go(func() error { return reader.runElders(running) })
+	for range surveyQuestions {
+		group.Go(func() error { return reader.runSurvey(running) })
 	}
 	group.Go(func() error { return traffic.serveEdge(running) })
 	group.Go(func() error { return traffic.serveEarly(running) })
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -1,9 +1,7 @@
 package packetbalancer
 
 import (
-	"errors"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -77,7 +75,7 @@
 	asOf atomic.Int64
 	// unsettled tells that endpoints that are gone may still be in use.
 	unsettled bool
-	elders    elders
+	survey    survey
 	shown     shown
 }
 
@@ -91,7 +89,7 @@
 		directory: directory.NewState(), turn: directory.NewTurn(s.Packets.ReachedPeer()),
 		gauges:  make(map[flow.Address]*placement.Gauge),
 		started: now, ticked: now, whole: true, seeds: s.Packets.SeedAddresses(),
-		elders: elders{asked: make(map[netip.AddrPort]bool), complete: s.Packets.FirstStart},
+		survey: survey{asked: make(map[netip.AddrPort]bool), complete: s.Packets.FirstStart},
 	}
 }
 
@@ -116,15 +114,15 @@
 		s.readEnded(now, m)
 	case fetchEnded:
 		s.fetchEnded(now, m)
-	case elderAnswered:
-		s.elderAnswered(now, m)
+	case surveyed:
+		s.surveyed(now, m)
 	case heardNews:
 		s.heardNews(now, m)
 	case reported:
 		for _, b := range m.balancers {
 			s.turn.Met(now, b.AddrPort())
 		}
-		s.elders.heard = true
+		s.survey.heard = true
 		s.learnDeparted(now)
 	case exchange.Asked:
 		m.Reply <- exchange.Held{Change: s.wholeDirectory(now), Known: s.directory.Known()}
@@ -159,191 +157,10 @@
 	}
 }
 
-// compareAnswers finds the endpoints that answer slowly.
-func (s *state) compareAnswers() {
-	slow := 0
-	for _, service := range s.traffic.table.Load().Services {
-		slow += placement.Compare(service.Candidates, func(i int, ratio float64) {
-			e := EventEndpointSlow
-			if ratio == 1 {
-				e = EventEndpointUsual
-			}
-			s.log.Emit(e, event.Fields{"service": service.Name, "agent": service.Takers[i].Agent.String(), "ratio": ratio})
-		})
-	}
-	s.shown.slow.Store(int64(slow))
-}
-
-func (s *state) readIfDue(now time.Duration) {
-	if !s.turn.Due(now, s.directory.AsOf(), s.directory.Known()) {
-		return
-	}
-	// The reader is idle, so that its queue has room.
-	s.reader.orders <- readOrder{whole: s.whole, after: s.directory.Revision()}
-}
-
-// askSeeds fetches from other balancers while nothing is known and the registry
-// does not answer.
-func (s *state) askSeeds(now time.Duration) {
-	if s.directory.Known() || len(s.seeds) == 0 || now-s.started < seedDelay {
-		return
-	}
-	if s.fetch(s.seeds[0]) {
-		s.seeds = append(s.seeds[1:], s.seeds[0])
-	}
-}
-
-func (s *state) fetch(peer netip.AddrPort) bool {
-	if s.fetching {
-		return false
-	}
-	s.fetching = true
-	// The fetching goroutine is idle, so that its queue has room.
-	s.reader.fetches <- peer
-	return true
-}
-
-func (s *state) readEnded(now time.Duration, m readEnded) {
-	if errors.Is(m.err, directory.ErrHistoryGone) {
-		s.log.Emit(EventHistoryGone, event.Fields{"revision": s.directory.Revision()})
-		s.whole = true
-		s.turn.Again()
-		s.readIfDue(now)
-		return
-	}
-	s.turn.Ended(now, m.err != nil)
-	s.noteSource(m.err)
-	if m.err != nil {
-		return
-	}
-	changed, ok := s.directory.Apply(now, m.change)
-	s.whole = !ok
-	if ok {
-		s.renew(now, changed, "registry")
-		s.tell(now)
-	}
-}
-
-// noteSource logs when the registry is lost or back.
-func (s *state) noteSource(err error) {
-	if err != nil && !s.away {
-		s.log.Emit(EventSourceLost, event.Fields{"cause": err.Error(), "age_ms": s.ageMillis()})
-	}
-	if err == nil && s.away {
-		s.log.Emit(EventSourceBack, event.Fields{"age_ms": s.ageMillis()})
-	}
-	s.away = err != nil
-}
-
-func (s *state) fetchEnded(now time.Duration, m fetchEnded) {
-	s.fetching = false
-	if m.err != nil {
-		s.log.Emit(EventPeerFailed, event.Fields{"peer": m.from, "cause": m.err.Error()})
-		return
-	}
-	s.adopt(now, m.from, m.change)
-}
-
-// wholeDirectory returns what this balancer knows, to hand on.
-func (s *state) wholeDirectory(now time.Duration) directory.Change {
-	change := s.directory.Whole(now)
-	change.Complete = s.elders.complete
-	change.Departed = slices.DeleteFunc(change.Departed, func(d directory.Departed) bool {
-		gauge := s.gauges[s.agentOf(d.Address)]
-		return gauge != nil && gauge.Left(now)
-	})
-	return change
-}
-
-func (s *state) heardNews(now time.Duration, m heardNews) {
-	s.turn.Met(now, m.from.AddrPort())
-	if !s.directory.Current(m.Revision, m.Digest, now-m.Age) {
-		s.fetch(m.Control.AddrPort())
-		return
-	}
-	s.asOf.Store(int64(s.directory.AsOf()))
-}
-
-// renew brings traffic up to the directory.
-func (s *state) renew(now time.Duration, changed bool, source string) {
-	s.asOf.Store(int64(s.directory.AsOf()))
-	if changed {
-		s.publish(now)
-		s.logChange(source)
-		s.greet(now)
-	}
-	if !s.leaving && !s.healthy.Load() {
-		s.healthy.Store(true)
-		s.log.Emit(EventReady, event.Fields{"after_ms": (now - s.started).Milliseconds(), "source": source})
-	}
-}
-
-func (s *state) logChange(source string) {
-	desired := s.directory.Desired()
-	ready, draining, gone := s.countEndpoints()
-	s.shown.version.Store(desired.Version)
-	s.shown.ready.Store(ready)
-	s.shown.draining.Store(draining)
-	s.shown.gone.Store(gone)
-	fields := event.Fields{"revision": s.directory.Revision(), "version": desired.Version, "source": source}
-	if desired.Changed == s.directory.Revision() {
-		s.log.Emit(EventDesired, fields)
-		return
-	}
-	fields["ready"], fields["draining"], fields["gone"] = ready, draining, gone
-	s.log.Emit(EventEndpoints, fields)
-}
-
-func (s *state) countEndpoints() (ready, draining, gone int64) {
-	s.directory.Each(func(e *directory.Entry) {
-		switch {
-		case e.GoneAt != 0:
-			gone++
-		case e.Draining:
-			draining++
-		default:
-			ready++
-		}
-	})
-	return ready, draining, gone
-}
-
-// tell sends the news to the other balancers.
-func (s *state) tell(now time.Duration) {
-	news := wire.Encode(wire.News{
-		Revision: s.directory.Revision(), Digest: s.directory.Digest(), Age: now - s.directory.AsOf(),
-		Control: flow.AddressOf(s.settings.Packets.ReachedControl()),
-	})
-	for _, peer := range s.turn.Peers(now) {
-		s.traffic.counters.Send(s.traffic.peers, news, peer)
-	}
-}
-
-// greet tells the agents that this balancer may send them flows.
-func (s *state) greet(now time.Duration) {
-	s.greeted = now
-	for _, site := range s.traffic.table.Load().Agents {
-		s.greetAgent(site)
-	}
-}
-
-// greetUnheard greets the agents that have not answered, which may be starting.
-func (s *state) greetUnheard(now time.Duration) {
-	for _, site := range s.traffic.table.Load().Agents {
-		if !site.Gauge.Alive(now) {
-			s.greetAgent(site)
-		}
-	}
-}
-
-func (s *state) greetAgent(site *flow.Site) {
-	hello := wire.Encode(wire.Hello{Slots: site.Slots, Leaving: s.leaving})
-	s.traffic.counters.Send(s.traffic.peers, hello, site.Agent.AddrPort())
-}
-
 func (s *state) publish(now time.Duration) {
 	s.mapped = now
 	s.directory.Forget(now, s.settings.Packets.FlowLifetime())
+	s.show()
 	builder := newMapBuilder(now, s)
 	s.traffic.table.Store(builder.build())
 	s.traffic.early.end()
@@ -356,3 +173,22 @@
 	s.traffic.apply(changed.Packets)
 	s.log.Emit(EventSettings, event.Fields{"seeds": len(s.seeds), "flow_seconds": changed.Packets.FlowSeconds, "stop_ms": changed.Packets.StopMillis})
 }
+
+// show updates what the metrics show.
+func (s *state) show() {
+	var ready, draining, gone int64
+	s.directory.Each(func(e *directory.Entry) {
+		switch {
+		case e.GoneAt != 0:
+			gone++
+		case e.Draining:
+			draining++
+		default:
+			ready++
+		}
+	})
+	s.shown.version.Store(s.directory.Desired().Version)
+	s.shown.ready.Store(ready)
+	s.shown.draining.Store(draining)
+	s.shown.gone.Store(gone)
+}
--- a/packetbalancer/reader.go
+++ b/packetbalancer/reader.go
@@ -44,7 +44,7 @@
 	loop    *control.Loop
 	orders  chan readOrder
 	fetches chan netip.AddrPort
-	elders  chan netip.AddrPort
+	surveys chan netip.AddrPort
 	// readings and failures count readings of the source.
 	readings atomic.Int64
 	failures atomic.Int64
@@ -54,7 +54,7 @@
 	return &reader{
 		source: source, client: exchange.NewClient(), loop: loop,
 		orders: make(chan readOrder, 1), fetches: make(chan netip.AddrPort, 1),
-		elders: make(chan netip.AddrPort, maxElders),
+		surveys: make(chan netip.AddrPort, maxSurveyed),
 	}
 }
 
--- a/packetbalancer/table.go
+++ b/packetbalancer/table.go
@@ -26,7 +26,7 @@
 }
 
 func (b *mapBuilder) build() *flow.Map {
-	b.table.Complete = b.state.elders.complete
+	b.table.Complete = b.state.survey.complete
 	b.table.Current = func() flow.Stamp { return time.Duration(b.state.asOf.Load()) }
 	latest := b.latest()
 	for _, e := range latest {
--- a/standin/e2e/load_test.go
+++ b/standin/e2e/load_test.go
@@ -186,9 +186,23 @@
 	settled  atomic.Int64
 }
 
+// Work and patience of the confirmations that startConfirmations sends, in milliseconds.
+const (
+	confirmWork    = 5
+	confirmTimeout = 5000
+)
+
 // startConfirmations sends confirmations, several at once, until finish.
 func startConfirmations(t *testing.T, f *fleet.Fleet, service, name string) *confirmations {
-	const senders, work, timeout = 4, 5, 5000
+	return startConfirmationsBy(t, name, func(key string) outcome {
+		return confirm(context.Background(), f, service, key, confirmWork, confirmTimeout)
+	})
+}
+
+// startConfirmationsBy settles a key after another by send, several at once, until
+// finish.
+func startConfirmationsBy(t *testing.T, name string, send func(key string) outcome) *confirmations {
+	const senders = 4
 	running, stop := context.WithCancel(context.Background())
 	c := &confirmations{outcomes: make(map[string]outcome), stop: stop}
 	t.Cleanup(func() {
@@ -199,7 +213,7 @@
 		c.group.Go(func() {
 			for i := 0; running.Err() == nil; i++ {
 				key := fmt.Sprintf("%s-%d-%d", name, s, i)
-				c.settle(key, confirm(context.Background(), f, service, key, work, timeout))
+				c.settle(key, send(key))
 			}
 		})
 	}
--- a/standin/e2e/random_test.go
+++ b/standin/e2e/random_test.go
@@ -99,29 +99,16 @@
 // startRetried sends confirmations, and again under their key where the outcome is not
 // known.
 func startRetried(t *testing.T, f *fleet.Fleet) *confirmations {
-	const senders, work, timeout = 4, 5, 5000
-	running, stop := context.WithCancel(context.Background())
-	c := &confirmations{outcomes: make(map[string]outcome), stop: stop}
-	t.Cleanup(func() {
-		stop()
-		c.group.Wait()
-	})
-	for s := range senders {
-		c.group.Go(func() {
-			for i := 0; running.Err() == nil; i++ {
-				key := fmt.Sprintf("random-%d-%d", s, i)
-				o := confirm(context.Background(), f, "orders", key, work, timeout)
-				for again := 0; o == unknown && again < retries; again++ {
-					o = confirm(context.Background(), f, "orders", key, work, timeout)
-					if o == notRun {
-						o = unknown // this one did not run; an earlier one may have
-					}
-				}
-				c.settle(key, o)
+	return startConfirmationsBy(t, "random", func(key string) outcome {
+		o := confirm(context.Background(), f, "orders", key, confirmWork, confirmTimeout)
+		for again := 0; o == unknown && again < retries; again++ {
+			o = confirm(context.Background(), f, "orders", key, confirmWork, confirmTimeout)
+			if o == notRun {
+				o = unknown // this one did not run; an earlier one may have
 			}
-		})
-	}
-	return c
+		}
+		return o
+	})
 }
 
 // during runs a fault on a daemon, one after another where they meet.
