Open all links of the soak before any of them serves

Cause: the race detector, in a run of the soak's tests beside other work: a datagram that came while the links were opened read their table while it was written.

--- a/standin/soak/links.go
+++ b/standin/soak/links.go
@@ -48,25 +48,29 @@
 		random: rand.New(rand.NewPCG(seed, 1)), faults: make(map[way][]noise),
 	}
 	ports := map[string][]int{"peer": append(append([]int(nil), balancers...), endpoints...), "edge": append([]int{packets.CallerHost}, balancers...)}
+	var serve []func()
 	for port, hosts := range ports {
 		for _, host := range hosts {
-			if err := l.open(host, port); err != nil {
+			socket, err := l.open(host, port)
+			if err != nil {
 				l.close()
 				return nil, err
 			}
+			serve = append(serve, func() { l.serve(socket, host, d.Bound(host, port)) })
 		}
 	}
+	for _, s := range serve { // once all addresses are there
+		go s()
+	}
 	return l, nil
 }
 
-func (l *links) open(host int, port string) error {
+func (l *links) open(host int, port string) (*net.UDPConn, error) {
 	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(l.deployment.At(host, port)))
-	if err != nil {
-		return err
+	if err == nil {
+		l.sockets[l.deployment.At(host, port)] = socket
 	}
-	l.sockets[l.deployment.At(host, port)] = socket
-	go l.serve(socket, host, l.deployment.Bound(host, port))
-	return nil
+	return socket, err
 }
 
 func (l *links) close() {
