Keep the forged datagram of the soak in its test; say whose addresses a turn holds

Read again: links.forge served one test alone and stood among the code of the links; the comments of directory.Turn called the addresses control addresses, though they are those of the peers' datagrams, as the survey of departed endpoints relies on. No change of behaviour.

--- a/directory/turn.go
+++ b/directory/turn.go
@@ -44,7 +44,7 @@
 	failures int
 }
 
-// NewTurn returns the turn of the balancer with the given control address.
+// NewTurn returns the turn of the balancer that others reach at an address.
 func NewTurn(self netip.AddrPort) *Turn {
 	return &Turn{self: self, order: orderOf(self), peers: make(map[netip.AddrPort]time.Duration)}
 }
@@ -58,7 +58,7 @@
 	}
 }
 
-// Peers returns the control addresses of the balancers that are alive.
+// Peers returns the addresses of the other balancers that are alive.
 func (t *Turn) Peers(now time.Duration) []netip.AddrPort {
 	var alive []netip.AddrPort
 	for peer, met := range t.peers {
--- a/standin/soak/links.go
+++ b/standin/soak/links.go
@@ -112,14 +112,6 @@
 	return l.sockets[address]
 }
 
-// forge sends a datagram that no machine sent, to show that the checks notice it.
-func (l *links) forge(raw []byte, bound netip.AddrPort) {
-	for _, socket := range l.sockets {
-		_, _ = socket.WriteToUDPAddrPort(raw, bound)
-		return
-	}
-}
-
 // hostOf returns the host of an address, or 0 of none.
 func hostOf(a netip.AddrPort) int {
 	if !a.IsValid() {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -112,3 +113,11 @@
 	}
 	return promises
 }
+
+// forge sends a datagram that no machine sent, to show that the checks notice it.
+func (l *links) forge(raw []byte, bound netip.AddrPort) {
+	for _, socket := range l.sockets {
+		_, _ = socket.WriteToUDPAddrPort(raw, bound)
+		return
+	}
+}
