Search the former services of a route before a flow ends

Cause: after a route moved to another service, a balancer without a record of a flow searched only the endpoints of today's services and reset the flow when these denied it, while the endpoint of the former service still held it.

Change: the directory records the services that routes left, those of desired states replaced between two reads included; balancers pass the record on with the directory, with how long it reaches back. A search queries former services after the present ones. A balancer that does not know the history takes every service for a former one. Found by the new random test: a stored opening packet was placed at the former service after the route had moved.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -74,13 +74,22 @@
 	// node that has the update.
 	AsOf time.Duration
 	// Desired is nil if it has not changed.
-	Desired   *Desired
-	Endpoints []Endpoint
-	Deleted   []Deleted
+	Desired *Desired
+	// Superseded are desired states that were in force between After and Desired, oldest
+	// first.
+	Superseded []*Desired
+	Endpoints  []Endpoint
+	Deleted    []Deleted
 	// Departed are endpoints that are no longer registered and may hold open
 	// flows. Only balancers send them to each other: the source no longer has
 	// them.
 	Departed []Departed
+	// Former are the services to which present routes sent flows earlier. Only balancers
+	// send them to each other.
+	Former []FormerService
+	// RouteHistory is how long the sender has known every desired state in force, or 0 if
+	// the update is from the source.
+	RouteHistory time.Duration
 	// Complete is true if the sender knows every endpoint that may hold open
 	// flows.
 	Complete bool
--- a/directory/exchange/codec.go
+++ b/directory/exchange/codec.go
@@ -14,6 +14,11 @@
 		AgeUs:    uint64(max(now-c.AsOf, 0).Microseconds()),
 		Desired:  encodeDesired(c.Desired),
 		Complete: c.Complete,
+
+		RouteHistoryUs: uint64(max(c.RouteHistory, 0).Microseconds()),
+	}
+	for _, f := range c.Former {
+		r.Former = append(r.Former, &directorypb.FormerService{Address: f.Address.String(), Service: f.Service, AgeUs: uint64(max(f.Age, 0).Microseconds())})
 	}
 	for _, e := range c.Endpoints {
 		r.Endpoints = append(r.Endpoints, encodeEndpoint(e))
@@ -57,6 +62,13 @@
 		AsOf:     sentAt - microseconds(r.GetAgeUs()),
 		Desired:  decodeDesired(r.GetDesired()),
 		Complete: r.GetComplete(),
+
+		RouteHistory: microseconds(r.GetRouteHistoryUs()),
+	}
+	for _, f := range r.GetFormer() {
+		if address, err := netip.ParseAddrPort(f.GetAddress()); err == nil {
+			c.Former = append(c.Former, directory.FormerService{Address: address, Service: f.GetService(), Age: microseconds(f.GetAgeUs())})
+		}
 	}
 	for _, e := range r.GetEndpoints() {
 		if endpoint, ok := decodeEndpoint(e); ok {
--- a/directory/state.go
+++ b/directory/state.go
@@ -65,6 +65,7 @@
 	outageEnd time.Duration
 	known     bool
 	desired   Desired
+	routes    routeHistory
 	entries   map[string]*Entry
 	// digest combines the digests of all registered endpoints, independently of
 	// their order.
@@ -72,7 +73,13 @@
 }
 
 // NewState returns a state without a directory.
-func NewState() *State { return &State{entries: make(map[string]*Entry)} }
+func NewState() *State {
+	return &State{entries: make(map[string]*Entry), routes: newRouteHistory()}
+}
+
+// FirstStart records that no node of the system has run before, so that no desired state
+// was in force earlier.
+func (s *State) FirstStart() { s.routes.since = systemStart }
 
 // Known reports whether the directory was received.
 func (s *State) Known() bool { return s.known }
@@ -86,6 +93,15 @@
 // Desired returns the desired state in force.
 func (s *State) Desired() *Desired { return &s.desired }
 
+// FormerServices returns the services to which present routes sent flows earlier.
+func (s *State) FormerServices(now time.Duration) []FormerService { return s.routes.snapshot(now) }
+
+// KnowsRouteHistory reports whether FormerServices has every service that may hold a flow
+// of a present route; lifetime is the longest lifetime of a flow.
+func (s *State) KnowsRouteHistory(now, lifetime time.Duration) bool {
+	return s.known && now-s.routes.since >= lifetime
+}
+
 // Each calls f with every entry, in no particular order.
 func (s *State) Each(f func(*Entry)) {
 	for _, e := range s.entries {
@@ -97,7 +113,10 @@
 // to send to another balancer.
 func (s *State) Snapshot(now time.Duration) Change {
 	desired := s.desired
-	c := Change{Revision: s.revision, Snapshot: true, AsOf: s.asOf, Desired: &desired}
+	c := Change{
+		Revision: s.revision, Snapshot: true, AsOf: s.asOf, Desired: &desired,
+		Former: s.routes.snapshot(now), RouteHistory: max(now-s.routes.since, 1),
+	}
 	for _, e := range s.entries {
 		if e.DepartedAt == 0 {
 			c.Endpoints = append(c.Endpoints, e.Endpoint)
@@ -143,15 +162,14 @@
 	if !c.Snapshot && (!s.known || c.After > s.revision) {
 		return false, false
 	}
-	departed := s.addDeparted(now, c.Departed)
+	added := s.addDeparted(now, c.Departed)
 	if c.Revision < s.revision {
-		return departed, true
+		return s.mergeRouteHistory(now, c) || added, true
 	}
-	s.advanceAsOf(c.AsOf)
 	before := s.Digest()
-	if c.Desired != nil && c.Desired.ModRevision >= s.desired.ModRevision {
-		s.desired = *c.Desired
-	}
+	s.applyDesired(now, c)
+	added = s.mergeRouteHistory(now, c) || added
+	s.advanceAsOf(c.AsOf)
 	for _, e := range c.Endpoints {
 		s.put(now, e)
 	}
@@ -162,7 +180,39 @@
 		s.markDeparted(now, d.ID, d.ModRevision)
 	}
 	s.revision, s.known = c.Revision, true
-	return departed || s.Digest() != before, true
+	return added || s.Digest() != before, true
+}
+
+// applyDesired puts the desired state of an update into force, if it has a newer one.
+func (s *State) applyDesired(now time.Duration, c Change) {
+	if c.Desired == nil || c.Desired.ModRevision < s.desired.ModRevision {
+		return
+	}
+	before := s.desired
+	s.desired = *c.Desired
+	switch {
+	case !s.known && s.routes.since != systemStart, s.known && c.skips(now-s.asOf) && c.Desired.ModRevision != before.ModRevision:
+		s.routes.begin(now, c.Desired.ModRevision)
+	case !s.known:
+		s.routes.from = c.Desired.ModRevision
+	}
+	for _, superseded := range c.Superseded {
+		s.routes.replaced(now, superseded, &s.desired)
+	}
+	s.routes.replaced(now, &before, &s.desired)
+}
+
+// skips reports whether the update may lack desired states that were in force since the
+// receiver's directory was known to be the newest, age ago.
+func (c Change) skips(age time.Duration) bool { return c.Snapshot && c.RouteHistory < age }
+
+// mergeRouteHistory adds the route history of another balancer's directory, and reports
+// whether there were former services unknown here.
+func (s *State) mergeRouteHistory(now time.Duration, c Change) bool {
+	if c.RouteHistory == 0 || c.Desired == nil {
+		return false
+	}
+	return s.routes.merge(now, c.RouteHistory, c.Desired, c.Former, &s.desired)
 }
 
 // addDeparted adds the departed endpoints without an entry here, and reports
@@ -233,9 +283,10 @@
 	}
 }
 
-// RemoveExpired removes entries that departed longer than lifetime ago;
-// lifetime is the longest lifetime of a flow.
+// RemoveExpired removes entries that departed longer than lifetime ago, and the
+// services that routes left longer ago; lifetime is the longest lifetime of a flow.
 func (s *State) RemoveExpired(now, lifetime time.Duration) {
+	s.routes.expire(now, lifetime)
 	for id, e := range s.entries {
 		if e.DepartedAt != 0 && now-e.DepartedAt > lifetime {
 			delete(s.entries, id)
--- a/flow/resend.go
+++ b/flow/resend.go
@@ -67,7 +67,7 @@
 		if route == nil || s.packet == nil || s.denied[endpoint.Agent] || !route.includes(endpoint.Service) {
 			continue
 		}
-		if s.wave < allWave && !slices.Contains(s.remainingIn(s.wave, key, route), endpoint.Agent) {
+		if s.wave < route.lastWave() && !slices.Contains(s.remainingIn(s.wave, key, route), endpoint.Agent) {
 			continue
 		}
 		if !a.searches.spend(now, len(s.packet)+searchOverhead) {
@@ -79,8 +79,14 @@
 	return resends
 }
 
+// includes reports whether endpoints of the service may hold flows of the route.
 func (r *Route) includes(service *Service) bool {
-	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+	for holder := range r.holders {
+		if holder == service {
+			return true
+		}
+	}
+	return false
 }
 
 func (a *Assignments) resendOpenings(now Timestamp, endpoint *Endpoint, routing *RoutingTable) []Resend {
@@ -89,6 +95,10 @@
 	a.openings.list = slices.DeleteFunc(a.openings.list, func(stored opening) bool {
 		known := a.flows[stored.packet.Flow]
 		placed := routing.Agents[stored.agent]
+		route := routing.Routes[stored.packet.Flow.Service]
+		if route == nil || route.Service(stored.packet.Flow) != endpoint.Service {
+			return false // the route has moved
+		}
 		if placed == nil || placed.Service != endpoint.Service || known.agent != stored.agent || !known.matchesService(placed) {
 			return false
 		}
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"slices"
+
 	"cactustray/placement"
 )
 
@@ -45,6 +47,41 @@
 type Route struct {
 	Shares []Share
 	Weight uint32
+	// Former are other services, whose endpoints may hold flows of the route that were
+	// opened earlier. They get no new flows. Services in Shares are ignored, so that routes
+	// can have one list in common.
+	Former []*Service
+}
+
+// present iterates over the services to which the route sends new flows.
+func (r *Route) present(yield func(*Service) bool) {
+	for _, share := range r.Shares {
+		if !yield(share.Service) {
+			return
+		}
+	}
+}
+
+// former iterates over the other services whose endpoints may hold flows of the route.
+func (r *Route) former(yield func(*Service) bool) {
+	for _, service := range r.Former {
+		isPresent := slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+		if !isPresent && !yield(service) {
+			return
+		}
+	}
+}
+
+// holders iterates over all services whose endpoints may hold flows of the route.
+func (r *Route) holders(yield func(*Service) bool) {
+	stopped := false
+	r.present(func(s *Service) bool {
+		stopped = !yield(s)
+		return !stopped
+	})
+	if !stopped {
+		r.former(yield)
+	}
 }
 
 // Service returns the service of a new flow: the same for all its packets on every
--- a/flow/search.go
+++ b/flow/search.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"iter"
 	"slices"
 	"time"
 )
@@ -156,19 +157,21 @@
 	return d
 }
 
-// routeTag returns the tag of the route's service, or 0 if it has several or none.
+// routeTag returns the tag of the only service whose endpoints may hold the route's
+// flows, or 0 if there are several or none.
 func routeTag(r *Route) uint16 {
-	if len(r.Shares) != 1 {
+	if len(r.Shares) != 1 || len(r.Former) > 0 {
 		return 0
 	}
 	return r.Shares[0].Service.Tag
 }
 
-// remaining returns the agents that may hold the flow and have not denied it.
-func (s *search) remaining(r *Route) []Address {
+// remaining returns the agents of the given services that may hold the flow and have not
+// denied it.
+func (s *search) remaining(services iter.Seq[*Service]) []Address {
 	var remaining []Address
-	for _, share := range r.Shares {
-		for _, endpoint := range share.Service.Holders {
+	for service := range services {
+		for _, endpoint := range service.Holders {
 			if !s.denied[endpoint.Agent] {
 				remaining = append(remaining, endpoint.Agent)
 			}
@@ -186,7 +189,7 @@
 		return Decision{Reason: NotHeld}, nil
 	}
 	s.denied[agent] = true
-	if route != nil && s.wave < allWave && s.packet != nil && !s.mayAnswer(now, key, route, routing) {
+	if route != nil && s.wave < route.lastWave() && s.packet != nil && !s.mayAnswer(now, key, route, routing) {
 		if d := a.queryNextWave(now, key, s, route); len(d.SearchAgents) > 0 {
 			return d, s.packet
 		}
@@ -201,7 +204,7 @@
 	switch {
 	case route == nil:
 		return Decision{Reason: UnknownAddress}
-	case len(s.remaining(route)) > 0 || !routing.Complete:
+	case len(s.remaining(route.holders)) > 0 || !routing.Complete:
 		return Decision{Reason: Searched}
 	case !route.hasHolders():
 		return Decision{Reason: NoEndpoint}
@@ -225,8 +228,8 @@
 
 // hasHolders reports whether any endpoint may hold flows of the route.
 func (r *Route) hasHolders() bool {
-	for _, share := range r.Shares {
-		if len(share.Service.Holders) > 0 {
+	for service := range r.holders {
+		if len(service.Holders) > 0 {
 			return true
 		}
 	}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -73,7 +73,18 @@
 	s.table = NewRoutingTable()
 	s.table.Complete = true
 	s.table.CurrentAt = func() Timestamp { return s.now }
-	for i := range agents {
+	s.addAgents(service, agents)
+	s.table.Routes[serviceAddress] = &Route{Shares: []Share{{Service: service, Weight: 1}}, Weight: 1}
+	for range balancers {
+		s.balancers = append(s.balancers, newTestAssignments())
+	}
+	return s
+}
+
+// addAgents adds a number of agents, with their endpoints, to a service.
+func (s *simulation) addAgents(service *Service, agents int) {
+	for range agents {
+		i := len(s.agents)
 		a := &simAgent{address: Address{IP: [4]byte{10, 0, 0, byte(i + 1)}, Port: 7}, endpoint: newSimEndpoint(uint32(i))}
 		a.flowTable = NewAgentTable(s.now, 2, simFlowLifetime, true)
 		s.agents = append(s.agents, a)
@@ -83,11 +94,6 @@
 		service.Holders = append(service.Holders, endpoint)
 		s.table.Agents[a.address] = endpoint
 	}
-	s.table.Routes[serviceAddress] = &Route{Shares: []Share{{Service: service, Weight: 1}}, Weight: 1}
-	for range balancers {
-		s.balancers = append(s.balancers, newTestAssignments())
-	}
-	return s
 }
 
 var serviceAddress = Address{IP: [4]byte{198, 18, 0, 1}, Port: simServicePort}
@@ -164,6 +170,12 @@
 		s.reset(d.Reset)
 		return
 	}
+	if p.Opening && d.Reason == Opened {
+		s.mustBePresent(d.To)
+		if !d.Alternate.IsZero() {
+			s.mustBePresent(d.Alternate)
+		}
+	}
 	from := Address{IP: [4]byte{10, 1, 0, byte(b + 1)}, Port: 7}
 	if !d.To.IsZero() {
 		s.toAgent(d.To, p, Delivery{Balancer: from, Alternate: d.Alternate, Hops: hops})
@@ -436,3 +448,50 @@
 	}
 	s.t.Fatalf("%v is open at %v, which none of %d packets reached", c.flow, holder.address, repeats)
 }
+
+// mustBePresent fails the test if the route sends no new flows to the agent's service.
+func (s *simulation) mustBePresent(agent Address) {
+	service := s.table.Agents[agent].Service
+	for present := range s.table.Routes[serviceAddress].present {
+		if present == service {
+			return
+		}
+	}
+	s.t.Fatalf("a flow was opened at %v of the former service %s", agent, service.Name)
+}
+
+// moveRoute sends new flows to the service that got none until now.
+func (s *simulation) moveRoute() {
+	route := s.table.Routes[serviceAddress]
+	present, former := route.Shares[0].Service, route.Former[0]
+	s.t.Logf("%v the route moves to %s", s.now, former.Name)
+	moved := *s.table
+	moved.Routes = map[Address]*Route{serviceAddress: {Shares: []Share{{Service: former, Weight: 1}}, Weight: 1, Former: []*Service{present}}}
+	s.table = &moved
+}
+
+// As TestFlowsAreFoundAndNeverResetInError, for a route that moves between two services:
+// flows stay where they were opened, and new ones open at the present service.
+func TestFlowsOfMovedRouteAreFound(t *testing.T) {
+	for _, agents := range []int{2, preferenceThreshold + 1} {
+		rapid.Check(t, func(t *rapid.T) {
+			s := newSimulation(t, agents, 2)
+			other := &Service{Name: "drawings", Tag: 3}
+			s.addAgents(other, 2)
+			s.table.Routes[serviceAddress].Former = []*Service{other}
+			for range 3 {
+				s.newCaller()
+			}
+			for range rapid.IntRange(10, 100).Draw(t, "steps") {
+				if s.draw("move", 12) == 0 {
+					s.moveRoute()
+				}
+				s.step()
+			}
+			s.settle()
+			for _, c := range s.callers {
+				s.mustReach(c)
+			}
+		})
+	}
+}
--- a/flow/wave.go
+++ b/flow/wave.go
@@ -12,14 +12,25 @@
 const (
 	// preferredWave is all agents that the flow prefers.
 	preferredWave wave = 2
-	// allWave is all agents that may hold the flow.
+	// allWave is all agents of the services to which the route sends new flows.
 	allWave wave = 3
+	// formerWave is the agents of the services to which it sent new flows earlier.
+	formerWave wave = 4
 )
 
+// lastWave returns the wave after which every agent that may hold a flow of the route has
+// been queried.
+func (r *Route) lastWave() wave {
+	if len(r.Former) > 0 {
+		return formerWave
+	}
+	return allWave
+}
+
 // queryNextWave queries the next wave that has agents left or, after the last wave, all
 // remaining agents again.
 func (a *Assignments) queryNextWave(now Timestamp, key Key, s *search, route *Route) Decision {
-	for s.wave < allWave {
+	for s.wave < route.lastWave() {
 		next := s.wave + 1
 		to := s.remainingIn(next, key, route)
 		if len(to) == 0 {
@@ -32,13 +43,16 @@
 		}
 		return d
 	}
-	return a.sendSearch(now, s, route, s.remaining(route))
+	return a.sendSearch(now, s, route, s.remaining(route.holders))
 }
 
 // remainingIn returns the agents of a wave that have not denied the flow.
 func (s *search) remainingIn(w wave, key Key, route *Route) []Address {
-	if w == allWave {
-		return s.remaining(route)
+	switch w {
+	case allWave:
+		return s.remaining(route.present)
+	case formerWave:
+		return s.remaining(route.former)
 	}
 	var remaining []Address
 	for _, share := range route.Shares {
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -33,6 +33,9 @@
 	// rebuildInterval is how often the routing table is rebuilt while departed
 	// endpoints may still be in use.
 	rebuildInterval = 250 * time.Millisecond
+	// formerInterval is how often it is rebuilt while routes may have flows at former
+	// services, which are removed once these flows are older than any flow may be.
+	formerInterval = 5 * time.Second
 	// compareInterval is how often the processing times of a service's endpoints are
 	// compared. Each endpoint reports a few times in between.
 	compareInterval = 250 * time.Millisecond
@@ -76,7 +79,9 @@
 	// none. Traffic goroutines read it.
 	asOf atomic.Int64
 	// hasDeparted is true if departed endpoints may still be in use.
-	hasDeparted  bool
+	hasDeparted bool
+	// hasFormer is true if routes may have flows at former services.
+	hasFormer    bool
 	survey       survey
 	metricValues metricValues
 }
@@ -86,9 +91,13 @@
 
 func newState(s *settings.Settings, log *event.Log, f *forwarder, r *reader, healthy *atomic.Bool) *state {
 	now := clock.Now()
+	known := directory.NewState()
+	if s.Packets.FirstStart {
+		known.FirstStart()
+	}
 	return &state{
 		settings: s, log: log, traffic: f, reader: r, healthy: healthy,
-		directory: directory.NewState(), schedule: directory.NewReaderSchedule(s.Packets.AdvertisedPeer()),
+		directory: known, schedule: directory.NewReaderSchedule(s.Packets.AdvertisedPeer()),
 		loads:   make(map[flow.Address]*placement.AgentLoad),
 		started: now, lastTick: now, fullRead: true, seeds: s.Packets.SeedAddresses(),
 		survey: survey{queried: make(map[netip.AddrPort]bool), complete: s.Packets.FirstStart},
@@ -150,7 +159,7 @@
 	} else if now-s.lastPublish < eagerHelloPeriod {
 		s.sendHellosToUnresponsive(now)
 	}
-	if s.hasDeparted && now-s.lastPublish >= rebuildInterval {
+	if s.hasDeparted && now-s.lastPublish >= rebuildInterval || s.hasFormer && now-s.lastPublish >= formerInterval {
 		s.publish(now)
 	}
 	if now-s.lastComparison >= compareInterval {
@@ -168,7 +177,7 @@
 	builder := newTableBuilder(now, s)
 	s.traffic.table.Store(builder.build())
 	s.traffic.earlyQueue.release()
-	s.hasDeparted = builder.hasDeparted
+	s.hasDeparted, s.hasFormer = builder.hasDeparted, builder.hasFormer
 }
 
 // apply applies changed settings, except addresses, which need a restart.
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -19,6 +19,8 @@
 	table    *flow.RoutingTable
 	// hasDeparted is true if there are departed endpoints, which may still be in use.
 	hasDeparted bool
+	// hasFormer is true if routes may have flows at former services.
+	hasFormer bool
 }
 
 func newTableBuilder(now time.Duration, s *state) *tableBuilder {
@@ -35,12 +37,49 @@
 	for _, route := range b.state.directory.Desired().Routes {
 		b.addRoute(route)
 	}
+	b.addFormerServices()
 	for _, service := range b.services {
 		b.table.Services = append(b.table.Services, service)
 	}
 	return b.table
 }
 
+// maxAssumedHolders bounds the endpoints that every route is assumed to have used, while
+// the route history is not known. A search of more would leave no room for other searches.
+const maxAssumedHolders = 512
+
+// addFormerServices adds to each route the services that may hold flows opened earlier.
+// While the route history is not known, as after a restart of all balancers, these are all
+// services.
+func (b *tableBuilder) addFormerServices() {
+	directory := b.state.directory
+	if !directory.KnowsRouteHistory(b.now, b.state.settings.Packets.FlowLifetime()) {
+		b.hasFormer = true
+		if len(b.table.Agents) <= maxAssumedHolders {
+			b.assumeAllServices()
+			return
+		}
+	}
+	for _, former := range directory.FormerServices(b.now) {
+		if route := b.table.Routes[flow.AddressOf(former.Address)]; route != nil {
+			b.hasFormer = true
+			route.Former = append(route.Former, b.service(former.Service))
+		}
+	}
+}
+
+func (b *tableBuilder) assumeAllServices() {
+	var holders []*flow.Service
+	for _, service := range b.services {
+		if len(service.Holders) > 0 {
+			holders = append(holders, service)
+		}
+	}
+	for _, route := range b.table.Routes {
+		route.Former = holders
+	}
+}
+
 // latestEntries returns the current entry of each address: a new endpoint may reuse
 // the address of a departed one.
 func (b *tableBuilder) latestEntries() map[flow.Address]*directory.Entry {
