Search for flows by their key at agents that know all their flows

Cause: a balancer that was added takes over hundreds of open flows in a second and sent each unknown packet to a dozen agents, then to all: with 900 bytes to 40 agents, the quarter of a 10 Mbit/s link that searches may use lasts for 8 flows a second.

Change: agents report whether they know every flow of their endpoint; those are asked by key, in batches, and answer at once. An agent that started with its endpoint, as after a loss of power, learns so from the endpoint's start that balancers tell it.

The random tests of flow/ play queries too.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -42,7 +42,8 @@
 // Endpoint is one incarnation of a backend server, as it registered itself.
 type Endpoint struct {
 	ID string `json:"id"`
-	// Incarnation distinguishes incarnations under one ID.
+	// Incarnation distinguishes incarnations under one ID. It is the time of the start, in
+	// milliseconds since the Unix epoch, by the endpoint's clock.
 	Incarnation int64          `json:"born"`
 	Service     string         `json:"service"`
 	Address     netip.AddrPort `json:"address"`
--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -70,8 +70,11 @@
 type Decision struct {
 	// To is the agent that gets the packet, or zero.
 	To Address
-	// SearchAgents are the agents that a search sends the packet to.
+	// SearchAgents are the agents that a search sends the packet to, and QueryAgents those
+	// that it only asks about the flow, with the key and the caller's acknowledgment.
 	SearchAgents []Address
+	QueryAgents  []Address
+	Query        Query
 	// Tag is the tag of the service whose endpoint gets the packet, or 0 if it is not
 	// known.
 	Tag uint16
@@ -204,9 +207,9 @@
 }
 
 // Found records that a flow is at an agent of the service with the tag, and returns the
-// datagrams that waited for the agent to be found.
+// datagrams that the agent has yet to receive.
 func (a *Assignments) Found(now Timestamp, key Key, agent Address, tag uint16) [][]byte {
-	waiting := a.searches.end(key)
+	waiting := a.searches.endAt(key, agent)
 	known := a.flows[key]
 	known.agent, known.tag, known.lastSeen, known.ended = agent, tag, now, false
 	if known.placedAt == 0 {
--- /dev/null
+++ b/flow/query.go
@@ -0,0 +1,59 @@
+package flow
+
+// Query asks an agent whether its endpoint holds a flow. It stands for a packet of the
+// flow, which is many times larger.
+type Query struct {
+	Flow Key
+	// Acknowledged is the caller's last acknowledgment.
+	Acknowledged uint32
+}
+
+// Answer is an agent's answer to a query.
+type Answer uint8
+
+const (
+	// Denies: the endpoint does not hold the flow.
+	Denies Answer = iota
+	// Holds: the agent delivers the flow's packets to the endpoint.
+	Holds
+	// IsUnsure: only the endpoint knows, and shows it when it gets a packet of the flow.
+	IsUnsure
+	// HasEnded: the endpoint held the flow and lost it; its caller gets a reset.
+	HasEnded
+)
+
+// Query answers a query.
+func (t *AgentTable) Query(now Timestamp, q Query) Answer {
+	r, known := t.flows[q.Flow]
+	if !known {
+		if t.isComplete(now) || len(t.flows) >= maxFlows {
+			return Denies
+		}
+		return IsUnsure
+	}
+	switch r.state {
+	case open:
+		return Holds
+	case accepted:
+		if q.Acknowledged-r.sequence <= acceptWindow {
+			return Holds
+		}
+		if t.isComplete(now) {
+			return Denies
+		}
+		return IsUnsure
+	case trial:
+		return IsUnsure
+	case lost:
+		return HasEnded
+	default:
+		return Denies
+	}
+}
+
+// FlowsKnown reports whether the table has every flow that the endpoint holds.
+func (t *AgentTable) FlowsKnown(now Timestamp) bool { return t.isComplete(now) }
+
+// ConfirmComplete records that the endpoint started no earlier than this agent, so that the
+// table has every flow of the endpoint.
+func (t *AgentTable) ConfirmComplete() { t.complete = true }
--- a/flow/resend.go
+++ b/flow/resend.go
@@ -70,10 +70,10 @@
 		if s.wave < route.lastWave() && !slices.Contains(s.remainingIn(s.wave, key, route), endpoint.Agent) {
 			continue
 		}
-		if !a.searches.spend(now, len(s.packet)+searchOverhead) {
+		d := a.sendSearch(now, key, s, route, routing, []Address{endpoint.Agent})
+		if d.Reason == SearchWaits {
 			break
 		}
-		d := Decision{Reason: Searched, Tag: routeTag(route), SearchAgents: []Address{endpoint.Agent}}
 		resends = append(resends, Resend{Packet: Packet{Flow: key, Acknowledged: s.acknowledged}, Decision: d, Datagram: s.packet})
 	}
 	return resends
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -12,6 +12,9 @@
 	Agent   Address
 	Service *Service
 	placement.Candidate
+	// StartedAt is when the endpoint started, in milliseconds since the Unix epoch by its
+	// own clock.
+	StartedAt int64
 	// hash is the hash of the agent's address, for the order in which a flow prefers
 	// endpoints.
 	hash uint64
--- a/flow/search.go
+++ b/flow/search.go
@@ -20,6 +20,9 @@
 	// searchOverhead is the number of bytes that a search sends to an agent in addition
 	// to the packet: envelope, UDP and IP headers.
 	searchOverhead = 48
+	// querySize is the number of bytes that a query costs for each agent: a flow's key and
+	// the acknowledgment, with a share of the headers.
+	querySize = 24
 	// defaultSearchRate limits searches, in bytes per second, unless the settings state
 	// the machine's link: a quarter of 10 Mbit/s, the slowest link.
 	defaultSearchRate = 312_500
@@ -32,10 +35,13 @@
 	acknowledged uint32
 	startedAt    Timestamp
 	lastPacket   Timestamp
-	// sentAt is when agents were last queried, or 0, and packet the datagram that they
-	// were sent.
+	// sentAt is when agents were last queried or sent the packet, or 0.
 	sentAt Timestamp
 	packet []byte
+	// queried are the agents that were asked about the flow, received those that were sent
+	// the packet.
+	queried  map[Address]bool
+	received map[Address]bool
 	// wave is the last wave of agents that was queried.
 	wave wave
 	// waiting are the packets that wait until the flow's agent is found.
@@ -80,7 +86,7 @@
 	found := s.flows[key]
 	if found == nil || now-found.startedAt > searchTimeout {
 		s.end(key)
-		found = &search{denied: make(map[Address]bool), startedAt: now}
+		found = &search{denied: make(map[Address]bool), queried: make(map[Address]bool), received: make(map[Address]bool), startedAt: now}
 		s.flows[key] = found
 	}
 	return found
@@ -104,6 +110,17 @@
 	return ended.waiting
 }
 
+// endAt removes the search for a flow that is at the agent, and returns the packets that
+// the agent has yet to receive, oldest first.
+func (s *searches) endAt(key Key, agent Address) [][]byte {
+	found := s.flows[key]
+	waiting := s.end(key)
+	if found == nil || found.packet == nil || found.received[agent] {
+		return waiting
+	}
+	return slices.Insert(waiting, 0, found.packet)
+}
+
 func (s *searches) sweep(now Timestamp) {
 	for key, found := range s.flows {
 		if now-found.lastPacket > searchTimeout {
@@ -130,30 +147,46 @@
 		return Decision{Reason: SearchWaits}
 	}
 	s.packet = slices.Clone(datagram)
+	clear(s.received)
 	if s.sentAt != 0 {
 		// The caller sends again: the agents queried may not have received the packet.
 		s.wave = max(s.wave, preferredWave)
 	}
-	d := a.queryNextWave(now, packet.Flow, s, route)
-	switch {
-	case len(d.SearchAgents) == 0 && d.Reason != SearchWaits:
+	d := a.queryNextWave(now, packet.Flow, s, route, routing)
+	if !d.searches() && d.Reason != SearchWaits {
 		return a.endIfDenied(now, packet.Flow, routing)
-	case d.Reason == SearchWaits:
-		a.searches.enqueue(s, datagram)
 	}
 	return d
 }
 
-// sendSearch sends the packet of a search to agents, if the rate of searches allows it.
-func (a *Assignments) sendSearch(now Timestamp, s *search, route *Route, to []Address) Decision {
-	d := Decision{Reason: Searched, Tag: routeTag(route), SearchAgents: to}
+// searches reports whether the decision continues a search.
+func (d Decision) searches() bool { return len(d.SearchAgents)+len(d.QueryAgents) > 0 }
+
+// sendSearch continues a search at agents, if the rate of searches allows it. An agent that
+// knows all flows of its endpoint is asked about the flow; if it does not answer until the
+// caller sends again, and in all other cases, it is sent the packet.
+func (a *Assignments) sendSearch(now Timestamp, key Key, s *search, route *Route, routing *RoutingTable, to []Address) Decision {
+	d := Decision{Reason: Searched, Tag: routeTag(route), Query: Query{Flow: key, Acknowledged: s.acknowledged}}
+	for _, agent := range to {
+		if routing.Agents[agent].AgentLoad.FlowsKnown() && !s.queried[agent] {
+			d.QueryAgents = append(d.QueryAgents, agent)
+		} else {
+			d.SearchAgents = append(d.SearchAgents, agent)
+		}
+	}
 	if len(to) == 0 {
 		return d
 	}
-	if !a.searches.spend(now, len(to)*(len(s.packet)+searchOverhead)) {
+	if !a.searches.spend(now, len(d.QueryAgents)*querySize+len(d.SearchAgents)*(len(s.packet)+searchOverhead)) {
 		return Decision{Reason: SearchWaits}
 	}
 	s.sentAt = now
+	for _, agent := range d.QueryAgents {
+		s.queried[agent] = true
+	}
+	for _, agent := range d.SearchAgents {
+		s.received[agent] = true
+	}
 	return d
 }
 
@@ -190,13 +223,23 @@
 	}
 	s.denied[agent] = true
 	if route != nil && s.wave < route.lastWave() && s.packet != nil && !s.mayAnswer(now, key, route, routing) {
-		if d := a.queryNextWave(now, key, s, route); len(d.SearchAgents) > 0 {
+		if d := a.queryNextWave(now, key, s, route, routing); d.searches() {
 			return d, s.packet
 		}
 	}
 	return a.endIfDenied(now, key, routing), nil
 }
 
+// Unsure records that an agent that was asked about a flow cannot tell whether its endpoint
+// holds it. The agent gets the returned datagram, and its endpoint decides.
+func (a *Assignments) Unsure(now Timestamp, key Key, agent Address, routing *RoutingTable) (Decision, []byte) {
+	s, route := a.searches.flows[key], routing.Routes[key.Service]
+	if s == nil || route == nil || s.packet == nil || routing.Agents[agent] == nil || !s.queried[agent] {
+		return Decision{Reason: NotHeld}, nil
+	}
+	return a.sendSearch(now, key, s, route, routing, []Address{agent}), s.packet
+}
+
 // endIfDenied ends a flow if the routing table is complete and every endpoint that may
 // hold the flow has denied it.
 func (a *Assignments) endIfDenied(now Timestamp, key Key, routing *RoutingTable) Decision {
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -35,9 +35,10 @@
 
 // simEndpoint is the authority on its flows.
 type simEndpoint struct {
-	next     uint32
-	halfOpen map[Key]uint32
-	open     map[Key]bool
+	startedAt Timestamp
+	next      uint32
+	halfOpen  map[Key]uint32
+	open      map[Key]bool
 	// sequences has the initial sequence number of every flow that the endpoint
 	// accepted.
 	sequences map[Key]uint32
@@ -183,6 +184,49 @@
 	for _, agent := range d.SearchAgents {
 		s.toAgent(agent, p, Delivery{Balancer: from, Search: true, Hops: hops})
 	}
+	for _, agent := range d.QueryAgents {
+		s.query(b, agent, d.Query)
+	}
+}
+
+// query asks an agent about a flow, for a balancer.
+func (s *simulation) query(b int, to Address, q Query) {
+	a := s.agents[to.IP[3]-1]
+	s.enqueue(fmt.Sprintf("%v queried at agent %v", q.Flow, to), func() {
+		answer := a.flowTable.Query(s.now, q)
+		if answer == HasEnded {
+			s.reset(Reset{Flow: q.Flow, Acknowledged: q.Acknowledged})
+			return
+		}
+		s.enqueue(fmt.Sprintf("%v answer %v of agent %v", q.Flow, answer, to), func() { s.answered(b, a, q, answer) })
+	})
+}
+
+func (s *simulation) answered(b int, a *simAgent, q Query, answer Answer) {
+	switch answer {
+	case Holds:
+		s.found(b, q.Flow, a.address)
+	case Denies:
+		d, datagram := s.balancers[b].Denied(s.now, q.Flow, a.address, s.table)
+		s.continueSearch(b, q.Flow, d, datagram)
+	case IsUnsure:
+		d, datagram := s.balancers[b].Unsure(s.now, q.Flow, a.address, s.table)
+		s.continueSearch(b, q.Flow, d, datagram)
+	}
+}
+
+func (s *simulation) continueSearch(b int, key Key, d Decision, datagram []byte) {
+	packet := Packet{Flow: key}
+	if datagram != nil {
+		packet = s.packetOf(datagram)
+	}
+	s.applyDecision(b, packet, d, 0)
+}
+
+func (s *simulation) found(b int, key Key, owner Address) {
+	for _, datagram := range s.balancers[b].Found(s.now, key, owner, 0) {
+		s.applyDecision(b, s.packetOf(datagram), Decision{To: owner}, 0)
+	}
 }
 
 func (s *simulation) toAgent(to Address, p Packet, d Delivery) {
@@ -209,10 +253,7 @@
 	case Deny:
 		s.enqueue(fmt.Sprintf("%v denied by %v", p.Flow, a.address), func() {
 			d, datagram := s.balancers[b].Denied(s.now, p.Flow, a.address, s.table)
-			if datagram != nil {
-				p = s.packetOf(datagram)
-			}
-			s.applyDecision(b, p, d, 0)
+			s.continueSearch(b, p.Flow, d, datagram)
 		})
 	case SendReset:
 		s.reset(v.Reset)
@@ -226,9 +267,7 @@
 		}
 		b := int(v.Notify.IP[3] - 1)
 		s.enqueue(fmt.Sprintf("%v is at %v", p.Flow, owner), func() {
-			for _, datagram := range s.balancers[b].Found(s.now, p.Flow, owner, 0) {
-				s.applyDecision(b, s.packetOf(datagram), Decision{To: owner}, 0)
-			}
+			s.found(b, p.Flow, owner)
 		})
 	}
 }
@@ -360,7 +399,7 @@
 		a := s.agents[s.draw("crashed", len(s.agents))]
 		next := a.endpoint.next
 		a.endpoint = newSimEndpoint(0)
-		a.endpoint.next = next
+		a.endpoint.next, a.endpoint.startedAt = next, s.now
 	}
 }
 
@@ -395,7 +434,10 @@
 			}
 		}
 	}
-	load.Report(s.now, placement.Usage{})
+	load.Report(s.now, placement.Usage{FlowsKnown: a.flowTable.FlowsKnown(s.now)})
+	if a.flowTable.startedAt < a.endpoint.startedAt {
+		a.flowTable.ConfirmComplete()
+	}
 }
 
 // No flow that an endpoint holds is reset, whatever is lost, restarted or delivered
--- /dev/null
+++ b/flow/start_order.go
@@ -0,0 +1,49 @@
+package flow
+
+import "time"
+
+const (
+	// startTolerance is how much earlier than its agent an endpoint may have started to
+	// count as started with it, as after their machine was switched on. It is shorter than
+	// the restart of an agent, so that no earlier agent can have served the endpoint.
+	startTolerance = 50 * time.Millisecond
+	// clockTolerance is the largest difference between the clocks of an agent and a balancer
+	// with which the start times are compared.
+	clockTolerance = 100 * time.Millisecond
+)
+
+// StartOrder decides whether an endpoint started before its agent, which then does not know
+// the flows that an earlier agent delivered. The two share a machine and its time of day. A
+// clock that is set would mislead, so nothing is concluded if the time of day has jumped
+// since the agent started, or differs from that of the balancer that states the endpoint's
+// start.
+//
+// Times of day are in milliseconds since the Unix epoch.
+type StartOrder struct {
+	// startedAt and startedClock are when the agent started.
+	startedAt    Timestamp
+	startedClock int64
+}
+
+// NewStartOrder returns the decision of an agent that starts now.
+func NewStartOrder(now Timestamp, clock int64) StartOrder {
+	return StartOrder{startedAt: now, startedClock: clock}
+}
+
+// EndpointIsNewer reports whether the endpoint certainly started with the agent or later.
+// endpointStart is when it started, clock the agent's time of day at now, and
+// balancerClock that of the balancer.
+func (s StartOrder) EndpointIsNewer(now Timestamp, clock, endpointStart, balancerClock int64) bool {
+	jump := clock - s.startedClock - (now - s.startedAt).Milliseconds()
+	switch {
+	case endpointStart == 0 || balancerClock == 0:
+		return false
+	case abs(jump) > startTolerance.Milliseconds():
+		return false
+	case abs(clock-balancerClock) > clockTolerance.Milliseconds():
+		return false
+	}
+	return endpointStart >= s.startedClock-startTolerance.Milliseconds()
+}
+
+func abs(n int64) int64 { return max(n, -n) }
--- a/flow/wave.go
+++ b/flow/wave.go
@@ -29,7 +29,7 @@
 
 // queryNextWave queries the next wave that has agents left or, after the last wave, all
 // remaining agents again.
-func (a *Assignments) queryNextWave(now Timestamp, key Key, s *search, route *Route) Decision {
+func (a *Assignments) queryNextWave(now Timestamp, key Key, s *search, route *Route, routing *RoutingTable) Decision {
 	for s.wave < route.lastWave() {
 		next := s.wave + 1
 		to := s.remainingIn(next, key, route)
@@ -37,13 +37,13 @@
 			s.wave = next
 			continue
 		}
-		d := a.sendSearch(now, s, route, to)
+		d := a.sendSearch(now, key, s, route, routing, to)
 		if d.Reason == Searched {
 			s.wave = next
 		}
 		return d
 	}
-	return a.sendSearch(now, s, route, s.remaining(route.holders))
+	return a.sendSearch(now, key, s, route, routing, s.remaining(route.holders))
 }
 
 // remainingIn returns the agents of a wave that have not denied the flow.
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -121,6 +121,10 @@
 type Hello struct {
 	Slots   int
 	Leaving bool
+	// EndpointStart is when the agent's endpoint started, by the endpoint's clock, and Clock
+	// the balancer's time of day when it sent this: in milliseconds since the Unix epoch.
+	EndpointStart int64
+	Clock         int64
 }
 
 // Report informs a balancer of the load of the sender's endpoint and, in some reports,
@@ -139,6 +143,13 @@
 // Denied informs a balancer that the sender's endpoint does not hold a flow.
 type Denied struct{ Flow flow.Key }
 
+// Queries asks an agent which of the flows its endpoint holds. A datagram has at most
+// MaxQueries.
+type Queries struct{ Flows []flow.Query }
+
+// Answers is an agent's answer to Queries.
+type Answers struct{ Held, Denied, Unsure []flow.Key }
+
 // DirectoryAnnouncement announces to a balancer the revision of the sender's directory.
 type DirectoryAnnouncement struct {
 	Revision directory.Revision
@@ -162,7 +173,7 @@
 func encodeNotice(m Message) *flowpb.Notice {
 	switch m := m.(type) {
 	case Hello:
-		hello := &flowpb.Hello{Slots: uint32(m.Slots), Leaving: m.Leaving}
+		hello := &flowpb.Hello{Slots: uint32(m.Slots), Leaving: m.Leaving, EndpointStartMs: m.EndpointStart, ClockMs: m.Clock}
 		return &flowpb.Notice{Kind: &flowpb.Notice_Hello{Hello: hello}}
 	case Report:
 		return &flowpb.Notice{Kind: &flowpb.Notice_Report{Report: encodeReport(m)}}
@@ -174,6 +185,11 @@
 		return &flowpb.Notice{Kind: &flowpb.Notice_Owner{Owner: owner}}
 	case Denied:
 		return &flowpb.Notice{Kind: &flowpb.Notice_Denied{Denied: &flowpb.Denied{Flow: encodeFlow(m.Flow)}}}
+	case Queries:
+		return &flowpb.Notice{Kind: &flowpb.Notice_Queries{Queries: &flowpb.Queries{Flows: appendQueries(nil, m.Flows)}}}
+	case Answers:
+		answers := &flowpb.Answers{Held: appendKeys(nil, m.Held), Denied: appendKeys(nil, m.Denied), Unsure: appendKeys(nil, m.Unsure)}
+		return &flowpb.Notice{Kind: &flowpb.Notice_Answers{Answers: answers}}
 	case DirectoryAnnouncement:
 		news := &flowpb.News{
 			Revision: uint64(m.Revision), Digest: m.Digest,
@@ -195,7 +211,7 @@
 		Flows: uint32(m.Flows), Running: uint32(m.Running), MeanMilli: uint32(m.Mean * 1000),
 		Silent: m.Silent, Leaving: m.Leaving, FailingMilli: uint32(m.Failing * 1000),
 		AnswerUs:   uint32(min(m.ProcessingTime.Microseconds(), math.MaxUint32)),
-		IntervalMs: uint32(m.Interval.Milliseconds()),
+		IntervalMs: uint32(m.Interval.Milliseconds()), FlowsKnown: m.FlowsKnown,
 	}
 	for _, b := range m.Balancers[:min(len(m.Balancers), maxBalancers)] {
 		r.Balancers = appendAddress(r.Balancers, b)
@@ -230,7 +246,8 @@
 	}
 	switch kind := n.GetKind().(type) {
 	case *flowpb.Notice_Hello:
-		return Hello{Slots: int(kind.Hello.GetSlots()), Leaving: kind.Hello.GetLeaving()}, nil
+		h := kind.Hello
+		return Hello{Slots: int(h.GetSlots()), Leaving: h.GetLeaving(), EndpointStart: h.GetEndpointStartMs(), Clock: h.GetClockMs()}, nil
 	case *flowpb.Notice_Report:
 		return decodeReport(kind.Report), nil
 	case *flowpb.Notice_Owner:
@@ -241,6 +258,11 @@
 		return owner, nil
 	case *flowpb.Notice_Denied:
 		return Denied{Flow: decodeFlow(kind.Denied.GetFlow())}, nil
+	case *flowpb.Notice_Queries:
+		return Queries{Flows: decodeQueries(kind.Queries.GetFlows())}, nil
+	case *flowpb.Notice_Answers:
+		a := kind.Answers
+		return Answers{Held: decodeKeys(a.GetHeld()), Denied: decodeKeys(a.GetDenied()), Unsure: decodeKeys(a.GetUnsure())}, nil
 	case *flowpb.Notice_News:
 		return decodeNews(kind.News)
 	default:
@@ -264,6 +286,7 @@
 		Silent: r.GetSilent(), Leaving: r.GetLeaving(), Failing: float64(r.GetFailingMilli()) / 1000,
 		ProcessingTime: time.Duration(r.GetAnswerUs()) * time.Microsecond,
 		Interval:       time.Duration(r.GetIntervalMs()) * time.Millisecond,
+		FlowsKnown:     r.GetFlowsKnown(),
 	}}
 	for b := r.GetBalancers(); len(b) >= addressSize; b = b[addressSize:] {
 		m.Balancers = append(m.Balancers, decodeAddress(b))
--- a/flow/wire/wire_test.go
+++ b/flow/wire/wire_test.go
@@ -19,7 +19,10 @@
 
 func TestMessagesRoundTrip(t *testing.T) {
 	for _, m := range []Message{
-		Hello{Slots: 4}, Hello{Leaving: true},
+		Hello{Slots: 4}, Hello{Leaving: true}, Hello{Slots: 2, EndpointStart: 1770858438937, Clock: 1770858439000},
+		Report{Usage: placement.Usage{FlowsKnown: true}},
+		Queries{Flows: []flow.Query{{Flow: key, Acknowledged: 1 << 31}, {Flow: flow.Key{Caller: service, Service: caller}}}},
+		Answers{Held: []flow.Key{key}, Unsure: []flow.Key{key, key}}, Answers{Denied: []flow.Key{key}},
 		Report{Usage: placement.Usage{Flows: 3, Running: 2, Mean: 1.25, Failing: 0.5, ProcessingTime: 3 * time.Millisecond, Interval: 250 * time.Millisecond, Silent: true, Leaving: true}, Balancers: []flow.Address{caller, service}},
 		Report{},
 		Owner{Flow: key}, Owner{Flow: key, Agent: service},
@@ -43,9 +46,19 @@
 	must.EqOp(t, "packet", string(payload))
 }
 
+// As many queries as a datagram may have, and their answers, fit into a packet.
+func TestQueriesFitIntoOnePacket(t *testing.T) {
+	const payload = 1500 - 28
+	all, keys := make([]flow.Query, MaxQueries), make([]flow.Key, MaxQueries)
+	must.LessEq(t, payload, len(Encode(Queries{Flows: all})))
+	must.LessEq(t, payload, len(Encode(Answers{Denied: keys})))
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(Encode(Owner{Flow: key, Agent: service}))
 	f.Add(Encode(DirectoryAnnouncement{Control: caller}))
+	f.Add(Encode(Queries{Flows: []flow.Query{{Flow: key, Acknowledged: 7}}}))
+	f.Add(Encode(Answers{Denied: []flow.Key{key}}))
 	f.Add([]byte{byte(Notice), 0xff})
 	f.Add([]byte{byte(Forward)})
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -86,7 +86,7 @@
 }
 
 func (s *state) helloReceived(now time.Duration, m helloReceived) {
-	s.traffic.setSlots(m.Slots)
+	s.traffic.applyHello(now, m.Hello)
 	_, known := s.balancers[m.balancer]
 	switch {
 	case m.Leaving && known:
@@ -150,6 +150,7 @@
 		Flows: usage.Flows, Running: usage.Running, Mean: s.meanRunning(now, usage), Failing: usage.Failing,
 		ProcessingTime: usage.ProcessingTime,
 		Interval:       s.reportInterval(), Silent: usage.Silent, Leaving: s.leaving,
+		FlowsKnown: s.traffic.flowsKnown(),
 	}}
 	if s.lastBalancerList == 0 || now-s.lastBalancerList >= balancerListInterval {
 		s.lastBalancerList = now
--- a/packetagent/forward_test.go
+++ b/packetagent/forward_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cactustray/control"
+	"cactustray/control/clock"
 	"cactustray/event"
 	"cactustray/flow"
 	"cactustray/flow/wire"
@@ -55,7 +56,7 @@
 	p := &settings.PacketSettings{Peer: freeAddr(t), Outbound: freeAddr(t), Edge: freeAddr(t), Endpoint: endpoint, Service: service, FlowSeconds: 60}
 	f, err := newForwarder(&settings.Settings{Packets: p}, openingCodec{}, control.NewLoop(time.Second), event.NewLog(logger, "test"))
 	must.NoError(t, err)
-	f.setSlots(1)
+	f.applyHello(clock.Now(), wire.Hello{Slots: 1})
 	for i := range 2 {
 		key := flow.Key{Caller: flow.Address{Port: uint16(i)}}
 		f.flowTable.FromBalancer(time.Second, flow.Packet{Flow: key, Opening: true}, flow.Delivery{}, nil)
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -38,6 +38,7 @@
 	tag uint16
 	// callerPort is the port at which callers receive packets.
 	callerPort uint16
+	startOrder flow.StartOrder
 	loop       *control.Loop
 	log        *event.Log
 
@@ -70,7 +71,8 @@
 	f := &forwarder{
 		peers: peers, outbound: outbound, codec: codec, loop: loop, log: log, answers: metrics.NewTimer(),
 		endpoint: p.Endpoint, tag: flow.TagOf(xxhash.Sum64String(p.Service)), callerPort: p.Edge.Port(),
-		flowTable: flow.NewAgentTable(clock.Now(), initialSlots, p.FlowLifetime(), p.FirstStart),
+		startOrder: flow.NewStartOrder(clock.Now(), time.Now().UnixMilli()),
+		flowTable:  flow.NewAgentTable(clock.Now(), initialSlots, p.FlowLifetime(), p.FirstStart),
 	}
 	f.stopNanos.Store(int64(p.StopTimeout()))
 	return f, nil
@@ -82,10 +84,21 @@
 	return f.flowTable.Usage(clock.Now())
 }
 
-func (f *forwarder) setSlots(slots int) {
+// applyHello stores what a balancer knows of the endpoint.
+func (f *forwarder) applyHello(now time.Duration, h wire.Hello) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.flowTable.SetSlots(slots)
+	f.flowTable.SetSlots(h.Slots)
+	if f.startOrder.EndpointIsNewer(now, time.Now().UnixMilli(), h.EndpointStart, h.Clock) {
+		f.flowTable.ConfirmComplete()
+	}
+}
+
+// flowsKnown reports whether every flow of the endpoint is known.
+func (f *forwarder) flowsKnown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.flowTable.FlowsKnown(clock.Now())
 }
 
 // sweep removes expired flows, and logs and counts their unanswered requests.
@@ -111,12 +124,43 @@
 			f.counters.CountMalformed(f.log, clock.Now(), err)
 			return
 		}
-		if hello, ok := message.(wire.Hello); ok {
-			f.loop.Offer(helloReceived{Hello: hello, balancer: flow.AddressOf(from)})
+		switch m := message.(type) {
+		case wire.Hello:
+			f.loop.Offer(helloReceived{Hello: m, balancer: flow.AddressOf(from)})
+		case wire.Queries:
+			f.answer(m, from)
 		}
 	})
 }
 
+// answer answers a balancer's queries. Flows that the endpoint lost are reset.
+func (f *forwarder) answer(m wire.Queries, balancer netip.AddrPort) {
+	var answers wire.Answers
+	var ended []flow.Query
+	now := clock.Now()
+	f.mu.Lock()
+	for _, q := range m.Flows {
+		switch f.flowTable.Query(now, q) {
+		case flow.Holds:
+			answers.Held = append(answers.Held, q.Flow)
+		case flow.Denies:
+			answers.Denied = append(answers.Denied, q.Flow)
+		case flow.IsUnsure:
+			answers.Unsure = append(answers.Unsure, q.Flow)
+		case flow.HasEnded:
+			ended = append(ended, q)
+		}
+	}
+	f.mu.Unlock()
+	if len(answers.Held)+len(answers.Denied)+len(answers.Unsure) > 0 {
+		f.counters.Send(f.peers, wire.Encode(answers), balancer)
+	}
+	for _, q := range ended {
+		reset := flow.Reset{Flow: q.Flow, Acknowledged: q.Acknowledged}
+		f.execute(q.Flow, flow.Verdict{Action: flow.SendReset, Reason: flow.EndpointLost, Reset: reset}, flow.Address{}, make([]byte, wire.EnvelopeSize))
+	}
+}
+
 func (f *forwarder) socketFailed(socket string, err error) {
 	f.log.Emit(EventSocketFailed, event.Fields{"socket": socket, "cause": err.Error()})
 }
--- a/packetbalancer/agents.go
+++ b/packetbalancer/agents.go
@@ -29,8 +29,8 @@
 }
 
 func (s *state) sendHello(endpoint *flow.Endpoint) {
-	hello := wire.Encode(wire.Hello{Slots: endpoint.Slots, Leaving: s.leaving})
-	s.traffic.counters.Send(s.traffic.peers, hello, endpoint.Agent.AddrPort())
+	hello := wire.Hello{Slots: endpoint.Slots, Leaving: s.leaving, EndpointStart: endpoint.StartedAt, Clock: time.Now().UnixMilli()}
+	s.traffic.counters.Send(s.traffic.peers, wire.Encode(hello), endpoint.Agent.AddrPort())
 }
 
 // compareProcessingTimes finds the endpoints that answer slowly and logs the changes.
--- a/packetbalancer/peers.go
+++ b/packetbalancer/peers.go
@@ -61,29 +61,61 @@
 		if m.Agent.IsZero() {
 			m.Agent = sender
 		}
-		var tag uint16
-		if endpoint := f.table.Load().Agents[m.Agent]; endpoint != nil {
-			tag = endpoint.Service.Tag
-		}
-		f.mu.Lock()
-		queued := f.assignments.Found(now, m.Flow, m.Agent, tag)
-		f.mu.Unlock()
-		for _, datagram := range queued {
-			buffer := append(make([]byte, wire.EnvelopeSize), datagram...)
-			f.execute(m.Flow, flow.Decision{To: m.Agent, Tag: tag, Reason: flow.Known}, buffer, 0)
-		}
+		f.flowFound(now, m.Flow, m.Agent)
 	case wire.Denied:
-		f.mu.Lock()
-		decision, datagram := f.assignments.Denied(now, m.Flow, sender, f.table.Load())
-		f.mu.Unlock()
-		if decision.SendReset || len(decision.SearchAgents) > 0 {
-			f.execute(m.Flow, decision, append(make([]byte, wire.EnvelopeSize), datagram...), 0)
-		}
+		f.flowDenied(now, m.Flow, sender)
+	case wire.Answers:
+		f.answersReceived(now, m, sender)
 	case wire.DirectoryAnnouncement:
 		f.loop.Offer(announcementReceived{DirectoryAnnouncement: m, from: sender})
 	}
 }
 
+func (f *forwarder) answersReceived(now time.Duration, m wire.Answers, agent flow.Address) {
+	for _, key := range m.Held {
+		f.flowFound(now, key, agent)
+	}
+	for _, key := range m.Denied {
+		f.flowDenied(now, key, agent)
+	}
+	for _, key := range m.Unsure {
+		f.mu.Lock()
+		decision, datagram := f.assignments.Unsure(now, key, agent, f.table.Load())
+		f.mu.Unlock()
+		f.continueSearch(key, decision, datagram)
+	}
+}
+
+// flowFound records that a flow is at an agent, and sends the packets that waited for it.
+func (f *forwarder) flowFound(now time.Duration, key flow.Key, agent flow.Address) {
+	var tag uint16
+	if endpoint := f.table.Load().Agents[agent]; endpoint != nil {
+		tag = endpoint.Service.Tag
+	}
+	f.mu.Lock()
+	waiting := f.assignments.Found(now, key, agent, tag)
+	f.mu.Unlock()
+	for _, datagram := range waiting {
+		buffer := append(make([]byte, wire.EnvelopeSize), datagram...)
+		f.execute(key, flow.Decision{To: agent, Tag: tag, Reason: flow.Known}, buffer, 0)
+	}
+}
+
+// flowDenied records that an agent does not hold a flow.
+func (f *forwarder) flowDenied(now time.Duration, key flow.Key, agent flow.Address) {
+	f.mu.Lock()
+	decision, datagram := f.assignments.Denied(now, key, agent, f.table.Load())
+	f.mu.Unlock()
+	f.continueSearch(key, decision, datagram)
+}
+
+// continueSearch carries out a decision on a search, if there is anything to do.
+func (f *forwarder) continueSearch(key flow.Key, d flow.Decision, datagram []byte) {
+	if d.SendReset || len(d.SearchAgents)+len(d.QueryAgents) > 0 {
+		f.execute(key, d, append(make([]byte, wire.EnvelopeSize), datagram...), 0)
+	}
+}
+
 // reportReceived stores the load of an agent's endpoint. If the agent was
 // unresponsive until now, packets that it or another unresponsive agent may have
 // missed are sent again.
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -119,6 +119,7 @@
 		AgentLoad: load, Slots: e.Slots, Remote: e.Zone != b.state.settings.Zone,
 		ColdUntil: e.WarmAt, AddedAt: e.FirstSeen,
 	})
+	endpoint.StartedAt = e.Incarnation
 	service.Holders = append(service.Holders, endpoint)
 	b.table.Agents[agent] = endpoint
 	if e.AcceptsNew(b.now, alive) {
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -37,6 +37,7 @@
 	callerPort uint16
 	table      atomic.Pointer[flow.RoutingTable]
 	earlyQueue *earlyQueue
+	queries    *queryBatches
 	loop       *control.Loop
 	log        *event.Log
 
@@ -68,6 +69,9 @@
 		self: flow.AddressOf(p.AdvertisedPeer()), callerPort: p.Edge.Port(),
 		assignments: flow.NewAssignments(p.FlowLifetime(), newRandom()),
 	}
+	f.queries = newQueryBatches(func(agent flow.Address, batch []flow.Query) {
+		f.counters.Send(f.peers, wire.Encode(wire.Queries{Flows: batch}), agent.AddrPort())
+	})
 	f.table.Store(flow.NewRoutingTable())
 	f.stopNanos.Store(int64(p.StopTimeout()))
 	f.assignments.SetSearchRate(searchRate(p))
@@ -147,6 +151,9 @@
 	for _, agent := range d.SearchAgents {
 		f.counters.Send(f.peers, buffer, agent.AddrPort())
 	}
+	for _, agent := range d.QueryAgents {
+		f.queries.add(agent, d.Query)
+	}
 }
 
 func (f *forwarder) sendReset(r flow.Reset) {
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -65,6 +65,7 @@
 	slowness       atomic.Int64
 	silent         atomic.Bool
 	leaving        atomic.Bool
+	flowsKnown     atomic.Bool
 	// placed is the number of flows placed here since the last report.
 	placed atomic.Int64
 }
@@ -86,6 +87,8 @@
 	Silent bool
 	// Leaving is true if the agent is about to stop.
 	Leaving bool
+	// FlowsKnown is true if the agent knows every flow that its endpoint holds.
+	FlowsKnown bool
 }
 
 // Report stores an agent's report, received at now. Intervals below ReportInterval
@@ -98,6 +101,7 @@
 	l.processingTime.Store(int64(u.ProcessingTime))
 	l.silent.Store(u.Silent)
 	l.leaving.Store(u.Leaving)
+	l.flowsKnown.Store(u.FlowsKnown)
 	l.placed.Store(0)
 	l.interval.Store(int64(max(u.Interval, ReportInterval)))
 	l.reportedAt.Store(int64(max(now, 1)))
@@ -126,6 +130,10 @@
 	return l.leaving.Load() && now-l.ReportedAt() > stoppedAfter
 }
 
+// FlowsKnown reports whether the agent knows every flow that its endpoint holds, by its
+// last report.
+func (l *AgentLoad) FlowsKnown() bool { return l.flowsKnown.Load() }
+
 // Candidate is an endpoint that may get a new flow.
 type Candidate struct {
 	AgentLoad *AgentLoad
