Continue searches without waiting for the caller

Cause: a search went on only when an answer or the caller's next packet came. A lost datagram, an agent that had not started or a used-up rate held it up until the caller sent again, after up to 1.6 s. Agents that did not report yet were sent the whole packet, in vain, which used up the rate after a loss of power.

Change: searches are continued by a timer (40 ms, doubling to 320 ms) that asks the agents without an answer again, or starts what the rate did not allow. Agents that do not report are left out until they do, for 150 ms at most. A search is logged once.

--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -75,6 +75,8 @@
 	SearchAgents []Address
 	QueryAgents  []Address
 	Query        Query
+	// Continued is true if the search has already queried or sent the packet to agents.
+	Continued bool
 	// Tag is the tag of the service whose endpoint gets the packet, or 0 if it is not
 	// known.
 	Tag uint16
--- a/flow/query.go
+++ b/flow/query.go
@@ -43,6 +43,9 @@
 		}
 		return IsUnsure
 	case trial:
+		if t.isComplete(now) {
+			return Denies // an endpoint that holds the flow would have shown it by now
+		}
 		return IsUnsure
 	case lost:
 		return HasEnded
--- a/flow/resend.go
+++ b/flow/resend.go
@@ -72,7 +72,10 @@
 		}
 		d := a.sendSearch(now, key, s, route, routing, []Address{endpoint.Agent})
 		if d.Reason == SearchWaits {
-			break
+			break // the rate of searches is used up; RetrySearches continues
+		}
+		if !d.searches() {
+			continue
 		}
 		resends = append(resends, Resend{Packet: Packet{Flow: key, Acknowledged: s.acknowledged}, Decision: d, Datagram: s.packet})
 	}
--- a/flow/search.go
+++ b/flow/search.go
@@ -37,7 +37,14 @@
 	lastPacket   Timestamp
 	// sentAt is when agents were last queried or sent the packet, or 0.
 	sentAt Timestamp
-	packet []byte
+	// packet is the caller's last packet of the search, and transmissions how many there
+	// were.
+	packet        []byte
+	transmissions int
+	// retryAt is when the search continues without a packet of the caller, and retries how
+	// often it has.
+	retryAt Timestamp
+	retries int
 	// queried are the agents that were asked about the flow, received those that were sent
 	// the packet.
 	queried  map[Address]bool
@@ -86,7 +93,7 @@
 	found := s.flows[key]
 	if found == nil || now-found.startedAt > searchTimeout {
 		s.end(key)
-		found = &search{denied: make(map[Address]bool), queried: make(map[Address]bool), received: make(map[Address]bool), startedAt: now}
+		found = &search{denied: make(map[Address]bool), queried: make(map[Address]bool), received: make(map[Address]bool), startedAt: now, retryAt: now + retryInterval}
 		s.flows[key] = found
 	}
 	return found
@@ -148,7 +155,8 @@
 	}
 	s.packet = slices.Clone(datagram)
 	clear(s.received)
-	if s.sentAt != 0 {
+	s.transmissions++
+	if s.transmissions > 1 {
 		// The caller sends again: the agents queried may not have received the packet.
 		s.wave = max(s.wave, preferredWave)
 	}
@@ -163,18 +171,22 @@
 func (d Decision) searches() bool { return len(d.SearchAgents)+len(d.QueryAgents) > 0 }
 
 // sendSearch continues a search at agents, if the rate of searches allows it. An agent that
-// knows all flows of its endpoint is asked about the flow; if it does not answer until the
-// caller sends again, and in all other cases, it is sent the packet.
+// knows all flows of its endpoint is asked about the flow; one that does not is sent the
+// packet. An agent that does not report may not have started; it is left out until it
+// reports. All of them are sent the packet if the caller sends it again.
 func (a *Assignments) sendSearch(now Timestamp, key Key, s *search, route *Route, routing *RoutingTable, to []Address) Decision {
-	d := Decision{Reason: Searched, Tag: routeTag(route), Query: Query{Flow: key, Acknowledged: s.acknowledged}}
+	d := Decision{Reason: Searched, Continued: s.sentAt != 0, Tag: routeTag(route), Query: Query{Flow: key, Acknowledged: s.acknowledged}}
 	for _, agent := range to {
-		if routing.Agents[agent].AgentLoad.FlowsKnown() && !s.queried[agent] {
+		load := routing.Agents[agent].AgentLoad
+		alive := load.Alive(now)
+		switch {
+		case alive && load.FlowsKnown() && !s.queried[agent]:
 			d.QueryAgents = append(d.QueryAgents, agent)
-		} else {
+		case alive || s.transmissions > 1:
 			d.SearchAgents = append(d.SearchAgents, agent)
 		}
 	}
-	if len(to) == 0 {
+	if !d.searches() {
 		return d
 	}
 	if !a.searches.spend(now, len(d.QueryAgents)*querySize+len(d.SearchAgents)*(len(s.packet)+searchOverhead)) {
--- a/flow/wave.go
+++ b/flow/wave.go
@@ -32,16 +32,14 @@
 func (a *Assignments) queryNextWave(now Timestamp, key Key, s *search, route *Route, routing *RoutingTable) Decision {
 	for s.wave < route.lastWave() {
 		next := s.wave + 1
-		to := s.remainingIn(next, key, route)
-		if len(to) == 0 {
-			s.wave = next
-			continue
+		d := a.sendSearch(now, key, s, route, routing, s.remainingIn(next, key, route))
+		if d.Reason == SearchWaits {
+			return d
 		}
-		d := a.sendSearch(now, key, s, route, routing, to)
-		if d.Reason == Searched {
-			s.wave = next
+		s.wave = next
+		if d.searches() {
+			return d
 		}
-		return d
 	}
 	return a.sendSearch(now, key, s, route, routing, s.remaining(route.holders))
 }
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -86,7 +86,10 @@
 }
 
 func (s *state) helloReceived(now time.Duration, m helloReceived) {
-	s.traffic.applyHello(now, m.Hello)
+	if s.traffic.applyHello(now, m.Hello) {
+		s.log.Emit(EventFlowsKnown, event.Fields{"balancer": m.balancer.String(), "endpoint_start_ms": m.EndpointStart})
+		defer s.report(now)
+	}
 	_, known := s.balancers[m.balancer]
 	switch {
 	case m.Leaving && known:
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -84,14 +84,17 @@
 	return f.flowTable.Usage(clock.Now())
 }
 
-// applyHello stores what a balancer knows of the endpoint.
-func (f *forwarder) applyHello(now time.Duration, h wire.Hello) {
+// applyHello stores what a balancer knows of the endpoint, and reports whether it shows
+// that every flow of the endpoint is known, which was not certain until now.
+func (f *forwarder) applyHello(now time.Duration, h wire.Hello) (confirmed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.flowTable.SetSlots(h.Slots)
-	if f.startOrder.EndpointIsNewer(now, time.Now().UnixMilli(), h.EndpointStart, h.Clock) {
-		f.flowTable.ConfirmComplete()
+	if f.flowTable.FlowsKnown(now) || !f.startOrder.EndpointIsNewer(now, time.Now().UnixMilli(), h.EndpointStart, h.Clock) {
+		return false
 	}
+	f.flowTable.ConfirmComplete()
+	return true
 }
 
 // flowsKnown reports whether every flow of the endpoint is known.
@@ -156,8 +159,7 @@
 		f.counters.Send(f.peers, wire.Encode(answers), balancer)
 	}
 	for _, q := range ended {
-		reset := flow.Reset{Flow: q.Flow, Acknowledged: q.Acknowledged}
-		f.execute(q.Flow, flow.Verdict{Action: flow.SendReset, Reason: flow.EndpointLost, Reset: reset}, flow.Address{}, make([]byte, wire.EnvelopeSize))
+		f.execute(q.Flow, flow.Verdict{Action: flow.SendReset, Reason: flow.EndpointLost, Reset: flow.Reset(q)}, flow.Address{}, make([]byte, wire.EnvelopeSize))
 	}
 }
 
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -42,7 +42,7 @@
 		e = EventFlowEnded
 	case d.Reason == flow.Opened:
 		e = EventFlowPlaced
-	case len(d.SearchAgents)+len(d.QueryAgents) > 0:
+	case len(d.SearchAgents)+len(d.QueryAgents) > 0 && !d.Continued:
 		e = EventFlowSearched
 	case d.Reason == flow.NoEndpoint || d.Reason == flow.UnknownAddress:
 		e = EventFlowUnplaced
--- a/packetbalancer/moved_route_test.go
+++ b/packetbalancer/moved_route_test.go
@@ -8,6 +8,7 @@
 	"cactustray/control/clock"
 	"cactustray/directory"
 	"cactustray/flow"
+	"cactustray/placement"
 
 	"github.com/shoenig/test/must"
 )
@@ -41,6 +42,9 @@
 func queriedAgents(s *state, now time.Duration) int {
 	assignments, table := flow.NewAssignments(time.Minute, rand.New(rand.NewPCG(1, 2))), newTableBuilder(now, s).build()
 	table.Complete = true
+	for _, endpoint := range table.Agents {
+		endpoint.AgentLoad.Report(now, placement.Usage{})
+	}
 	packet := flow.Packet{Flow: flow.Key{Caller: flow.Address{Port: 1}, Service: flow.AddressOf(routeTo(80, "").Address)}, Data: 100}
 	d := assignments.FromCaller(now, packet, table, []byte("packet"))
 	queried := 0
--- a/packetbalancer/queries.go
+++ b/packetbalancer/queries.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"cactustray/control/clock"
 	"cactustray/flow"
 	"cactustray/flow/wire"
 )
@@ -52,3 +53,28 @@
 		q.send(agent, batch)
 	}
 }
+
+// searchCheckInterval is how often searches in progress are checked for missing answers.
+const searchCheckInterval = 20 * time.Millisecond
+
+// scheduleRetry schedules retrySearches, unless it is scheduled already.
+func (f *forwarder) scheduleRetry() {
+	if f.retryScheduled.CompareAndSwap(false, true) {
+		time.AfterFunc(searchCheckInterval, f.retrySearches)
+	}
+}
+
+// retrySearches continues the searches whose answers are missing, and schedules the next
+// check while there are searches.
+func (f *forwarder) retrySearches() {
+	f.retryScheduled.Store(false)
+	f.mu.Lock()
+	retried, more := f.assignments.RetrySearches(clock.Now(), f.table.Load())
+	f.mu.Unlock()
+	for _, r := range retried {
+		f.continueSearch(r.Packet.Flow, r.Decision, r.Datagram)
+	}
+	if more {
+		f.scheduleRetry()
+	}
+}
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -38,8 +38,10 @@
 	table      atomic.Pointer[flow.RoutingTable]
 	earlyQueue *earlyQueue
 	queries    *queryBatches
-	loop       *control.Loop
-	log        *event.Log
+	// retryScheduled is true while a timer runs for retrySearches.
+	retryScheduled atomic.Bool
+	loop           *control.Loop
+	log            *event.Log
 
 	mu          sync.Mutex
 	assignments *flow.Assignments
@@ -154,6 +156,9 @@
 	for _, agent := range d.QueryAgents {
 		f.queries.add(agent, d.Query)
 	}
+	if d.Reason == flow.Searched || d.Reason == flow.SearchWaits {
+		f.scheduleRetry()
+	}
 }
 
 func (f *forwarder) sendReset(r flow.Reset) {
