Let draining endpoints take new flows where their service has no other

Cause: an endpoint that drains took no new flow at all, also while every endpoint of its service drained, although it may take some within the drain bound.

Change: within packets.drain_ms of the last time at which the directory showed it as accepting, a draining endpoint gets new flows if its service has no other.

--- a/directory/state.go
+++ b/directory/state.go
@@ -37,6 +37,9 @@
 	// DepartedAt is when it was noticed to be no longer registered, or 0 if it is
 	// registered; the clock never returns 0.
 	DepartedAt time.Duration
+	// AcceptingAt is when a draining endpoint was last known to accept new flows, or 0 if
+	// this balancer knows it only as draining.
+	AcceptingAt time.Duration
 	// UsableUntil is until when a departed endpoint stays in use if its agent
 	// reports it alive.
 	UsableUntil time.Duration
@@ -51,6 +54,13 @@
 	return e.DepartedAt == 0 || alive && now < e.UsableUntil
 }
 
+// AcceptsWhileDraining reports whether a draining endpoint may still get new flows if its
+// service has no other endpoint. limit is how long after the begin of its drain an endpoint
+// may get any; the drain began after AcceptingAt.
+func (e *Entry) AcceptsWhileDraining(now, limit time.Duration) bool {
+	return e.Draining && e.DepartedAt == 0 && e.AcceptingAt != 0 && now-e.AcceptingAt < limit
+}
+
 // MayHoldFlows reports whether the endpoint may hold open flows; stopped is
 // whether its agent announced that it would stop, and did. An entry can expire
 // while the endpoint is alive, and an unresponsive agent may only be
@@ -169,9 +179,10 @@
 	before := s.Digest()
 	s.applyDesired(now, c)
 	added = s.mergeRouteHistory(now, c) || added
+	asOf := s.asOf
 	s.advanceAsOf(c.AsOf)
 	for _, e := range c.Endpoints {
-		s.put(now, e)
+		s.put(now, asOf, e)
 	}
 	if c.Snapshot {
 		s.markMissing(now, c)
@@ -234,8 +245,8 @@
 }
 
 // put adds or updates a registered endpoint, unless the existing entry has a
-// later revision.
-func (s *State) put(now time.Duration, e Endpoint) {
+// later revision, which was the newest at asOf.
+func (s *State) put(now, asOf time.Duration, e Endpoint) {
 	existing := s.entries[e.ID]
 	if existing != nil && existing.ModRevision > e.ModRevision {
 		return
@@ -250,7 +261,10 @@
 	s.digest ^= e.digest()
 	entry := &Entry{Endpoint: e, FirstSeen: now, WarmAt: now + e.WarmUpTime}
 	if existing != nil && existing.Incarnation == e.Incarnation && existing.Address == e.Address {
-		entry.FirstSeen, entry.WarmAt = existing.FirstSeen, existing.WarmAt
+		entry.FirstSeen, entry.WarmAt, entry.AcceptingAt = existing.FirstSeen, existing.WarmAt, existing.AcceptingAt
+		if !existing.Draining {
+			entry.AcceptingAt = asOf
+		}
 	}
 	s.entries[e.ID] = entry
 }
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -25,6 +25,12 @@
 	return &Endpoint{Agent: agent, Service: service, Candidate: candidate, hash: Key{Caller: agent}.hash()}
 }
 
+// Accept makes the endpoint accept new flows of its service.
+func (e *Endpoint) Accept() {
+	e.Service.Accepting = append(e.Service.Accepting, e)
+	e.Service.Candidates = append(e.Service.Candidates, &e.Candidate)
+}
+
 // Service is a service as the traffic goroutines see it.
 type Service struct {
 	Name string
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -30,8 +30,8 @@
 	// pauseThreshold is the longest gap between two ticks; a longer one means that
 	// the process was paused.
 	pauseThreshold = time.Second
-	// rebuildInterval is how often the routing table is rebuilt while departed
-	// endpoints may still be in use.
+	// rebuildInterval is how often the routing table is rebuilt while it uses departed or
+	// draining endpoints.
 	rebuildInterval = 250 * time.Millisecond
 	// formerInterval is how often it is rebuilt while routes may have flows at former
 	// services, which are removed once these flows are older than any flow may be.
@@ -74,12 +74,15 @@
 	sourceDown bool
 	fetching   bool
 	seeds      []netip.AddrPort
+	// drainLimit is how long after it began to drain an endpoint may get new flows.
+	drainLimit time.Duration
 	leaving    bool
 	// asOf is when the directory was last known to be the newest, or 0 if there is
 	// none. Traffic goroutines read it.
 	asOf atomic.Int64
-	// hasDeparted is true if departed endpoints may still be in use.
-	hasDeparted bool
+	// tableExpires is true if the routing table uses departed or draining endpoints, which
+	// it may do only for a time.
+	tableExpires bool
 	// hasFormer is true if routes may have flows at former services.
 	hasFormer    bool
 	survey       survey
@@ -99,7 +102,7 @@
 		settings: s, log: log, traffic: f, reader: r, healthy: healthy,
 		directory: known, schedule: directory.NewReaderSchedule(s.Packets.AdvertisedPeer()),
 		loads:   make(map[flow.Address]*placement.AgentLoad),
-		started: now, lastTick: now, fullRead: true, seeds: s.Packets.SeedAddresses(),
+		started: now, lastTick: now, fullRead: true, seeds: s.Packets.SeedAddresses(), drainLimit: s.Packets.DrainLimit(),
 		survey: survey{queried: make(map[netip.AddrPort]bool), complete: s.Packets.FirstStart},
 	}
 }
@@ -159,7 +162,7 @@
 	} else if now-s.lastPublish < eagerHelloPeriod {
 		s.sendHellosToUnresponsive(now)
 	}
-	if s.hasDeparted && now-s.lastPublish >= rebuildInterval || s.hasFormer && now-s.lastPublish >= formerInterval {
+	if s.tableExpires && now-s.lastPublish >= rebuildInterval || s.hasFormer && now-s.lastPublish >= formerInterval {
 		s.publish(now)
 	}
 	if now-s.lastComparison >= compareInterval {
@@ -177,12 +180,12 @@
 	builder := newTableBuilder(now, s)
 	s.traffic.table.Store(builder.build())
 	s.traffic.earlyQueue.release()
-	s.hasDeparted, s.hasFormer = builder.hasDeparted, builder.hasFormer
+	s.tableExpires, s.hasFormer = builder.hasDeparted || builder.hasDraining, builder.hasFormer
 }
 
 // apply applies changed settings, except addresses, which need a restart.
 func (s *state) apply(changed *settings.Settings) {
-	s.seeds = changed.Packets.SeedAddresses()
+	s.seeds, s.drainLimit = changed.Packets.SeedAddresses(), changed.Packets.DrainLimit()
 	s.traffic.apply(changed.Packets)
 	s.log.Emit(EventSettings, event.Fields{"seeds": len(s.seeds), "flow_seconds": changed.Packets.FlowSeconds, "stop_ms": changed.Packets.StopMillis})
 }
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -19,6 +19,8 @@
 	table    *flow.RoutingTable
 	// hasDeparted is true if there are departed endpoints, which may still be in use.
 	hasDeparted bool
+	// hasDraining is true if draining endpoints accept new flows.
+	hasDraining bool
 	// hasFormer is true if routes may have flows at former services.
 	hasFormer bool
 }
@@ -34,6 +36,7 @@
 	for _, e := range latestEntries {
 		b.addEndpoint(e)
 	}
+	b.acceptAtDraining(latestEntries)
 	for _, route := range b.state.directory.Desired().Routes {
 		b.addRoute(route)
 	}
@@ -123,11 +126,32 @@
 	service.Holders = append(service.Holders, endpoint)
 	b.table.Agents[agent] = endpoint
 	if e.AcceptsNew(b.now, alive) {
-		service.Accepting = append(service.Accepting, endpoint)
-		service.Candidates = append(service.Candidates, &endpoint.Candidate)
+		endpoint.Accept()
 	}
 }
 
+// drainMargin is the part of the drain limit that is left for packets on their way and for
+// balancers whose directory is older.
+const drainMargin = 200 * time.Millisecond
+
+// acceptAtDraining lets draining endpoints accept new flows, within the drain limit, in
+// services that have no other endpoint. Otherwise callers would be refused although an
+// endpoint could serve them.
+func (b *tableBuilder) acceptAtDraining(entries map[flow.Address]*directory.Entry) {
+	limit := b.state.drainLimit - drainMargin
+	var accepting []*flow.Endpoint
+	for agent, e := range entries {
+		endpoint := b.table.Agents[agent]
+		if endpoint != nil && len(endpoint.Service.Accepting) == 0 && e.AcceptsWhileDraining(b.now, limit) {
+			accepting = append(accepting, endpoint)
+		}
+	}
+	for _, endpoint := range accepting {
+		endpoint.Accept()
+	}
+	b.hasDraining = len(accepting) > 0
+}
+
 func (b *tableBuilder) service(name string) *flow.Service {
 	service := b.services[name]
 	if service == nil {
--- a/packetbalancer/routing_table_test.go
+++ b/packetbalancer/routing_table_test.go
@@ -131,3 +131,31 @@
 	must.EqOp(t, 1, inTable(start+11*time.Second))
 	must.Len(t, 1, s.directorySnapshot(start+11*time.Second).Departed)
 }
+
+// While every endpoint of a service drains, they get new flows until the drain limit; with
+// another endpoint they get none, and neither does one that is known only as draining.
+func TestDrainingEndpointsAcceptFlowsIfThereIsNoOther(t *testing.T) {
+	drains := func(i int, changed directory.Revision) directory.Endpoint {
+		e := endpointOf(i, "orders", changed)
+		e.Draining = true
+		return e
+	}
+	start := clock.Now()
+	known := directory.Change{
+		Revision: 9, Snapshot: true, AsOf: start, Desired: &directory.Desired{Routes: []directory.Route{routeTo(80, "orders")}},
+		Endpoints: []directory.Endpoint{endpointOf(1, "orders", 2), endpointOf(2, "orders", 3), drains(3, 4)},
+	}
+	s := stateWith(known)
+	s.drainLimit = 3 * time.Second
+	accepting := func(now time.Duration) int {
+		return len(newTableBuilder(now, s).build().Routes[flow.AddressOf(routeTo(80, "").Address)].Shares[0].Service.Accepting)
+	}
+	must.EqOp(t, 2, accepting(start))
+	s.directory.Apply(start, directory.Change{Revision: 10, After: 9, AsOf: start + time.Second, Endpoints: []directory.Endpoint{drains(1, 10)}})
+	must.EqOp(t, 1, accepting(start+time.Second))
+	s.directory.Apply(start, directory.Change{Revision: 11, After: 10, AsOf: start + 2*time.Second, Endpoints: []directory.Endpoint{drains(2, 11)}})
+	// The second began to drain after start+1s, the first after start.
+	must.EqOp(t, 2, accepting(start+2*time.Second))
+	must.EqOp(t, 1, accepting(start+3*time.Second))
+	must.EqOp(t, 0, accepting(start+3800*time.Millisecond))
+}
--- a/settings/packets.go
+++ b/settings/packets.go
@@ -38,6 +38,10 @@
 	// it differs from theirs because of address translation (NAT). Only a balancer
 	// has it.
 	Advertised netip.Addr `json:"advertised,omitzero"`
+	// DrainMillis is how long after it began to drain an endpoint may get new flows, in
+	// milliseconds; it gets some if its service has no other. 0 means never. Only a
+	// balancer has it.
+	DrainMillis float64 `json:"drain_ms,omitempty"`
 	// Seeds are control addresses of balancers to fetch the directory from if the
 	// registry does not answer at the start. Only a balancer has them. They may be
 	// wrong.
@@ -61,6 +65,11 @@
 	return time.Duration(p.StopMillis) * time.Millisecond
 }
 
+// DrainLimit returns how long after it began to drain an endpoint may get new flows.
+func (p *PacketSettings) DrainLimit() time.Duration {
+	return time.Duration(p.DrainMillis * float64(time.Millisecond))
+}
+
 // AdvertisedPeer returns the address under which other nodes reach Peer.
 func (p *PacketSettings) AdvertisedPeer() netip.AddrPort { return p.advertisedAddr(p.Peer) }
 
@@ -91,6 +100,7 @@
 const (
 	maxFlowSeconds = 24 * 60 * 60
 	maxStopMillis  = 10 * 60 * 1000
+	maxDrainMillis = 10 * 60 * 1000
 	minLinkMbps    = 1
 	maxLinkMbps    = 1_000_000
 	allowedIPv4    = "IPv4:port, no wildcard"
@@ -121,6 +131,7 @@
 	c.ipv4("packets.registry", p.Registry)
 	c.ipv4("packets.control", p.Control)
 	c.Require(p.Service == "", "packets.service", p.Service, "nothing on a balancer")
+	c.Require(p.DrainMillis >= 0 && p.DrainMillis <= maxDrainMillis, "packets.drain_ms", p.DrainMillis, fmt.Sprintf("0 to %d", maxDrainMillis))
 	if p.Advertised.IsValid() {
 		c.ipv4("packets.advertised", p.AdvertisedPeer())
 	}
@@ -130,6 +141,7 @@
 
 func (c *checker) packetAgent(p *PacketSettings) {
 	c.name("packets.service", p.Service)
+	c.Require(p.DrainMillis == 0, "packets.drain_ms", p.DrainMillis, "nothing on an agent")
 	c.ipv4("packets.endpoint", p.Endpoint)
 	c.ipv4("packets.outbound", p.Outbound)
 	c.Require(!p.Advertised.IsValid(), "packets.advertised", p.Advertised, "nothing on an agent")
--- a/standin/packets/deployment.go
+++ b/standin/packets/deployment.go
@@ -23,6 +23,7 @@
 	zone        = "a"
 	flowSeconds = 60
 	stopMillis  = 4000
+	drainMillis = 3000
 	linkMbps    = 1000
 	idleMillis  = 15000
 	slots       = 2
@@ -109,6 +110,7 @@
 		return s
 	}
 	s.Role, p.Registry, p.Control = settings.PacketBalancer, d.Address(StoreHost, "store"), d.Bound(host, "control")
+	p.DrainMillis = drainMillis
 	if d.bound != d.net {
 		p.Advertised = netip.MustParseAddr(d.IP(host))
 	}
