Limit directory transfers by progress and send only changes

Cause: the registry and other balancers were read in calls with a fixed limit, so a desired state of 1,700 routes never arrived over a link of 2 Mbit/s: added balancers were never ready, one that the store turned away kept an old state, and after a loss of power nobody served again. Every change of one entry made each balancer fetch everything. After the loss, searches waited for endpoints that were gone: their entries were missing and their agents dark for up to a minute.

Balancers fetch increments from their revision. An endpoint without entry whose agent does not report is gone after the retention of its entry, and searches end when the table changes.

The random test of increments found three faults of the new code (entries that changed and changed back, or were deleted and written again, within one read).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -71,6 +71,8 @@
 	// Snapshot is true for a full snapshot: endpoints not listed in it have
 	// departed.
 	Snapshot bool
+	// DesiredKnown is true if the desired state was left out, since the receiver has it.
+	DesiredKnown bool
 	// AsOf is when the revision was known to be the newest, on the clock of the
 	// node that has the update.
 	AsOf time.Duration
--- a/directory/directorypb/directorypbconnect/directory.connect.go
+++ b/directory/directorypb/directorypbconnect/directory.connect.go
@@ -39,7 +39,7 @@
 
 // DirectoryServiceClient is a client for the cactustray.directory.v1.DirectoryService service.
 type DirectoryServiceClient interface {
-	// Fetch returns the full directory of the receiver.
+	// Fetch returns the directory of the receiver, or what changed in it.
 	Fetch(context.Context, *directorypb.FetchRequest) (*directorypb.FetchResponse, error)
 }
 
@@ -80,7 +80,7 @@
 // DirectoryServiceHandler is an implementation of the cactustray.directory.v1.DirectoryService
 // service.
 type DirectoryServiceHandler interface {
-	// Fetch returns the full directory of the receiver.
+	// Fetch returns the directory of the receiver, or what changed in it.
 	Fetch(context.Context, *directorypb.FetchRequest) (*directorypb.FetchResponse, error)
 }
 
--- a/directory/exchange/codec.go
+++ b/directory/exchange/codec.go
@@ -16,6 +16,13 @@
 		Complete: c.Complete,
 
 		RouteHistoryUs: uint64(max(c.RouteHistory, 0).Microseconds()),
+		DesiredKnown:   c.DesiredKnown,
+	}
+	if !c.Snapshot {
+		r.After = uint64(c.After)
+	}
+	for _, d := range c.Deleted {
+		r.Deleted = append(r.Deleted, &directorypb.Deleted{Id: d.ID, Changed: uint64(d.ModRevision)})
 	}
 	for _, f := range c.Former {
 		r.Former = append(r.Former, &directorypb.FormerService{Address: f.Address.String(), Service: f.Service, AgeUs: uint64(max(f.Age, 0).Microseconds())})
@@ -40,6 +47,9 @@
 }
 
 func encodeDesired(d *directory.Desired) *directorypb.Desired {
+	if d == nil {
+		return nil
+	}
 	encoded := &directorypb.Desired{
 		Version: d.Version, Changed: uint64(d.ModRevision), IdleUs: uint64(d.IdleTime.Microseconds()),
 	}
@@ -58,13 +68,20 @@
 func decode(r *directorypb.FetchResponse, sentAt time.Duration) directory.Change {
 	c := directory.Change{
 		Revision: directory.Revision(r.GetRevision()),
-		Snapshot: true,
+		After:    directory.Revision(r.GetAfter()),
+		Snapshot: r.GetAfter() == 0,
 		AsOf:     sentAt - microseconds(r.GetAgeUs()),
-		Desired:  decodeDesired(r.GetDesired()),
 		Complete: r.GetComplete(),
 
+		DesiredKnown: r.GetDesiredKnown(),
 		RouteHistory: microseconds(r.GetRouteHistoryUs()),
 	}
+	if !c.DesiredKnown {
+		c.Desired = decodeDesired(r.GetDesired())
+	}
+	for _, d := range r.GetDeleted() {
+		c.Deleted = append(c.Deleted, directory.Deleted{ID: d.GetId(), ModRevision: directory.Revision(d.GetChanged())})
+	}
 	for _, f := range r.GetFormer() {
 		if address, err := netip.ParseAddrPort(f.GetAddress()); err == nil {
 			c.Former = append(c.Former, directory.FormerService{Address: address, Service: f.GetService(), Age: microseconds(f.GetAgeUs())})
--- a/directory/exchange/codec_test.go
+++ b/directory/exchange/codec_test.go
@@ -39,3 +39,12 @@
 	must.SliceEmpty(t, decoded.Departed)
 	must.SliceEmpty(t, decoded.Desired.Routes)
 }
+
+func TestIncrementsRoundTrip(t *testing.T) {
+	increment := directory.Change{
+		Revision: 12, After: 9, DesiredKnown: true, RouteHistory: time.Minute,
+		Deleted: []directory.Deleted{{ID: "i-1", ModRevision: 11}},
+		Former:  []directory.FormerService{{Address: netip.MustParseAddrPort("198.18.0.1:80"), Service: "orders", Age: time.Second}},
+	}
+	must.Eq(t, increment, decode(encode(increment, 0), 0))
+}
--- a/directory/exchange/exchange.go
+++ b/directory/exchange/exchange.go
@@ -1,5 +1,5 @@
 // Package exchange is the wire side of the directory slice: a balancer fetches
-// the full directory from another one.
+// what it lacks of the directory from another one.
 package exchange
 
 import (
@@ -10,6 +10,7 @@
 
 	"cactustray/control"
 	"cactustray/control/clock"
+	"cactustray/control/rpc"
 	"cactustray/directory"
 	"cactustray/directory/directorypb"
 	"cactustray/directory/directorypb/directorypbconnect"
@@ -17,12 +18,19 @@
 	"connectrpc.com/connect"
 )
 
-// callTimeout bounds one call. Balancers are milliseconds apart, and after a
-// timeout another one is queried.
-const callTimeout = 400 * time.Millisecond
+const (
+	// callTimeout is how long nothing may arrive of a response, callLimit how long a call
+	// may take as a whole. Balancers are milliseconds apart, and after a timeout another
+	// one is queried.
+	callTimeout = 400 * time.Millisecond
+	callLimit   = 10 * time.Second
+)
 
-// SnapshotRequested requests the full directory from the control goroutine.
-type SnapshotRequested struct{ Reply chan<- SnapshotReply }
+// SnapshotRequested requests what another balancer lacks from the control goroutine.
+type SnapshotRequested struct {
+	directory.Request
+	Reply chan<- SnapshotReply
+}
 
 // SnapshotReply is the reply to SnapshotRequested. Known is false while no
 // directory was received.
@@ -45,14 +53,14 @@
 // NewServer returns a server that queries the given control loop.
 func NewServer(loop *control.Loop) *Server { return &Server{loop: loop} }
 
-// Handler returns the path and the handler to mount.
-func (s *Server) Handler() (string, http.Handler) {
-	return directorypbconnect.NewDirectoryServiceHandler(s)
-}
-
-// Fetch returns the full directory.
-func (s *Server) Fetch(ctx context.Context, _ *directorypb.FetchRequest) (*directorypb.FetchResponse, error) {
-	snapshot, err := control.Call(ctx, s.loop, func(reply chan<- SnapshotReply) control.Message { return SnapshotRequested{Reply: reply} })
+// Fetch returns what the sender of the request lacks.
+func (s *Server) Fetch(ctx context.Context, r *directorypb.FetchRequest) (*directorypb.FetchResponse, error) {
+	request := directory.Request{
+		Revision: directory.Revision(r.GetKnownRevision()), Desired: directory.Revision(r.GetKnownDesired()), AllDeparted: r.GetAllDeparted(),
+	}
+	snapshot, err := control.Call(ctx, s.loop, func(reply chan<- SnapshotReply) control.Message {
+		return SnapshotRequested{Request: request, Reply: reply}
+	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -62,23 +70,29 @@
 	return encode(snapshot.Change, clock.Now()), nil
 }
 
+// Handler returns the path and the handler to mount.
+func (s *Server) Handler() (string, http.Handler) {
+	return directorypbconnect.NewDirectoryServiceHandler(s)
+}
+
 // Client fetches the directory from other balancers.
 type Client struct{ http *http.Client }
 
 // NewClient returns a client. A connection that no longer responds costs one
 // call: its timeout closes it.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}
+	return &Client{http: &http.Client{Transport: &rpc.ProgressTransport{Base: transport, Timeout: callTimeout, Limit: callLimit}}}
 }
 
-// Fetch returns the full directory of the balancer with the given control
-// address. It fails with a *connect.Error.
-func (c *Client) Fetch(ctx context.Context, peer netip.AddrPort) (directory.Change, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+// Fetch returns what the sender of a request lacks of the directory of the balancer with
+// the given control address. It fails with a *connect.Error.
+func (c *Client) Fetch(ctx context.Context, peer netip.AddrPort, r directory.Request) (directory.Change, error) {
 	client := directorypbconnect.NewDirectoryServiceClient(c.http, "http://"+peer.String())
 	sentAt := clock.Now()
-	response, err := client.Fetch(ctx, &directorypb.FetchRequest{})
+	response, err := client.Fetch(ctx, &directorypb.FetchRequest{
+		KnownRevision: uint64(r.Revision), KnownDesired: uint64(r.Desired), AllDeparted: r.AllDeparted,
+	})
 	if err != nil {
 		return directory.Change{}, err
 	}
--- a/directory/state.go
+++ b/directory/state.go
@@ -40,8 +40,10 @@
 	// AcceptingAt is when a draining endpoint was last known to accept new flows, or 0 if
 	// this balancer knows it only as draining.
 	AcceptingAt time.Duration
+	// ChangedAt is the revision of the last change other than a heartbeat, or a later one.
+	ChangedAt Revision
 	// UsableUntil is until when a departed endpoint stays in use if its agent
-	// reports it alive.
+	// reports it alive, and may hold flows if its agent does not report.
 	UsableUntil time.Duration
 }
 
@@ -61,11 +63,18 @@
 	return e.Draining && e.DepartedAt == 0 && e.AcceptingAt != 0 && now-e.AcceptingAt < limit
 }
 
-// MayHoldFlows reports whether the endpoint may hold open flows; stopped is
-// whether its agent announced that it would stop, and did. An entry can expire
-// while the endpoint is alive, and an unresponsive agent may only be
-// unreachable, so neither means that its flows have ended.
-func (e *Entry) MayHoldFlows(stopped bool) bool { return e.DepartedAt == 0 || !stopped }
+// MayHoldFlows reports whether the endpoint may hold open flows; stopped is whether its agent
+// announced that it would stop, and did, alive whether it reported recently, and asOf when the
+// directory was known to be the newest. An entry can expire while the endpoint is alive, and an
+// unresponsive agent may only be unreachable. Both together, beyond the time in which expired
+// entries are registered again, mean that the endpoint is gone: a caller that waits for it
+// longer gives up its request.
+func (e *Entry) MayHoldFlows(asOf time.Duration, alive, stopped bool) bool {
+	if e.DepartedAt == 0 || alive {
+		return true
+	}
+	return !stopped && asOf < e.UsableUntil
+}
 
 // State is a balancer's copy of the directory. The control goroutine owns it.
 type State struct {
@@ -77,6 +86,8 @@
 	desired   Desired
 	routes    routeHistory
 	entries   map[string]*Entry
+	// changesFrom is the revision from which on all deletions are known.
+	changesFrom Revision
 	// digest combines the digests of all registered endpoints, independently of
 	// their order.
 	digest uint64
@@ -138,6 +149,51 @@
 	return c
 }
 
+// Request describes what a balancer has of the directory that it requests.
+type Request struct {
+	// Revision is its revision, or 0 if it has none; Desired is the source's revision of its
+	// desired state.
+	Revision Revision
+	Desired  Revision
+	// AllDeparted requests every departed endpoint, whenever it departed.
+	AllDeparted bool
+}
+
+// ChangesFor returns what the sender of a request lacks: an increment, or a full snapshot if
+// it has no directory or one so old that deletions since may have been forgotten.
+func (s *State) ChangesFor(now time.Duration, r Request) Change {
+	c := s.Snapshot(now)
+	if r.Revision != 0 && r.Revision >= s.changesFrom {
+		c = s.increment(now, r)
+	}
+	if r.Desired != 0 && r.Desired == s.desired.ModRevision {
+		c.Desired, c.DesiredKnown = nil, true
+	}
+	return c
+}
+
+// increment returns the changes after the revision of a request.
+func (s *State) increment(now time.Duration, r Request) Change {
+	desired := s.desired
+	c := Change{
+		Revision: s.revision, After: r.Revision, AsOf: s.asOf, Desired: &desired,
+		Former: s.routes.snapshot(now), RouteHistory: max(now-s.routes.since, 1),
+	}
+	for id, e := range s.entries {
+		changed := e.ChangedAt > r.Revision
+		if changed && e.DepartedAt == 0 {
+			c.Endpoints = append(c.Endpoints, e.Endpoint)
+		}
+		if changed && e.DepartedAt != 0 {
+			c.Deleted = append(c.Deleted, Deleted{ID: id, ModRevision: e.ModRevision})
+		}
+		if e.DepartedAt != 0 && (changed || r.AllDeparted) {
+			c.Departed = append(c.Departed, Departed{Endpoint: e.Endpoint, Age: now - e.DepartedAt})
+		}
+	}
+	return c
+}
+
 // ConfirmRevision records that a revision with the given digest was the newest
 // at asOf, and reports whether the content need not be fetched: it is the same
 // as here, or older. If it returns false, the content must be fetched.
@@ -190,6 +246,9 @@
 	for _, d := range c.Deleted {
 		s.markDeparted(now, d.ID, d.ModRevision)
 	}
+	if c.Snapshot {
+		s.changesFrom = c.Revision // it does not show what was deleted before
+	}
 	s.revision, s.known = c.Revision, true
 	return added || s.Digest() != before, true
 }
@@ -220,10 +279,14 @@
 // mergeRouteHistory adds the route history of another balancer's directory, and reports
 // whether there were former services unknown here.
 func (s *State) mergeRouteHistory(now time.Duration, c Change) bool {
-	if c.RouteHistory == 0 || c.Desired == nil {
+	desired := c.Desired
+	if c.DesiredKnown {
+		desired = &s.desired
+	}
+	if c.RouteHistory == 0 || desired == nil {
 		return false
 	}
-	return s.routes.merge(now, c.RouteHistory, c.Desired, c.Former, &s.desired)
+	return s.routes.merge(now, c.RouteHistory, desired, c.Former, &s.desired)
 }
 
 // addDeparted adds the departed endpoints without an entry here, and reports
@@ -238,7 +301,9 @@
 		if departedAt == 0 {
 			departedAt-- // 0 means registered
 		}
-		s.entries[d.ID] = &Entry{Endpoint: d.Endpoint, FirstSeen: now, DepartedAt: departedAt}
+		s.entries[d.ID] = &Entry{
+			Endpoint: d.Endpoint, FirstSeen: now, DepartedAt: departedAt, UsableUntil: departedAt + lapsedRetention, ChangedAt: d.ModRevision,
+		}
 		added = true
 	}
 	return added
@@ -249,6 +314,9 @@
 func (s *State) put(now, asOf time.Duration, e Endpoint) {
 	existing := s.entries[e.ID]
 	if existing != nil && existing.ModRevision > e.ModRevision {
+		if !existing.sameContent(e) {
+			existing.ChangedAt = existing.ModRevision // it has changed back
+		}
 		return
 	}
 	if existing != nil && existing.DepartedAt == 0 {
@@ -259,7 +327,7 @@
 		s.digest ^= existing.digest()
 	}
 	s.digest ^= e.digest()
-	entry := &Entry{Endpoint: e, FirstSeen: now, WarmAt: now + e.WarmUpTime}
+	entry := &Entry{Endpoint: e, FirstSeen: now, WarmAt: now + e.WarmUpTime, ChangedAt: e.ModRevision}
 	if existing != nil && existing.Incarnation == e.Incarnation && existing.Address == e.Address {
 		entry.FirstSeen, entry.WarmAt, entry.AcceptingAt = existing.FirstSeen, existing.WarmAt, existing.AcceptingAt
 		if !existing.Draining {
@@ -286,11 +354,20 @@
 // at.
 func (s *State) markDeparted(now time.Duration, id string, at Revision) {
 	e := s.entries[id]
-	if e == nil || e.ModRevision > at || e.DepartedAt != 0 {
+	if e == nil {
+		return
+	}
+	if e.DepartedAt != 0 {
+		// It may have been written and deleted again.
+		e.ModRevision, e.ChangedAt = max(e.ModRevision, at), max(e.ChangedAt, at)
+		return
+	}
+	if e.ModRevision > at {
+		e.ChangedAt = e.ModRevision // deleted and written again
 		return
 	}
 	s.digest ^= e.digest()
-	e.DepartedAt, e.ModRevision = now, at
+	e.DepartedAt, e.ModRevision, e.ChangedAt = now, at, at
 	e.UsableUntil = now + vanishedRetention
 	if s.outageEnd > 0 && now-s.outageEnd < settleTime {
 		e.UsableUntil = now + lapsedRetention
@@ -303,6 +380,7 @@
 	s.routes.expire(now, lifetime)
 	for id, e := range s.entries {
 		if e.DepartedAt != 0 && now-e.DepartedAt > lifetime {
+			s.changesFrom = max(s.changesFrom, e.ChangedAt)
 			delete(s.entries, id)
 		}
 	}
--- a/directory/state_test.go
+++ b/directory/state_test.go
@@ -88,8 +88,8 @@
 	must.False(t, withoutOutage.AcceptsNew(deletedAt+time.Millisecond, false))
 	must.True(t, withoutOutage.AcceptsNew(deletedAt+vanishedRetention/2, true))
 	must.False(t, withoutOutage.AcceptsNew(deletedAt+vanishedRetention, true))
-	must.True(t, withoutOutage.MayHoldFlows(false))
-	must.False(t, withoutOutage.MayHoldFlows(true))
+	must.True(t, withoutOutage.MayHoldFlows(deletedAt, false, false))
+	must.False(t, withoutOutage.MayHoldFlows(deletedAt, false, true))
 	afterOutage := deleteEntry(true, false)
 	must.True(t, afterOutage.AcceptsNew(20*time.Second+lapsedRetention-1, true))
 	must.False(t, afterOutage.AcceptsNew(20*time.Second+lapsedRetention, true))
@@ -126,6 +126,14 @@
 		if c.Digest() != a.Digest() {
 			t.Fatalf("snapshot has digest %x, want %x", c.Digest(), a.Digest())
 		}
+		// A balancer that stopped following earlier gets only what it lacks.
+		lagging := NewState()
+		follow(t, lagging, history[:rapid.IntRange(1, len(history)).Draw(t, "lagging")])
+		request := Request{Revision: lagging.Revision(), Desired: lagging.Desired().ModRevision}
+		changes := a.ChangesFor(time.Second, request)
+		if _, ok := lagging.Apply(time.Second, changes); !ok || lagging.Digest() != a.Digest() {
+			t.Fatalf("revision %d becomes %d by %+v, with digest %x, want %x", request.Revision, lagging.Revision(), changes, lagging.Digest(), a.Digest())
+		}
 	})
 }
 
@@ -204,7 +212,7 @@
 	must.True(t, ok)
 	departed := fresh.entries["i"]
 	must.False(t, departed.AcceptsNew(now, true))
-	must.True(t, departed.MayHoldFlows(false))
+	must.True(t, departed.MayHoldFlows(0, false, false))
 	must.EqOp(t, running.Digest(), fresh.Digest())
 	changed, _ = fresh.Apply(now, running.Snapshot(now))
 	must.False(t, changed)
@@ -220,3 +228,27 @@
 	must.True(t, ok)
 	must.EqOp(t, 10, s.Revision())
 }
+
+// A change of one entry is sent to other balancers alone, without the desired state and the
+// entries that only wrote heartbeats.
+func TestBalancersSendOnlyChanges(t *testing.T) {
+	s := known(t, endpointAt("i", 5), endpointAt("j", 6), endpointAt("k", 7))
+	s.Apply(2*time.Second, Change{Revision: 14, After: 10, Endpoints: []Endpoint{endpointAt("i", 12), endpointAt("j", 13)}})
+	draining := endpointAt("j", 15)
+	draining.Draining = true
+	s.Apply(3*time.Second, Change{Revision: 16, After: 14, Endpoints: []Endpoint{draining}, Deleted: []Deleted{{ID: "k", ModRevision: 16}}})
+	c := s.ChangesFor(4*time.Second, Request{Revision: 14, Desired: 1})
+	must.False(t, c.Snapshot)
+	must.Eq(t, []Endpoint{draining}, c.Endpoints)
+	must.Eq(t, []Deleted{{ID: "k", ModRevision: 16}}, c.Deleted)
+	must.Len(t, 1, c.Departed)
+	must.Nil(t, c.Desired)
+	must.True(t, c.DesiredKnown)
+	must.NotNil(t, s.ChangesFor(4*time.Second, Request{Revision: 14}).Desired)
+	// Deletions before the first read are not known.
+	must.True(t, s.ChangesFor(4*time.Second, Request{Revision: 9}).Snapshot)
+	// Nor are those whose entries have expired.
+	s.RemoveExpired(2*time.Minute, time.Minute)
+	must.True(t, s.ChangesFor(2*time.Minute, Request{Revision: 14}).Snapshot)
+	must.False(t, s.ChangesFor(2*time.Minute, Request{Revision: 16}).Snapshot)
+}
--- a/flow/search.go
+++ b/flow/search.go
@@ -269,7 +269,7 @@
 	return Decision{SendReset: true, Reset: Reset{Flow: key, Acknowledged: s.acknowledged}, Reason: NobodyHolds}
 }
 
-// EndSearches is called once the routing table is complete. It ends the flows that every
+// EndSearches is called when the routing table has changed. It ends the flows that every
 // endpoint has denied, and returns the decisions.
 func (a *Assignments) EndSearches(now Timestamp, routing *RoutingTable) []Decision {
 	var ended []Decision
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -73,7 +73,10 @@
 	// sourceDown is true if the last read of the registry failed.
 	sourceDown bool
 	fetching   bool
-	seeds      []netip.AddrPort
+	// contentDiffers is true if another balancer has other content at the same revision, or
+	// sent an increment that cannot be applied.
+	contentDiffers bool
+	seeds          []netip.AddrPort
 	// drainLimit is how long after it began to drain an endpoint may get new flows.
 	drainLimit time.Duration
 	leaving    bool
@@ -139,7 +142,7 @@
 		s.survey.agentReported = true
 		s.surveyPeers(now)
 	case exchange.SnapshotRequested:
-		m.Reply <- exchange.SnapshotReply{Change: s.directorySnapshot(now), Known: s.directory.Known()}
+		m.Reply <- exchange.SnapshotReply{Change: s.directorySnapshot(now, m.Request), Known: s.directory.Known()}
 	case *settings.Settings:
 		s.apply(m)
 	case leave:
@@ -179,6 +182,7 @@
 	s.updateMetrics()
 	builder := newTableBuilder(now, s)
 	s.traffic.table.Store(builder.build())
+	s.traffic.endSearches(now)
 	s.traffic.earlyQueue.release()
 	s.tableExpires, s.hasFormer = builder.hasDeparted || builder.hasDraining, builder.hasFormer
 }
--- a/packetbalancer/departed.go
+++ b/packetbalancer/departed.go
@@ -51,11 +51,11 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case peer := <-r.surveys:
+		case query := <-r.surveys:
 			queryCtx, cancel := context.WithTimeout(ctx, surveyTimeout)
-			change, err := r.client.Fetch(queryCtx, peer)
+			change, err := r.client.Fetch(queryCtx, query.peer, query.Request)
 			cancel()
-			if r.loop.Send(ctx, surveyEnded{fetchEnded{from: peer, change: change, err: err}}) != nil {
+			if r.loop.Send(ctx, surveyEnded{fetchEnded{from: query.peer, change: change, err: err}}) != nil {
 				return nil
 			}
 		}
@@ -76,7 +76,7 @@
 		if !s.survey.queried[peer] && len(s.survey.queried) < maxSurveyedPeers {
 			s.survey.queried[peer] = true
 			s.survey.pending++
-			s.reader.surveys <- peer // has capacity for maxSurveyedPeers
+			s.reader.surveys <- fetchRequest{peer: peer, Request: s.request(true)} // has capacity for maxSurveyedPeers
 		}
 	}
 	if s.survey.agentReported && s.survey.pending == 0 {
@@ -102,19 +102,18 @@
 	return otherBalancers
 }
 
-// markComplete records that the directory has every endpoint that may hold flows, and
-// ends the searches for flows that no agent holds. source is logged.
+// markComplete records that the directory has every endpoint that may hold flows. Searches
+// for flows that no agent holds then end. source is logged.
 func (s *state) markComplete(now time.Duration, source string) {
 	s.survey.complete = true
 	s.log.Emit(EventComplete, event.Fields{"source": source, "after_ms": (now - s.started).Milliseconds()})
 	s.publish(now)
-	s.traffic.endSearches(now)
 }
 
-// directorySnapshot returns the full directory for another balancer, without the
+// directorySnapshot returns what another balancer lacks of the directory, without the
 // departed endpoints whose agents have stopped.
-func (s *state) directorySnapshot(now time.Duration) directory.Change {
-	change := s.directory.Snapshot(now)
+func (s *state) directorySnapshot(now time.Duration, r directory.Request) directory.Change {
+	change := s.directory.ChangesFor(now, r)
 	change.Complete = s.survey.complete
 	change.Departed = slices.DeleteFunc(change.Departed, func(d directory.Departed) bool {
 		load := s.loads[s.agentAddress(d.Address)]
--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -39,10 +39,19 @@
 	}
 	s.fetching = true
 	// The fetching goroutine is idle, so this does not block.
-	s.reader.fetches <- peer
+	s.reader.fetches <- fetchRequest{peer: peer, Request: s.request(false)}
 	return true
 }
 
+// request describes what this balancer has of the directory. After an increment that did not
+// lead to the sender's content, everything is requested.
+func (s *state) request(allDeparted bool) directory.Request {
+	if !s.directory.Known() || s.contentDiffers {
+		return directory.Request{AllDeparted: allDeparted}
+	}
+	return directory.Request{Revision: s.directory.Revision(), Desired: s.directory.Desired().ModRevision, AllDeparted: allDeparted}
+}
+
 func (s *state) readEnded(now time.Duration, m readEnded) {
 	if errors.Is(m.err, directory.ErrHistoryUnavailable) {
 		s.log.Emit(EventHistoryUnavailable, event.Fields{"revision": s.directory.Revision()})
@@ -88,8 +97,12 @@
 	}
 	changed, ok := s.directory.Apply(now, m.change)
 	if !ok {
+		s.contentDiffers = true
 		return
 	}
+	if m.change.Snapshot {
+		s.contentDiffers = false
+	}
 	s.fullRead = false
 	s.updateTraffic(now, changed, m.from.String())
 	if changed {
@@ -103,6 +116,7 @@
 func (s *state) announcementReceived(now time.Duration, m announcementReceived) {
 	s.schedule.RecordPeer(now, m.from.AddrPort())
 	if !s.directory.ConfirmRevision(m.Revision, m.Digest, now-m.Age) {
+		s.contentDiffers = s.contentDiffers || m.Revision == s.directory.Revision()
 		s.fetch(m.Control.AddrPort())
 		return
 	}
--- a/packetbalancer/moved_route_test.go
+++ b/packetbalancer/moved_route_test.go
@@ -72,7 +72,7 @@
 func TestRestartedBalancerKnowsFormerService(t *testing.T) {
 	start := clock.Now()
 	after := stateAtFirstStart(beforeMove(), afterMove())
-	alone := stateWith(after.directorySnapshot(start))
+	alone := stateWith(after.directorySnapshot(start, directory.Request{}))
 	must.True(t, alone.directory.KnowsRouteHistory(start, time.Minute))
 	must.EqOp(t, 2, queriedAgents(alone, start))
 
@@ -85,9 +85,9 @@
 
 	// A balancer that lags cannot say what was in force between its desired state and ours.
 	lagging := stateAtFirstStart(beforeMove())
-	restarted.directory.Apply(start, lagging.directorySnapshot(start))
+	restarted.directory.Apply(start, lagging.directorySnapshot(start, directory.Request{}))
 	must.False(t, restarted.directory.KnowsRouteHistory(start, time.Minute))
-	restarted.directory.Apply(start, after.directorySnapshot(start))
+	restarted.directory.Apply(start, after.directorySnapshot(start, directory.Request{}))
 	must.True(t, restarted.directory.KnowsRouteHistory(start, time.Minute))
 	must.EqOp(t, 2, queriedAgents(restarted, start))
 }
--- a/packetbalancer/peers.go
+++ b/packetbalancer/peers.go
@@ -140,7 +140,7 @@
 }
 
 // endSearches sends resets for the searched flows that no agent holds according to
-// the routing table, which has become complete.
+// the routing table, which has become complete or has lost endpoints.
 func (f *forwarder) endSearches(now time.Duration) {
 	f.mu.Lock()
 	ended := f.assignments.EndSearches(now, f.table.Load())
--- a/packetbalancer/reader.go
+++ b/packetbalancer/reader.go
@@ -29,6 +29,12 @@
 	err    error
 }
 
+// fetchRequest is the control goroutine's request for a fetch from another balancer.
+type fetchRequest struct {
+	peer netip.AddrPort
+	directory.Request
+}
+
 // fetchEnded brings the directory of another balancer to the control goroutine.
 type fetchEnded struct {
 	from   netip.AddrPort
@@ -43,8 +49,8 @@
 	client   *exchange.Client
 	loop     *control.Loop
 	requests chan readRequest
-	fetches  chan netip.AddrPort
-	surveys  chan netip.AddrPort
+	fetches  chan fetchRequest
+	surveys  chan fetchRequest
 	// readings counts reads of the source, failures those that failed.
 	readings atomic.Int64
 	failures atomic.Int64
@@ -53,8 +59,8 @@
 func newReader(source directory.Source, loop *control.Loop) *reader {
 	return &reader{
 		source: source, client: exchange.NewClient(), loop: loop,
-		requests: make(chan readRequest, 1), fetches: make(chan netip.AddrPort, 1),
-		surveys: make(chan netip.AddrPort, maxSurveyedPeers),
+		requests: make(chan readRequest, 1), fetches: make(chan fetchRequest, 1),
+		surveys: make(chan fetchRequest, maxSurveyedPeers),
 	}
 }
 
@@ -94,9 +100,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case peer := <-r.fetches:
-			change, err := r.client.Fetch(ctx, peer)
-			if err := r.loop.Send(ctx, fetchEnded{from: peer, change: change, err: err}); err != nil {
+		case fetch := <-r.fetches:
+			change, err := r.client.Fetch(ctx, fetch.peer, fetch.Request)
+			if err := r.loop.Send(ctx, fetchEnded{from: fetch.peer, change: change, err: err}); err != nil {
 				return nil
 			}
 		}
--- a/packetbalancer/routing_table_test.go
+++ b/packetbalancer/routing_table_test.go
@@ -129,7 +129,7 @@
 	s.loads[s.agentAddress(endpointOf(2, "orders", 3).Address)].Report(start, placement.Usage{})
 	must.EqOp(t, 2, inTable(start+5*time.Second))
 	must.EqOp(t, 1, inTable(start+11*time.Second))
-	must.Len(t, 1, s.directorySnapshot(start+11*time.Second).Departed)
+	must.Len(t, 1, s.directorySnapshot(start+11*time.Second, directory.Request{}).Departed)
 }
 
 // While every endpoint of a service drains, they get new flows until the drain limit; with
@@ -159,3 +159,20 @@
 	must.EqOp(t, 1, accepting(start+3*time.Second))
 	must.EqOp(t, 0, accepting(start+3800*time.Millisecond))
 }
+
+// An endpoint whose entry is still missing after the time in which expired entries return,
+// and whose agent does not report, is gone: searches do not wait for it. Its agent's reports,
+// or an outage of the registry, keep it.
+func TestMissingEndpointWithUnresponsiveAgentIsGone(t *testing.T) {
+	start := clock.Now()
+	s := stateWith(directory.Change{Revision: 9, Snapshot: true, AsOf: start, Desired: new(directory.Desired), Endpoints: []directory.Endpoint{endpointOf(1, "orders", 2), endpointOf(2, "orders", 3)}})
+	holders := func(now time.Duration) int { return len(newTableBuilder(now, s).build().Agents) }
+	must.EqOp(t, 2, holders(start))
+	s.directory.Apply(start, directory.Change{Revision: 12, After: 9, AsOf: start, Deleted: []directory.Deleted{{ID: "i-1", ModRevision: 12}, {ID: "i-2", ModRevision: 12}}})
+	later := start + 10*time.Second
+	must.EqOp(t, 2, holders(later), must.Sprint("the registry was not read since"))
+	s.directory.ConfirmRevision(13, s.directory.Digest(), later)
+	must.EqOp(t, 0, holders(later))
+	s.loads[s.agentAddress(endpointOf(1, "orders", 2).Address)].Report(later, placement.Usage{})
+	must.EqOp(t, 1, holders(later))
+}
