Send each request to the backend server on a connection of its own

Cause: safe requests reused connections to the backend server. A second copy of an answer that arrives when the next request is already under way was taken for the answer to that request: its caller got another's. And an answer without a length that ended with its connection, as when the backend server failed halfway, reached the caller as complete.

Change: no connection is reused; the backend server is next to its agent, so a connection costs little. An answer whose end does not show that it is complete aborts the caller's stream.

--- a/admission/frontend/copy.go
+++ b/admission/frontend/copy.go
@@ -22,7 +22,7 @@
 
 // copyResponse copies an answer to the caller while it arrives and flushes each
 // part. It returns answered, or truncated if the answer was not copied
-// completely.
+// completely, or if nothing shows that it was complete.
 func copyResponse(w http.ResponseWriter, response *http.Response) outcome {
 	removeHopByHopHeaders(response.Header)
 	for name, values := range response.Header {
@@ -39,7 +39,7 @@
 			}
 			_ = controller.Flush()
 		}
-		if err == io.EOF {
+		if err == io.EOF && isFramed(response) {
 			return answered
 		}
 		if err != nil {
@@ -47,3 +47,9 @@
 		}
 	}
 }
+
+// isFramed reports whether the end of an answer shows that it is complete. One without a
+// length ends with its connection, also if the backend server failed halfway.
+func isFramed(response *http.Response) bool {
+	return response.ProtoMajor > 1 || response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
--- a/admission/frontend/frontend.go
+++ b/admission/frontend/frontend.go
@@ -59,7 +59,7 @@
 	InFlight *atomic.Int64
 	Backend  netip.AddrPort
 	Endpoint string
-	Clients  BackendClients
+	Client   *http.Client
 	// Peers is the client for the other agents of the service.
 	Peers *http.Client
 
--- a/admission/frontend/frontend_test.go
+++ b/admission/frontend/frontend_test.go
@@ -67,7 +67,7 @@
 		InFlight: new(atomic.Int64),
 		Backend:  netip.MustParseAddrPort(backend),
 		Endpoint: "orders-1",
-		Clients:  NewBackendClients(),
+		Client:   NewBackendClient(),
 	}
 	h.Ticket.Store(tk)
 	return h, d
--- a/admission/frontend/job.go
+++ b/admission/frontend/job.go
@@ -125,7 +125,7 @@
 	trace.ToBackend(ctx, out.Header)
 	out.URL.Scheme = "http"
 	out.URL.Host = j.h.Backend.String()
-	response, sent, err := send(j.h.Clients.clientFor(out), out)
+	response, sent, err := send(j.h.Client, out)
 	if err != nil && !sent {
 		return result{outcome: notRun, detail: "backend server not reached", backendUnreachable: ctx.Err() == nil}
 	}
--- a/agent/admission.go
+++ b/agent/admission.go
@@ -236,7 +236,7 @@
 		InFlight: &p.inFlight,
 		Backend:  s.Agent.Backend,
 		Endpoint: s.Agent.Endpoint,
-		Clients:  frontend.NewBackendClients(),
+		Client:   frontend.NewBackendClient(),
 		Peers:    peers,
 	}
 }
