Contain panics and socket errors to the datagram or message

Cause: a panic in the handling of one datagram, message or read ended the process, and with a poisonous entry in the registry all of them, again and again. An error of a socket of the QUIC roles ended their process too.

Locks on the way are released by defer. The QUIC balancer receives with datagram.Receive as the packet roles do; its agent's connection fails only once it is closed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -60,6 +60,7 @@
 		reports:   make(chan report),
 		loads:     make(chan loadReport),
 	}
+	p.loop.ContainPanics(log.Contain)
 	if err := p.assemble(running, sealer); err != nil {
 		return err
 	}
@@ -83,7 +84,7 @@
 	}
 	client := rpc.NewMeteredClient(p.identity, p.traffic)
 	p.handler = newHandler(s, p.loop, p.snapshots, client)
-	callers, err := newCallerServer(s, sealer, owner, p.loop, p.snapshots, p.handler)
+	callers, err := newCallerServer(s, sealer, owner, p.loop, p.snapshots, p.log, p.handler)
 	if err != nil {
 		return err
 	}
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -7,6 +7,7 @@
 
 	"cactustray/control"
 	"cactustray/control/rpc"
+	"cactustray/event"
 	"cactustray/identity"
 	"cactustray/settings"
 	"cactustray/steering"
@@ -35,7 +36,7 @@
 	handler   http.Handler
 }
 
-func newCallerServer(s *settings.Settings, sealer *steering.Sealer, owner steering.Owner, loop *control.Loop, p *published, handler http.Handler) (*callerServer, error) {
+func newCallerServer(s *settings.Settings, sealer *steering.Sealer, owner steering.Owner, loop *control.Loop, p *published, log *event.Log, handler http.Handler) (*callerServer, error) {
 	id, err := identity.Load(identity.Files(s.Agent.CallerTLS))
 	if err != nil {
 		return nil, err
@@ -45,6 +46,12 @@
 		return nil, err
 	}
 	p.shared.Steering.Store(&steering.AgentSnapshot{Owner: owner, Service: ticket.ServiceKeyOf(s.Agent.Service)})
+	p.shared.Failures = datagram.Failures{
+		SocketFailed: func(socket string, err error) {
+			log.Emit(EventSocketFailed, event.Fields{"socket": socket, "cause": err.Error()})
+		},
+		Contain: log.Contain,
+	}
 	conn := datagram.NewConn(socket, sealer, &p.shared, loop.Offer)
 	transport := &quic.Transport{
 		Conn:                  conn,
--- a/agent/events.go
+++ b/agent/events.go
@@ -10,6 +10,7 @@
 var (
 	EventAgentStarted         = event.Define(2001, logrus.InfoLevel, "agent started")
 	EventAgentDraining        = event.Define(2002, logrus.InfoLevel, "agent draining")
+	EventSocketFailed         = event.Define(2005, logrus.WarnLevel, "agent's datagram socket failed")
 	EventAgentStopped         = event.Define(2003, logrus.InfoLevel, "agent stopped")
 	EventTicketInForce        = event.Define(2101, logrus.InfoLevel, "service's ticket in force")
 	EventBalancerUnresponsive = event.Define(2201, logrus.WarnLevel, "balancer not responding")
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -59,6 +59,7 @@
 		loop:     control.NewLoop(tickInterval),
 		traffic:  new(meter.Meter),
 	}
+	p.loop.ContainPanics(log.Contain)
 	if err := p.assemble(ctx, sealer); err != nil {
 		return err
 	}
@@ -72,7 +73,7 @@
 func (p *process) assemble(ctx context.Context, sealer *steering.Sealer) error {
 	s := p.settings
 	table := new(atomic.Pointer[steering.Table])
-	forwarder, err := newForwarder(s, sealer, table, p.loop)
+	forwarder, err := newForwarder(s, sealer, table, p.loop, p.log)
 	if err != nil {
 		return err
 	}
@@ -134,7 +135,7 @@
 	return mux
 }
 
-func newForwarder(s *settings.Settings, sealer *steering.Sealer, table *atomic.Pointer[steering.Table], loop *control.Loop) (*datagram.Forwarder, error) {
+func newForwarder(s *settings.Settings, sealer *steering.Sealer, table *atomic.Pointer[steering.Table], loop *control.Loop, log *event.Log) (*datagram.Forwarder, error) {
 	edge, err := datagram.Listen(s.Balancer.Edge)
 	if err != nil {
 		return nil, err
@@ -151,5 +152,11 @@
 		Sealer:   sealer,
 		Counters: new(steering.Counters),
 		Offer:    loop.Offer,
+		Failures: datagram.Failures{
+			SocketFailed: func(socket string, err error) {
+				log.Emit(EventSocketFailed, event.Fields{"socket": socket, "cause": err.Error()})
+			},
+			Contain: log.Contain,
+		},
 	}, nil
 }
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -10,6 +10,7 @@
 var (
 	EventBalancerStarted     = event.Define(1001, logrus.InfoLevel, "balancer started")
 	EventBalancerStopped     = event.Define(1002, logrus.InfoLevel, "balancer stopped")
+	EventSocketFailed        = event.Define(1003, logrus.WarnLevel, "balancer's socket failed")
 	EventTicketInForce       = event.Define(1101, logrus.InfoLevel, "ticket in force")
 	EventTicketConflict      = event.Define(1102, logrus.WarnLevel, "conflicting tickets with the same number")
 	EventTicketRefused       = event.Define(1103, logrus.WarnLevel, "ticket refused")
--- a/control/loop.go
+++ b/control/loop.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 )
@@ -31,13 +32,23 @@
 	inbox    chan Message
 	interval time.Duration
 	busy     atomic.Int64
+	contain  func(where string, f func()) bool
 }
 
 // NewLoop returns a loop that ticks at the given interval.
 func NewLoop(interval time.Duration) *Loop {
-	return &Loop{inbox: make(chan Message, inboxSize), interval: interval}
+	return &Loop{inbox: make(chan Message, inboxSize), interval: interval, contain: runUncontained}
 }
 
+func runUncontained(_ string, f func()) bool {
+	f()
+	return true
+}
+
+// ContainPanics makes the loop run the handler with contain, which gives up a message whose
+// handling panics. It is called before Run.
+func (l *Loop) ContainPanics(contain func(where string, f func()) bool) { l.contain = contain }
+
 // Send puts a message into the inbox and waits while the inbox is full. If the context
 // ends first, it returns context.Cause(ctx).
 func (l *Loop) Send(ctx context.Context, message Message) error {
@@ -74,11 +85,11 @@
 			return nil
 		case message := <-l.inbox:
 			now := time.Now()
-			handler.Handle(now, message)
+			l.contain(fmt.Sprintf("message %T", message), func() { handler.Handle(now, message) })
 			l.busy.Add(int64(time.Since(now)))
 		case <-ticker.C:
 			now := time.Now()
-			handler.Tick(now, now.Sub(last))
+			l.contain("tick", func() { handler.Tick(now, now.Sub(last)) })
 			last = now
 			l.busy.Add(int64(time.Since(now)))
 		}
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -23,6 +23,7 @@
 // packets until no request is in progress. changes delivers changed settings.
 func Run(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings, codec flow.Codec, log *event.Log) error {
 	loop := control.NewLoop(placement.ReportInterval)
+	loop.ContainPanics(log.Contain)
 	traffic, err := newForwarder(s, codec, loop, log)
 	if err != nil {
 		return err
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -25,8 +25,7 @@
 // balancer states it.
 const initialSlots = 2
 
-// forwarder is the state that the traffic goroutines share. mu guards flowTable and
-// silent.
+// forwarder is the state that the traffic goroutines share. mu guards flowTable.
 type forwarder struct {
 	// peers is the socket for datagrams of balancers and other agents.
 	peers *net.UDPConn
@@ -44,7 +43,8 @@
 
 	mu        sync.Mutex
 	flowTable *flow.AgentTable
-	silent    bool
+	// silent is true while the endpoint leaves packets unanswered.
+	silent atomic.Bool
 
 	// stopNanos is how long a graceful stop may take, in nanoseconds.
 	stopNanos atomic.Int64
@@ -106,10 +106,7 @@
 
 // sweep removes expired flows, and logs and counts their unanswered requests.
 func (f *forwarder) sweep() {
-	f.mu.Lock()
-	abandoned := f.flowTable.Sweep(clock.Now())
-	f.mu.Unlock()
-	for _, a := range abandoned {
+	for _, a := range withFlows(f, func(t *flow.AgentTable) []flow.AbandonedRequest { return t.Sweep(clock.Now()) }) {
 		f.unanswered.Add(1)
 		f.logRequest(EventUnanswered, a.Flow, a.Request, 0)
 	}
@@ -117,33 +114,43 @@
 
 // servePeers receives the datagrams of balancers and other agents.
 func (f *forwarder) servePeers(ctx context.Context) error {
-	return datagram.Receive(ctx, f.peers, 0, f.socketFailed, func(buffer []byte, from netip.AddrPort) {
-		if wire.KindOf(buffer) == wire.Forward {
-			f.packetForwarded(buffer)
-			return
-		}
-		message, err := wire.Decode(buffer)
-		if err != nil {
-			f.counters.CountMalformed(f.log, clock.Now(), err)
-			return
-		}
-		switch m := message.(type) {
-		case wire.Hello:
-			f.loop.Offer(helloReceived{Hello: m, balancer: flow.AddressOf(from)})
-		case wire.Queries:
-			f.answer(m, from)
-		}
+	return datagram.Receive(ctx, f.peers, 0, datagram.MaxPacket, f.socketFailed, func(buffer []byte, from netip.AddrPort) {
+		f.log.Contain("datagram of a node", func() { f.datagramReceived(buffer, from) })
 	})
 }
 
+func (f *forwarder) datagramReceived(buffer []byte, from netip.AddrPort) {
+	if wire.KindOf(buffer) == wire.Forward {
+		f.packetForwarded(buffer)
+		return
+	}
+	message, err := wire.Decode(buffer)
+	if err != nil {
+		f.counters.CountMalformed(f.log, clock.Now(), err)
+		return
+	}
+	switch m := message.(type) {
+	case wire.Hello:
+		f.loop.Offer(helloReceived{Hello: m, balancer: flow.AddressOf(from)})
+	case wire.Queries:
+		f.answer(m, from)
+	}
+}
+
+// withFlows runs one step on the flow table and returns its result.
+func withFlows[T any](f *forwarder, step func(*flow.AgentTable) T) T {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return step(f.flowTable)
+}
+
 // answer answers a balancer's queries. Flows that the endpoint lost are reset.
 func (f *forwarder) answer(m wire.Queries, balancer netip.AddrPort) {
 	var answers wire.Answers
 	var ended []flow.Query
 	now := clock.Now()
-	f.mu.Lock()
 	for _, q := range m.Flows {
-		switch f.flowTable.Query(now, q) {
+		switch withFlows(f, func(t *flow.AgentTable) flow.Answer { return t.Query(now, q) }) {
 		case flow.Holds:
 			answers.Held = append(answers.Held, q.Flow)
 		case flow.Denies:
@@ -154,7 +161,6 @@
 			ended = append(ended, q)
 		}
 	}
-	f.mu.Unlock()
 	if len(answers.Held)+len(answers.Denied)+len(answers.Unsure) > 0 {
 		f.counters.Send(f.peers, wire.Encode(answers), balancer)
 	}
@@ -185,7 +191,7 @@
 	}
 	f.execute(packet.Flow, verdict, envelope.Balancer, buffer)
 	if verdict.Reason == flow.Opened {
-		time.AfterFunc(flow.AnswerTimeout, f.redirectOpenings)
+		time.AfterFunc(flow.AnswerTimeout, func() { f.log.Contain("unanswered opening", f.redirectOpenings) })
 	}
 }
 
@@ -193,10 +199,10 @@
 // logs it: if the machine fails, this line is the only record of where the request was.
 func (f *forwarder) recordRequestID(key flow.Key, payload []byte) {
 	id := f.codec.RequestID(payload)
-	f.mu.Lock()
-	f.flowTable.SetRequestID(key, id)
-	concurrent := f.flowTable.Usage(clock.Now()).Running - 1
-	f.mu.Unlock()
+	concurrent := withFlows(f, func(t *flow.AgentTable) int {
+		t.SetRequestID(key, id)
+		return t.Usage(clock.Now()).Running - 1
+	})
 	f.logRequest(EventRequest, key, flow.Request{ID: id, Concurrent: concurrent}, 0)
 }
 
@@ -214,27 +220,30 @@
 
 // serveEndpoint receives the endpoint's packets, and callers' packets that it returns.
 func (f *forwarder) serveEndpoint(ctx context.Context) error {
-	return datagram.Receive(ctx, f.outbound, wire.EnvelopeSize, f.socketFailed, func(buffer []byte, _ netip.AddrPort) {
-		payload := buffer[wire.EnvelopeSize:]
-		packet, err := f.codec.Decode(payload)
-		if err != nil {
-			f.counters.CountMalformed(f.log, clock.Now(), err)
-			return
-		}
-		if packet.ReturnedByEndpoint {
-			f.codec.RestoreReturned(payload)
-		} else {
-			packet.Flow = flow.Key{Caller: packet.Flow.Service, Service: packet.Flow.Caller}
-		}
-		f.mu.Lock()
-		verdict := f.flowTable.FromEndpoint(clock.Now(), packet)
-		f.mu.Unlock()
-		f.checkSilence()
-		f.execute(packet.Flow, verdict, verdict.Balancer, buffer)
-		f.recordRequestEnd(packet.Flow, verdict, payload)
+	return datagram.Receive(ctx, f.outbound, wire.EnvelopeSize, datagram.MaxPacket, f.socketFailed, func(buffer []byte, _ netip.AddrPort) {
+		f.log.Contain("endpoint's packet", func() { f.packetFromEndpoint(buffer) })
 	})
 }
 
+// packetFromEndpoint handles a packet that the endpoint sent or gave back.
+func (f *forwarder) packetFromEndpoint(buffer []byte) {
+	payload := buffer[wire.EnvelopeSize:]
+	packet, err := f.codec.Decode(payload)
+	if err != nil {
+		f.counters.CountMalformed(f.log, clock.Now(), err)
+		return
+	}
+	if packet.ReturnedByEndpoint {
+		f.codec.RestoreReturned(payload)
+	} else {
+		packet.Flow = flow.Key{Caller: packet.Flow.Service, Service: packet.Flow.Caller}
+	}
+	verdict := withFlows(f, func(t *flow.AgentTable) flow.Verdict { return t.FromEndpoint(clock.Now(), packet) })
+	f.checkSilence()
+	f.execute(packet.Flow, verdict, verdict.Balancer, buffer)
+	f.recordRequestEnd(packet.Flow, verdict, payload)
+}
+
 const (
 	// serverError is the lowest HTTP status that means a failure of the endpoint.
 	serverError = 500
@@ -256,18 +265,18 @@
 	} else {
 		f.unanswered.Add(1)
 	}
-	f.mu.Lock()
-	f.flowTable.RecordOutcome(clock.Now(), e == EventUnanswered || status >= serverError && status != notRun)
-	f.mu.Unlock()
+	failed := e == EventUnanswered || status >= serverError && status != notRun
+	withFlows(f, func(t *flow.AgentTable) bool {
+		t.RecordOutcome(clock.Now(), failed)
+		return failed
+	})
 	f.logRequest(e, key, v.EndedRequest, status)
 }
 
 // redirectOpenings forwards or returns the opening packets that the endpoint has not
 // answered within flow.AnswerTimeout.
 func (f *forwarder) redirectOpenings() {
-	f.mu.Lock()
-	overdue := f.flowTable.Tick(clock.Now())
-	f.mu.Unlock()
+	overdue := withFlows(f, func(t *flow.AgentTable) []flow.UnansweredOpening { return t.Tick(clock.Now()) })
 	f.checkSilence()
 	for _, u := range overdue {
 		buffer := append(make([]byte, wire.EnvelopeSize), u.Datagram...)
@@ -278,12 +287,8 @@
 // checkSilence notifies the control goroutine when the endpoint stops answering or
 // answers again.
 func (f *forwarder) checkSilence() {
-	f.mu.Lock()
-	silent := f.flowTable.Silent(clock.Now())
-	changed := silent != f.silent
-	f.silent = silent
-	f.mu.Unlock()
-	if changed {
+	silent := withFlows(f, func(t *flow.AgentTable) bool { return t.Silent(clock.Now()) })
+	if f.silent.Swap(silent) != silent {
 		f.loop.Offer(silenceChanged{silent: silent})
 	}
 }
--- a/packetbalancer/balancer.go
+++ b/packetbalancer/balancer.go
@@ -35,12 +35,13 @@
 // changed settings.
 func Run(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings, source directory.Source, codec flow.Codec, log *event.Log) error {
 	loop := control.NewLoop(tickInterval)
+	loop.ContainPanics(log.Contain)
 	traffic, err := newForwarder(s, codec, loop, log)
 	if err != nil {
 		return err
 	}
 	healthy := new(atomic.Bool)
-	reader := newReader(source, loop)
+	reader := newReader(source, loop, log)
 	state := newState(s, log, traffic, reader, healthy)
 	log.Emit(EventStarted, event.Fields{"edge": s.Packets.Edge, "registry": s.Packets.Registry, "zone": s.Zone})
 	defer log.Emit(EventStopped, nil)
--- a/packetbalancer/forward_test.go
+++ b/packetbalancer/forward_test.go
@@ -30,9 +30,15 @@
 		return flow.Packet{}, &flow.MalformedError{Length: len(b), Why: "short"}
 	}
 	caller := flow.Address{IP: [4]byte{100, 64, 0, 1}, Port: uint16(b[0])<<8 | uint16(b[1])}
+	if string(b[2:]) == poison {
+		panic("a fault in the code")
+	}
 	return flow.Packet{Flow: flow.Key{Caller: caller, Service: flow.AddressOf(routeTo(80, "").Address)}, Data: len(b)}, nil
 }
 
+// poison is the content of a packet whose decoding panics.
+const poison = "poison"
+
 func listenLoopback(t testing.TB, ip string) *net.UDPConn {
 	socket, err := datagram.Listen(netip.MustParseAddrPort(ip + ":0"))
 	must.NoError(t, err)
@@ -141,3 +147,18 @@
 func BenchmarkBareRelay(b *testing.B) {
 	benchmarkRelay(b, func(sink netip.AddrPort) netip.AddrPort { return startRelay(b, sink) })
 }
+
+// A packet whose handling panics is given up; the balancer goes on.
+func TestPanicOnAPacketEndsNothing(t *testing.T) {
+	sink := listenLoopback(t, "127.0.0.1")
+	edge := startForwarder(t, localAddr(sink), 10)
+	source := listenLoopback(t, "127.0.0.1")
+	for _, content := range []string{poison, poison, "x"} {
+		_, err := source.WriteToUDPAddrPort(append([]byte{0, 7}, content...), edge)
+		must.NoError(t, err)
+	}
+	buffer := make([]byte, 2048)
+	n, _, err := sink.ReadFromUDPAddrPort(buffer)
+	must.NoError(t, err)
+	must.EqOp(t, 'x', rune(buffer[n-1]))
+}
--- a/packetbalancer/peers.go
+++ b/packetbalancer/peers.go
@@ -14,21 +14,37 @@
 
 // servePeers receives the datagrams of agents and other balancers.
 func (f *forwarder) servePeers(ctx context.Context) error {
-	return datagram.Receive(ctx, f.peers, 0, f.socketFailed, func(buffer []byte, from netip.AddrPort) {
-		sender := flow.AddressOf(from)
-		if wire.KindOf(buffer) == wire.Return {
-			f.packetReturned(buffer, sender)
-			return
-		}
-		message, err := wire.Decode(buffer)
-		if err != nil {
-			f.counters.CountMalformed(f.log, clock.Now(), err)
-			return
-		}
-		f.handleMessage(message, sender)
+	return datagram.Receive(ctx, f.peers, 0, datagram.MaxPacket, f.socketFailed, func(buffer []byte, from netip.AddrPort) {
+		f.log.Contain("datagram of a node", func() { f.datagramReceived(buffer, flow.AddressOf(from)) })
 	})
 }
 
+func (f *forwarder) datagramReceived(buffer []byte, sender flow.Address) {
+	if wire.KindOf(buffer) == wire.Return {
+		f.packetReturned(buffer, sender)
+		return
+	}
+	message, err := wire.Decode(buffer)
+	if err != nil {
+		f.counters.CountMalformed(f.log, clock.Now(), err)
+		return
+	}
+	f.handleMessage(message, sender)
+}
+
+// withAssignments runs one step on the assignments and returns its result.
+func withAssignments[T any](f *forwarder, step func(*flow.Assignments) T) T {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return step(f.assignments)
+}
+
+// continued is the decision on a search that goes on, with the packet to send.
+type continued struct {
+	flow.Decision
+	datagram []byte
+}
+
 // packetReturned handles a caller's packet that an agent returned undelivered.
 func (f *forwarder) packetReturned(buffer []byte, agent flow.Address) {
 	envelope, payload, err := wire.OpenEnvelope(buffer)
@@ -42,9 +58,9 @@
 		return
 	}
 	table := f.table.Load()
-	f.mu.Lock()
-	decision := f.assignments.Returned(clock.Now(), packet, agent, envelope.Delivery, table, payload)
-	f.mu.Unlock()
+	decision := withAssignments(f, func(a *flow.Assignments) flow.Decision {
+		return a.Returned(clock.Now(), packet, agent, envelope.Delivery, table, payload)
+	})
 	f.execute(packet.Flow, decision, buffer, envelope.Hops)
 }
 
@@ -79,10 +95,10 @@
 		f.flowDenied(now, key, agent)
 	}
 	for _, key := range m.Unsure {
-		f.mu.Lock()
-		decision, datagram := f.assignments.Unsure(now, key, agent, f.table.Load())
-		f.mu.Unlock()
-		f.continueSearch(key, decision, datagram)
+		f.continueSearch(key, withAssignments(f, func(a *flow.Assignments) (c continued) {
+			c.Decision, c.datagram = a.Unsure(now, key, agent, f.table.Load())
+			return c
+		}))
 	}
 }
 
@@ -92,9 +108,7 @@
 	if endpoint := f.table.Load().Agents[agent]; endpoint != nil {
 		tag = endpoint.Service.Tag
 	}
-	f.mu.Lock()
-	waiting := f.assignments.Found(now, key, agent, tag)
-	f.mu.Unlock()
+	waiting := withAssignments(f, func(a *flow.Assignments) [][]byte { return a.Found(now, key, agent, tag) })
 	for _, datagram := range waiting {
 		buffer := append(make([]byte, wire.EnvelopeSize), datagram...)
 		f.execute(key, flow.Decision{To: agent, Tag: tag, Reason: flow.Known}, buffer, 0)
@@ -103,16 +117,16 @@
 
 // flowDenied records that an agent does not hold a flow.
 func (f *forwarder) flowDenied(now time.Duration, key flow.Key, agent flow.Address) {
-	f.mu.Lock()
-	decision, datagram := f.assignments.Denied(now, key, agent, f.table.Load())
-	f.mu.Unlock()
-	f.continueSearch(key, decision, datagram)
+	f.continueSearch(key, withAssignments(f, func(a *flow.Assignments) (c continued) {
+		c.Decision, c.datagram = a.Denied(now, key, agent, f.table.Load())
+		return c
+	}))
 }
 
 // continueSearch carries out a decision on a search, if there is anything to do.
-func (f *forwarder) continueSearch(key flow.Key, d flow.Decision, datagram []byte) {
-	if d.SendReset || len(d.SearchAgents)+len(d.QueryAgents) > 0 {
-		f.execute(key, d, append(make([]byte, wire.EnvelopeSize), datagram...), 0)
+func (f *forwarder) continueSearch(key flow.Key, c continued) {
+	if c.SendReset || len(c.SearchAgents)+len(c.QueryAgents) > 0 {
+		f.execute(key, c.Decision, append(make([]byte, wire.EnvelopeSize), c.datagram...), 0)
 	}
 }
 
@@ -130,9 +144,7 @@
 	if wasAlive {
 		return
 	}
-	f.mu.Lock()
-	resends := f.assignments.AgentReported(now, agent, table)
-	f.mu.Unlock()
+	resends := withAssignments(f, func(a *flow.Assignments) []flow.Resend { return a.AgentReported(now, agent, table) })
 	for _, r := range resends {
 		buffer := append(make([]byte, wire.EnvelopeSize), r.Datagram...)
 		f.execute(r.Packet.Flow, r.Decision, buffer, 0)
@@ -142,10 +154,7 @@
 // endSearches sends resets for the searched flows that no agent holds according to
 // the routing table, which has become complete or has lost endpoints.
 func (f *forwarder) endSearches(now time.Duration) {
-	f.mu.Lock()
-	ended := f.assignments.EndSearches(now, f.table.Load())
-	f.mu.Unlock()
-	for _, d := range ended {
+	for _, d := range withAssignments(f, func(a *flow.Assignments) []flow.Decision { return a.EndSearches(now, f.table.Load()) }) {
 		f.execute(d.Reset.Flow, d, nil, 0)
 	}
 }
--- a/packetbalancer/queries.go
+++ b/packetbalancer/queries.go
@@ -60,7 +60,7 @@
 // scheduleRetry schedules retrySearches, unless it is scheduled already.
 func (f *forwarder) scheduleRetry() {
 	if f.retryScheduled.CompareAndSwap(false, true) {
-		time.AfterFunc(searchCheckInterval, f.retrySearches)
+		time.AfterFunc(searchCheckInterval, func() { f.log.Contain("search", f.retrySearches) })
 	}
 }
 
@@ -68,11 +68,13 @@
 // check while there are searches.
 func (f *forwarder) retrySearches() {
 	f.retryScheduled.Store(false)
-	f.mu.Lock()
-	retried, more := f.assignments.RetrySearches(clock.Now(), f.table.Load())
-	f.mu.Unlock()
+	var more bool
+	retried := withAssignments(f, func(a *flow.Assignments) (retried []flow.Resend) {
+		retried, more = a.RetrySearches(clock.Now(), f.table.Load())
+		return retried
+	})
 	for _, r := range retried {
-		f.continueSearch(r.Packet.Flow, r.Decision, r.Datagram)
+		f.continueSearch(r.Packet.Flow, continued{Decision: r.Decision, datagram: r.Datagram})
 	}
 	if more {
 		f.scheduleRetry()
--- a/packetbalancer/reader.go
+++ b/packetbalancer/reader.go
@@ -10,6 +10,7 @@
 	"cactustray/control/clock"
 	"cactustray/directory"
 	"cactustray/directory/exchange"
+	"cactustray/event"
 )
 
 // watchWait is how long a read waits for a change. Together with the pause between
@@ -42,12 +43,18 @@
 	err    error
 }
 
+// ReadPanicError reports that reading the registry panicked; the log has the cause.
+type ReadPanicError struct{}
+
+func (*ReadPanicError) Error() string { return "reading the registry panicked" }
+
 // reader reads the directory from its source for the control goroutine, one read at
 // a time, and fetches it from other balancers.
 type reader struct {
 	source   directory.Source
 	client   *exchange.Client
 	loop     *control.Loop
+	log      *event.Log
 	requests chan readRequest
 	fetches  chan fetchRequest
 	surveys  chan fetchRequest
@@ -56,9 +63,9 @@
 	failures atomic.Int64
 }
 
-func newReader(source directory.Source, loop *control.Loop) *reader {
+func newReader(source directory.Source, loop *control.Loop, log *event.Log) *reader {
 	return &reader{
-		source: source, client: exchange.NewClient(), loop: loop,
+		source: source, client: exchange.NewClient(), loop: loop, log: log,
 		requests: make(chan readRequest, 1), fetches: make(chan fetchRequest, 1),
 		surveys: make(chan fetchRequest, maxSurveyedPeers),
 	}
@@ -81,11 +88,14 @@
 	r.readings.Add(1)
 	start := clock.Now()
 	var result readEnded
-	if request.fullRead {
-		result.change, result.err = r.source.Load(ctx)
-	} else {
-		result.change, result.err = r.source.Watch(ctx, request.after, watchWait)
-	}
+	result.err = &ReadPanicError{}
+	r.log.Contain("read of the registry", func() {
+		if request.fullRead {
+			result.change, result.err = r.source.Load(ctx)
+		} else {
+			result.change, result.err = r.source.Watch(ctx, request.after, watchWait)
+		}
+	})
 	// The result is at least as new as the start of the read.
 	result.change.AsOf = start
 	if result.err != nil {
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -86,11 +86,11 @@
 
 // serveEdge receives and forwards callers' packets.
 func (f *forwarder) serveEdge(ctx context.Context) error {
-	return datagram.Receive(ctx, f.edge, wire.EnvelopeSize, f.socketFailed, func(buffer []byte, _ netip.AddrPort) {
+	return datagram.Receive(ctx, f.edge, wire.EnvelopeSize, datagram.MaxPacket, f.socketFailed, func(buffer []byte, _ netip.AddrPort) {
 		f.received.Add(1)
 		now := clock.Now()
 		if !f.earlyQueue.add(now, buffer) {
-			f.forward(now, buffer)
+			f.log.Contain("caller's packet", func() { f.forward(now, buffer) })
 		}
 	})
 }
@@ -104,11 +104,15 @@
 		return
 	}
 	table := f.table.Load()
+	f.execute(packet.Flow, f.decide(now, packet, table, buffer[wire.EnvelopeSize:]), buffer, 0)
+}
+
+// decide returns the decision on a caller's packet.
+func (f *forwarder) decide(now time.Duration, packet flow.Packet, table *flow.RoutingTable, datagram []byte) flow.Decision {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.sweep(now)
-	decision := f.assignments.FromCaller(now, packet, table, buffer[wire.EnvelopeSize:])
-	f.mu.Unlock()
-	f.execute(packet.Flow, decision, buffer, 0)
+	return f.assignments.FromCaller(now, packet, table, datagram)
 }
 
 // flows returns the number of flows with a stored assignment.
--- a/steering/datagram/bench_test.go
+++ b/steering/datagram/bench_test.go
@@ -71,7 +71,7 @@
 		in, sink := bind(b), bind(b)
 		to := addressOf(sink)
 		go func() {
-			_ = serve(context.Background(), in, func(raw []byte, _ netip.AddrPort) { _, _ = in.WriteToUDPAddrPort(raw, to) })
+			_ = Receive(context.Background(), in, 0, MaxDatagram, func(string, error) {}, func(raw []byte, _ netip.AddrPort) { _, _ = in.WriteToUDPAddrPort(raw, to) })
 		}()
 		datagrams := benchDatagrams(b, sealer, ownerOf(0, 1))
 		b.ReportAllocs()
@@ -82,7 +82,7 @@
 		sink := bind(b)
 		f, _ := newForwarder(b, sealer, addressOf(bind(b)), tableOf(ordersTicket(1, addressOf(sink))))
 		in := f.newInbound()
-		go func() { _ = serve(context.Background(), f.Edge, in.handle) }()
+		go func() { _ = f.serve(context.Background(), f.Edge, "datagram", in.handle) }()
 		datagrams := benchDatagrams(b, sealer, ownerOf(0, 1))
 		b.ReportAllocs()
 		b.ResetTimer()
--- a/steering/datagram/conn.go
+++ b/steering/datagram/conn.go
@@ -1,9 +1,11 @@
 package datagram
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +32,8 @@
 	Counters    steering.Counters
 	// Tracer is set before the first datagram; nil disables tracing.
 	Tracer Tracer
+	// Failures is set before the first datagram.
+	Failures
 }
 
 // Conn is the agent's packet connection. Callers' datagrams arrive in envelopes
@@ -53,14 +57,20 @@
 }
 
 // ReadFrom returns the next datagram for the flows of this endpoint. All other
-// datagrams are handled here: processed, forwarded or dropped, and counted.
+// datagrams are handled here: processed, forwarded or dropped, and counted. It fails
+// only once the socket is closed or its read deadline has passed.
 func (c *Conn) ReadFrom(p []byte) (int, net.Addr, error) {
 	for {
 		n, from, err := c.socket.ReadFromUDPAddrPort(c.receiver.buffer)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return 0, nil, err
 		}
-		if c.receiver.receive(time.Now(), c.receiver.buffer[:n], from) {
+		if err != nil {
+			c.shared.SocketFailed(c.socket.LocalAddr().String(), err)
+			time.Sleep(errorPause)
+			continue
+		}
+		if c.receiver.contained(n, from) {
 			envelope := &c.receiver.envelope
 			n := copy(p, envelope.Payload)
 			if c.receiver.reset {
--- a/steering/datagram/drop_test.go
+++ b/steering/datagram/drop_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"testing"
+	"time"
 
 	"cactustray/steering"
 	"cactustray/ticket"
@@ -145,3 +147,20 @@
 		must.Positive(t, len(e.Payload))
 	})
 }
+
+// An error of a socket ends neither the forwarder nor the agent's connection.
+func TestSocketErrorEndsNothing(t *testing.T) {
+	sealer := newSealer(t, 1)
+	f, _ := newForwarder(t, sealer, callerAddress, steering.NewState().Table())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx, 1) }()
+	must.NoError(t, f.Edge.SetReadDeadline(time.Now()))
+	select {
+	case err := <-done:
+		t.Fatalf("the forwarder ended: %v", err)
+	case <-time.After(3 * errorPause):
+	}
+	cancel()
+	must.NoError(t, <-done)
+}
--- a/steering/datagram/fixture_test.go
+++ b/steering/datagram/fixture_test.go
@@ -85,11 +85,22 @@
 		Sealer:   sealer,
 		Counters: new(steering.Counters),
 		Offer:    offerTo(offered),
+		Failures: testFailures(),
 	}
 	f.Table.Store(table)
 	return f, offered
 }
 
+func testFailures() Failures {
+	return Failures{
+		SocketFailed: func(string, error) {},
+		Contain: func(_ string, f func()) bool {
+			f()
+			return true
+		},
+	}
+}
+
 func offerTo(offered chan<- control.Message) func(control.Message) bool {
 	return func(m control.Message) bool {
 		select {
@@ -104,7 +115,7 @@
 // newAgent returns the packet connection of an agent and the channel that
 // receives its messages to the control goroutine.
 func newAgent(t testing.TB, sealer *steering.Sealer, socket *net.UDPConn, owner steering.Owner, tickets ...*ticket.Ticket) (*Conn, chan control.Message) {
-	shared := new(SharedState)
+	shared := &SharedState{Failures: testFailures()}
 	snapshot := &steering.AgentSnapshot{Owner: owner, Service: ticket.ServiceKeyOf("orders")}
 	for _, t := range tickets {
 		snapshot = snapshot.WithTicket(t)
--- a/steering/datagram/forwarder.go
+++ b/steering/datagram/forwarder.go
@@ -31,6 +31,17 @@
 	Tracer Tracer
 	// Offer sends a message to the control goroutine without blocking.
 	Offer func(control.Message) bool
+	// Failures handles what goes wrong with a socket or a datagram.
+	Failures
+}
+
+// Failures handles what goes wrong while datagrams are received. None of it ends the process.
+type Failures struct {
+	// SocketFailed is called with a socket's address and the error when reading from it fails.
+	SocketFailed func(socket string, err error)
+	// Contain runs the handling of one datagram and reports whether it returned; a panic in it
+	// gives up that datagram alone.
+	Contain func(where string, f func()) bool
 }
 
 // Run forwards datagrams until the context is cancelled, with the given number
@@ -44,26 +55,21 @@
 	defer stop()
 	for range workers {
 		in, out := f.newInbound(), f.newOutbound()
-		group.Go(func() error { return serve(ctx, f.Edge, in.handle) })
-		group.Go(func() error { return serve(ctx, f.Agents, out.handle) })
+		group.Go(func() error { return f.serve(ctx, f.Edge, "caller's datagram", in.handle) })
+		group.Go(func() error { return f.serve(ctx, f.Agents, "agent's datagram", out.handle) })
 	}
 	return group.Wait()
 }
 
-// serve passes each datagram from the socket to handle until the context is
-// cancelled. It fails with *SocketError if the socket does.
-func serve(ctx context.Context, socket *net.UDPConn, handle func(raw []byte, from netip.AddrPort)) error {
-	buffer := make([]byte, MaxDatagram)
-	for {
-		n, from, err := socket.ReadFromUDPAddrPort(buffer)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return &SocketError{Address: socket.LocalAddr().String(), Cause: err}
-		}
-		handle(buffer[:n], from)
-	}
+// serve passes each datagram from the socket to handle until the context is cancelled.
+func (f *Forwarder) serve(ctx context.Context, socket *net.UDPConn, where string, handle func(raw []byte, from netip.AddrPort)) error {
+	var received []byte
+	var sender netip.AddrPort
+	step := func() { handle(received, sender) } // one closure, not one for each datagram
+	return Receive(ctx, socket, 0, MaxDatagram, f.SocketFailed, func(raw []byte, from netip.AddrPort) {
+		received, sender = raw, from
+		f.Contain(where, step)
+	})
 }
 
 // inbound handles datagrams from the fabric. One goroutine owns it.
--- a/steering/datagram/receiver.go
+++ b/steering/datagram/receiver.go
@@ -35,6 +35,12 @@
 	envelope Envelope
 	// reset is true if the last datagram is delivered only to be reset.
 	reset bool
+	// received, sender and deliver are the datagram in progress and whether it is for the
+	// flows of this endpoint; step processes it.
+	received []byte
+	sender   netip.AddrPort
+	deliver  bool
+	step     func()
 	// balancerNotified and controlNotified are the times of the last notice to
 	// a balancer and to the control goroutine.
 	balancerNotified time.Time
@@ -42,12 +48,22 @@
 }
 
 func newReceiver(conn *Conn, sealer *steering.Sealer) *receiver {
-	return &receiver{
+	r := &receiver{
 		conn:   conn,
 		opener: sealer.NewOpener(),
 		placer: placement.NewPlacer(),
 		buffer: make([]byte, MaxDatagram),
 	}
+	r.step = func() { r.deliver = r.receive(time.Now(), r.received, r.sender) }
+	return r
+}
+
+// contained does what receive does with the first n bytes of the buffer. A panic gives up
+// that datagram.
+func (r *receiver) contained(n int, from netip.AddrPort) bool {
+	r.received, r.sender, r.deliver = r.buffer[:n], from, false
+	r.conn.shared.Contain("datagram of a balancer", r.step)
+	return r.deliver
 }
 
 // receive processes and counts one datagram. It reports whether the datagram,
--- a/steering/datagram/socket.go
+++ b/steering/datagram/socket.go
@@ -24,22 +24,22 @@
 }
 
 const (
-	// readBufferSize is the size of the read buffer, in bytes; packets with their
-	// envelope are smaller.
-	readBufferSize = 2048
+	// MaxPacket is the largest datagram of the packet roles, in bytes: a caller's packet
+	// in its envelope is smaller.
+	MaxPacket = 2048
 	// errorPause is the pause after a socket error, so that a persistent error
 	// does not cause a busy loop.
 	errorPause = 20 * time.Millisecond
 )
 
 // Receive calls handle with each datagram until the context is cancelled, then
-// closes the socket. The datagram in buffer follows headroom unused bytes, and
-// buffer is reused for the next datagram. onError is called with the address
+// closes the socket. The datagram in buffer, of at most size bytes, follows headroom
+// unused bytes, and buffer is reused for the next datagram. onError is called with the address
 // and the error when reading from the socket fails.
-func Receive(ctx context.Context, socket *net.UDPConn, headroom int, onError func(socket string, err error), handle func(buffer []byte, from netip.AddrPort)) error {
+func Receive(ctx context.Context, socket *net.UDPConn, headroom, size int, onError func(socket string, err error), handle func(buffer []byte, from netip.AddrPort)) error {
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
-	buffer := make([]byte, headroom+readBufferSize)
+	buffer := make([]byte, headroom+size)
 	for {
 		n, from, err := socket.ReadFromUDPAddrPort(buffer[headroom:])
 		if ctx.Err() != nil {
