Mend what was found by reading; report replicas that were not stored

Cause and change, each with a test: - An agent without room for the replica of a key's record answered as if it had stored it, so that the owner ran the key with its own record alone.

--- a/admission/handover/handover.go
+++ b/admission/handover/handover.go
@@ -73,6 +73,9 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
+	if status.Unreachable {
+		return nil, connect.NewError(connect.CodeResourceExhausted, &NoRoomError{})
+	}
 	return &admissionpb.RecallResponse{Known: status.Known, Fresh: status.Fresh, AgeUs: status.Age.Microseconds()}, nil
 }
 
@@ -82,6 +85,12 @@
 
 func (*NoSlotError) Error() string { return "no slot to give" }
 
+// NoRoomError reports that the called agent has no room for the replica of a key's
+// record.
+type NoRoomError struct{}
+
+func (*NoRoomError) Error() string { return "no room for the replica" }
+
 // Client requests slots from peers on behalf of the control goroutine.
 type Client struct {
 	ctx     context.Context
@@ -136,7 +145,7 @@
 }
 
 // Recall queries an agent about a key, and makes it store a replica of the
-// key's record. If the agent does not answer, the result is Unreachable.
+// key's record. If the agent does not answer or has no room, the result is Unreachable.
 func Recall(ctx context.Context, client *http.Client, address netip.AddrPort, key admission.Key) admission.KeyStatus {
 	ctx, cancel := context.WithTimeout(ctx, rpc.CallTimeout)
 	defer cancel()
--- a/cmd/cactustray/explain.go
+++ b/cmd/cactustray/explain.go
@@ -98,12 +98,24 @@
 }
 
 func (p *parsedLogs) add(in io.Reader) error {
-	scanner := bufio.NewScanner(in)
-	scanner.Buffer(make([]byte, 0, 64<<10), maxLogLine)
-	for scanner.Scan() {
-		p.parseLine(scanner.Bytes())
+	reader := bufio.NewReaderSize(in, maxLogLine)
+	for {
+		line, more, err := reader.ReadLine()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if !more {
+			p.parseLine(line)
+			continue
+		}
+		p.skipped++ // longer than maxLogLine
+		for more && err == nil {
+			_, more, err = reader.ReadLine()
+		}
 	}
-	return scanner.Err()
 }
 
 // parseLine parses one line. Text before the JSON object, which log collectors add, is
--- a/cmd/cactustray/explain_test.go
+++ b/cmd/cactustray/explain_test.go
@@ -53,3 +53,13 @@
 		must.True(t, errors.As(err, &unknown))
 	})
 }
+
+// A line over the limit is skipped; those after it are read.
+func TestExplainSkipsLinesOverTheLimit(t *testing.T) {
+	logs := new(parsedLogs)
+	in := `{"event":1,"node":"a","msg":"first"}` + "\n" + strings.Repeat("x", 3*maxLogLine) + "\n" + `{"event":2,"node":"a","msg":"last"}`
+	must.NoError(t, logs.add(strings.NewReader(in)))
+	must.Len(t, 2, logs.lines)
+	must.EqOp(t, "last", logs.lines[1].Text)
+	must.EqOp(t, 1, logs.skipped)
+}
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -64,6 +64,11 @@
 
 func (e *ShortError) Error() string { return fmt.Sprintf("truncated, or unknown kind %d", e.Kind) }
 
+// AddressError reports an address of the wrong length.
+type AddressError struct{ Length int }
+
+func (e *AddressError) Error() string { return fmt.Sprintf("address of %d bytes", e.Length) }
+
 // PutEnvelope writes an envelope into the first EnvelopeSize bytes of b.
 func PutEnvelope(b []byte, kind Kind, e Envelope) {
 	b[0], b[1] = byte(kind), e.Hops<<hopsShift
@@ -264,7 +269,11 @@
 		a := kind.Answers
 		return Answers{Held: decodeKeys(a.GetHeld()), Denied: decodeKeys(a.GetDenied()), Unsure: decodeKeys(a.GetUnsure())}, nil
 	case *flowpb.Notice_News:
-		return decodeNews(kind.News)
+		news, err := decodeNews(kind.News)
+		if err != nil {
+			return nil, &DecodeError{Length: len(b), Cause: err}
+		}
+		return news, nil
 	default:
 		return nil, nil
 	}
@@ -272,7 +281,7 @@
 
 func decodeNews(n *flowpb.News) (Message, error) {
 	if len(n.GetControl()) != addressSize {
-		return nil, &DecodeError{Length: len(n.GetControl()), Cause: &ShortError{Kind: Notice}}
+		return nil, &AddressError{Length: len(n.GetControl())}
 	}
 	age := time.Duration(n.GetAgeUs()) * time.Microsecond
 	return DirectoryAnnouncement{
--- a/flow/wire/wire_test.go
+++ b/flow/wire/wire_test.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"cactustray/flow"
+	"cactustray/flow/flowpb"
 	"cactustray/placement"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 )
 
 var (
@@ -54,6 +56,20 @@
 	must.LessEq(t, payload, len(Encode(Answers{Denied: keys})))
 }
 
+// An announcement whose control address is too short is reported with its whole length.
+func TestAnnouncementWithWrongAddress(t *testing.T) {
+	news := &flowpb.Notice{Kind: &flowpb.Notice_News{News: &flowpb.News{Revision: 1, Control: []byte{10, 0}}}}
+	short, err := proto.MarshalOptions{}.MarshalAppend([]byte{byte(Notice)}, news)
+	must.NoError(t, err)
+	_, err = Decode(short)
+	var decode *DecodeError
+	var address *AddressError
+	must.True(t, errors.As(err, &decode), must.Sprint(err))
+	must.True(t, errors.As(err, &address), must.Sprint(err))
+	must.EqOp(t, len(short), decode.Length)
+	must.EqOp(t, 2, address.Length)
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(Encode(Owner{Flow: key, Agent: service}))
 	f.Add(Encode(DirectoryAnnouncement{Control: caller}))
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -169,17 +169,3 @@
 		}
 	}
 }
-
-func TestTransferTargetsOrderedByExpectedWait(t *testing.T) {
-	s := service(4)
-	for key, wait := range map[ticket.EndpointKey]time.Duration{2: 30 * time.Millisecond, 3: 0, 4: 10 * time.Millisecond} {
-		l := idle(key)
-		l.Sequence, l.ExpectedWait = 2, wait
-		s.ReceiveLoad(start, LoadReceived{Load: l})
-	}
-	var order []ticket.EndpointKey
-	for _, p := range s.TransferTargets(start) {
-		order = append(order, p.Key)
-	}
-	must.Eq(t, []ticket.EndpointKey{3, 4, 2}, order)
-}
--- a/placement/state.go
+++ b/placement/state.go
@@ -116,20 +116,6 @@
 	return fresh
 }
 
-// TransferTargets returns the peers with a fresh load that a queued request may be
-// transferred to, the one with the shortest expected wait first. It does not leave
-// out peers as loaded as this endpoint: the caller compares the waits.
-func (s *State) TransferTargets(now time.Time) []PeerLoad {
-	peers := slices.DeleteFunc(s.Fresh(now), func(p PeerLoad) bool { return !p.acceptsNew() })
-	slices.SortStableFunc(peers, func(a, b PeerLoad) int {
-		if c := cmp.Compare(a.Load.ExpectedWait, b.Load.ExpectedWait); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.pressure(), b.pressure())
-	})
-	return peers
-}
-
 // Report returns the peers to send a report to now and the load to send, or no
 // peers if no report is due. Reports go round-robin to the maxTargets peers that
 // follow this endpoint in the order of keys, targetsPerReport at a time. So the
--- a/standin/measure/flows.go
+++ b/standin/measure/flows.go
@@ -21,13 +21,6 @@
 	Ours     int    `json:"broken_ours"`
 }
 
-// alwaysAvailable considers every endpoint available.
-type alwaysAvailable struct{}
-
-func (alwaysAvailable) AcceptsNew(ticket.EndpointKey) bool { return true }
-
-func (alwaysAvailable) StoppedThrough(ticket.EndpointKey) steering.Incarnation { return 0 }
-
 // CountBrokenFlows opens flows, changes the ticket and sends one more packet of each
 // flow: with its owner token, as the system does, and without, as a plain hash would.
 func CountBrokenFlows(d Deployment) []BrokenCount {
@@ -50,9 +43,9 @@
 	register := ticket.NewRegister()
 	state := steering.NewState()
 	register.Join(now, ticket.Record{Ticket: before})
-	old := state.Update(now, register, alwaysAvailable{})
+	old := state.Update(now, register, steering.AlwaysAvailable{})
 	register.Join(now, ticket.Record{Ticket: after})
-	changed := state.Update(now, register, alwaysAvailable{})
+	changed := state.Update(now, register, steering.AlwaysAvailable{})
 	b := BrokenCount{Service: d.Name, Change: change, Flows: d.Endpoints * d.Connections}
 	for i := range b.Flows {
 		opening := steering.Packet{
--- a/standin/packets/endpoint.go
+++ b/standin/packets/endpoint.go
@@ -16,7 +16,6 @@
 type endpointFlow struct {
 	sequence uint32
 	open     bool
-	ended    bool
 }
 
 // Endpoint is a backend server that speaks the packet protocol. Each request and each answer
@@ -139,7 +138,6 @@
 		p.flags |= flagReturned
 		return [][]byte{p.encode()}
 	case p.has(flagFinish):
-		f.ended = true
 		return [][]byte{e.reply(key, p, flagFinish|flagAcknowledge, "")}
 	case len(p.data) > 0:
 		return [][]byte{e.reply(key, p, flagAcknowledge, e.run(string(p.data)))}
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"cactustray/standin/packets"
 )
 
 // Time limits that the checks apply, as the deployment's documentation states them.
@@ -170,15 +172,20 @@
 
 // undisturbed reports whether no disturbing fault hit the two hosts from undisturbedTime
 // before the first moment until the second. A fault without a host, of the store or of all
-// daemons, hits every host. If either host is 0, every fault without a peer counts, whichever
-// host it hit.
+// daemons, hits every host. A balancerHost of 0 stands for any balancer, an endpointHost of 0
+// for no endpoint.
 func (c *checker) undisturbed(from, to time.Duration, balancerHost, endpointHost int) bool {
 	return !slices.ContainsFunc(c.Spans, func(s Span) bool {
 		if s.Ended < from-undisturbedTime || s.Began > to || !s.disturbs() {
 			return false
 		}
-		all := s.Host == 0
-		return all || s.Host == balancerHost || s.Host == endpointHost || s.Peer == balancerHost || s.Peer == endpointHost
+		if s.Host == 0 {
+			return true
+		}
+		return slices.ContainsFunc([]int{s.Host, s.Peer}, func(hit int) bool {
+			isBalancer := hit >= packets.BalancerHost && hit < packets.EndpointHost
+			return hit != 0 && (hit == balancerHost || hit == endpointHost || balancerHost == 0 && isBalancer)
+		})
 	})
 }
 
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -55,6 +55,10 @@
 			h.Attempts[1].Endpoint, h.Endpoints[2].Ended = "i-52", 0
 		}},
 		"removed route opens": {RoutesFollow, func(h *History) { h.Attempts[2].Outcome = Answered }},
+		"added route refuses, while an endpoint's process is stopped": {RoutesFollow, func(h *History) {
+			h.Attempts[3].Outcome = RefusedOpening
+			h.Spans = append(h.Spans, Span{Fault: Fault{Kind: StopProcess, Host: 51}, Began: 19 * second, Ended: 22 * second})
+		}},
 		"added route refuses": {RoutesFollow, func(h *History) { h.Attempts[3].Outcome = RefusedOpening }},
 		"no recovery after faults": {RecoversAfterFaults, func(h *History) {
 			unplanned(h)
@@ -91,6 +95,10 @@
 			h.Attempts[2].Outcome = Answered
 			h.Spans = append(h.Spans, Span{Fault: Fault{Kind: SilenceStore}, Began: 8 * second, Ended: forever})
 		},
+		"added route refused by an unknown balancer, while one is killed": func(h *History) {
+			h.Attempts[3].Outcome, h.Attempts[3].BalancerHost = RefusedOpening, 0
+			h.Spans = append(h.Spans, Span{Fault: Fault{Kind: KillProcess, Host: 11}, Began: 19 * second, Ended: 22 * second})
+		},
 		"added route, change still propagating": func(h *History) {
 			h.Attempts[3].Outcome, h.Attempts[3].Opened = RefusedOpening, 15*second
 		},
--- a/steering/agent.go
+++ b/steering/agent.go
@@ -29,10 +29,7 @@
 	HandedOn bool
 	// OwnerGone is true if the sender knows that the owner has stopped.
 	OwnerGone bool
-	// Known is true if the datagram belongs to a flow without tokens that is
-	// open at this agent.
-	Known  bool
-	Packet Packet
+	Packet    Packet
 }
 
 // Action is what an agent does with a datagram.
@@ -153,9 +150,6 @@
 // decideTokenless forwards a datagram of an open flow that is unknown here to
 // the flow's home according to the previous ticket, at most once.
 func (s *AgentSnapshot) decideTokenless(a Arrival) Decision {
-	if a.Known {
-		return Decision{Action: Deliver}
-	}
 	if a.Packet.Opening {
 		return s.decideOpening(a)
 	}
--- a/steering/decide_test.go
+++ b/steering/decide_test.go
@@ -86,7 +86,6 @@
 		{"opening with another's token", func(a *Arrival) {
 			a.Packet.Opening, a.Packet.Owner.Endpoint = true, keyOf(0, 2)
 		}, Drop, ForeignOwner},
-		{"tokenless, open here", func(a *Arrival) { a.Packet, a.Known = Packet{Tokenless: true}, true }, Deliver, Forwarded},
 		{"tokenless, open at its previous home", func(a *Arrival) {
 			a.Packet = Packet{Tokenless: true, Flow: flowHomedAt(s.Previous, keyOf(0, 1))}
 		}, Forward, PassedOn},
--- a/steering/table.go
+++ b/steering/table.go
@@ -44,9 +44,6 @@
 	candidates candidates
 }
 
-// CandidateCount returns how many endpoints are eligible for new flows.
-func (s *Service) CandidateCount() int { return len(s.candidates.seeds) }
-
 // Endpoints returns the endpoints that the ticket names. The caller must not
 // change the slice.
 func (s *Service) Endpoints() []*Endpoint { return s.endpoints }
--- a/ticket/register_test.go
+++ b/ticket/register_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -229,3 +230,19 @@
 	r.RecordPublished(Update{Records: []Record{sampleRecord(t, 1, 0, 1, false)}})
 	must.Len(t, 1, r.Seal(late.At, late))
 }
+
+// The outcome of a conflict names the content that lost, also if others have lost before.
+func TestConflictNamesTheContentThatLost(t *testing.T) {
+	records := []Record{sampleRecord(t, 1, 1, 1, false), sampleRecord(t, 1, 2, 1, false), sampleRecord(t, 1, 3, 1, false)}
+	slices.SortFunc(records, compare)
+	s := &State{Register: NewRegister(), Gossip: new(Gossip)}
+	var joined []Joined
+	for _, r := range records {
+		var out Output
+		s.join(time.Time{}, []Record{r}, nil, &out)
+		joined = append(joined, out.Joined...)
+	}
+	must.Len(t, 3, joined)
+	must.EqOp(t, ConflictWon, joined[2].Outcome)
+	must.EqOp(t, DigestOf(records[1]).Content, joined[2].ConflictingContent)
+}
--- a/ticket/state.go
+++ b/ticket/state.go
@@ -129,7 +129,10 @@
 func (s *State) joined(key ServiceKey, outcome Outcome) Joined {
 	entry := s.Entry(key)
 	j := Joined{Service: entry.Ticket.Service, Number: entry.Ticket.Number, Outcome: outcome, Content: entry.Content}
-	if outcome.IsConflict() {
+	switch outcome {
+	case ConflictWon:
+		j.ConflictingContent = entry.Conflicting[0].Content // Register.replace puts it first
+	case ConflictLost:
 		j.ConflictingContent = entry.Conflicting[len(entry.Conflicting)-1].Content
 	}
 	return j
