Let opening packets wait at the agent of a saturated endpoint

Cause: when more is requested than an endpoint can do, as for seconds after a loss of power, its queue in order of arrival makes nearly every answer late, and what it refuses costs the caller a retry.

Change: opening packets wait at the agent while the endpoint has two requests in progress a slot; the newest is delivered first. Waiting flows count in the reported load. Who is served better: callers whose request is new are answered in time; the others are not refused, and keep their retries.

--- a/flow/agent_table.go
+++ b/flow/agent_table.go
@@ -39,6 +39,8 @@
 	refused
 	// lost: the endpoint no longer knows the flow.
 	lost
+	// waitingState: the opening packet waits until the endpoint has room for the request.
+	waitingState
 )
 
 type flowRecord struct {
@@ -160,6 +162,7 @@
 	accountedAt Timestamp
 
 	pending          []pendingOpen
+	waiting          waitingOpenings
 	silence          silence
 	failureRate      failureRate
 	processingTime   processingTime
@@ -225,6 +228,8 @@
 			return Verdict{Action: ForwardToAgent, To: r.otherAgent, Reason: HandedOn, Notify: d.Balancer, Owner: r.otherAgent}
 		case refused:
 			return Verdict{Action: Return, To: d.Balancer, Reason: EndpointRefused}
+		case waitingState:
+			return t.admitOrWait(now, p, r)
 		default:
 			return Verdict{Action: Deliver, Reason: Repeated}
 		}
@@ -235,11 +240,21 @@
 	if len(t.flows) >= maxFlows {
 		return Verdict{Action: Return, To: d.Balancer, Reason: TableFull}
 	}
-	t.store(p.Flow, flowRecord{
+	return t.admitOrWait(now, p, flowRecord{
 		state: offered, balancer: d.Balancer, hops: d.Hops, otherAgent: d.Alternate, lastSeen: now,
 		opening: append([]byte(nil), datagram...),
 	})
-	t.pending = append(t.pending, pendingOpen{key: p.Flow, due: now + AnswerTimeout})
+}
+
+// admitOrWait decides whether an opening packet goes to the endpoint now.
+func (t *AgentTable) admitOrWait(now Timestamp, p Packet, r flowRecord) Verdict {
+	if t.isSaturated(now) && len(t.waiting.flows) < maxWaitingOpenings {
+		return t.wait(now, p, r)
+	}
+	t.waiting.remove(p.Flow)
+	r.state = offered
+	t.store(p.Flow, r)
+	t.admit(now, p.Flow)
 	return Verdict{Action: Deliver, Reason: Opened}
 }
 
@@ -293,6 +308,10 @@
 		return Verdict{Action: ForwardToAgent, To: r.otherAgent, Reason: HandedOn, Notify: d.Balancer, Owner: r.otherAgent}
 	case lost:
 		return Verdict{Action: SendReset, Reason: EndpointLost, Reset: Reset{Flow: p.Flow, Acknowledged: p.Acknowledged}}
+	case waitingState:
+		t.waiting.remove(p.Flow) // its caller took the acceptance of another endpoint
+		t.remove(p.Flow)
+		return t.notHeld(d)
 	case offered, refused:
 		return t.notHeld(d)
 	case accepted:
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -25,6 +25,7 @@
 	TooManyHops
 	EndpointReset
 	SearchWaits
+	OpeningWaits
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
@@ -34,7 +35,7 @@
 	EndpointBusy: "endpoint-busy", EndpointSilent: "endpoint-silent", EndpointRefused: "endpoint-refused",
 	EndpointLost: "endpoint-lost", NotHeld: "not-held", Closed: "closed", TableFull: "table-full",
 	UnknownAddress: "unknown-address", NoEndpoint: "no-endpoint", Searched: "searched", NobodyHolds: "nobody-holds",
-	ForeignService: "foreign-service", TooManyHops: "too-many-hops", EndpointReset: "endpoint-reset", SearchWaits: "search-waits",
+	ForeignService: "foreign-service", TooManyHops: "too-many-hops", EndpointReset: "endpoint-reset", SearchWaits: "search-waits", OpeningWaits: "opening-waits",
 }
 
 func (r Reason) String() string {
--- a/flow/usage.go
+++ b/flow/usage.go
@@ -18,6 +18,8 @@
 	Flows int
 	// Running counts flows whose request has no answer yet.
 	Running int
+	// Waiting counts flows whose opening packet waits at the agent.
+	Waiting int
 	// RunningTime is the integral of Running over time: the difference of two readings
 	// divided by the time between them is the mean number of running requests.
 	RunningTime time.Duration
@@ -40,7 +42,7 @@
 func (t *AgentTable) Usage(now Timestamp) Usage {
 	t.account(now)
 	return Usage{
-		Flows: t.flowCount, Running: t.running, RunningTime: t.runningTime,
+		Flows: t.flowCount, Running: t.running, Waiting: len(t.waiting.flows), RunningTime: t.runningTime,
 		Silent: t.silence.isSilent(now), Failing: t.failureRate.now(now), ProcessingTime: t.processingTime.now(now),
 	}
 }
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -124,6 +124,7 @@
 		s.log.Emit(EventPaused, event.Fields{"gap_ms": gap.Milliseconds()})
 	}
 	s.lastTick = now
+	s.traffic.admitWaiting()
 	for balancer, at := range s.balancers {
 		if now-at > helloLifetime {
 			delete(s.balancers, balancer)
@@ -150,7 +151,7 @@
 	s.lastReport = now
 	usage := s.traffic.usage()
 	report := wire.Report{Usage: placement.Usage{
-		Flows: usage.Flows, Running: usage.Running, Mean: s.meanRunning(now, usage), Failing: usage.Failing,
+		Flows: usage.Flows, Running: usage.Running + usage.Waiting, Mean: s.meanRunning(now, usage), Failing: usage.Failing,
 		ProcessingTime: usage.ProcessingTime,
 		Interval:       s.reportInterval(), Silent: usage.Silent, Leaving: s.leaving,
 		FlowsKnown: s.traffic.flowsKnown(),
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -191,7 +191,7 @@
 	}
 	f.execute(packet.Flow, verdict, envelope.Balancer, buffer)
 	if verdict.Reason == flow.Opened {
-		time.AfterFunc(flow.AnswerTimeout, func() { f.log.Contain("unanswered opening", f.redirectOpenings) })
+		f.awaitAnswer()
 	}
 }
 
@@ -242,6 +242,21 @@
 	f.checkSilence()
 	f.execute(packet.Flow, verdict, verdict.Balancer, buffer)
 	f.recordRequestEnd(packet.Flow, verdict, payload)
+	f.admitWaiting()
+}
+
+// admitWaiting sends the opening packets that waited to the endpoint, if it has room.
+func (f *forwarder) admitWaiting() {
+	admitted := withFlows(f, func(t *flow.AgentTable) []flow.AdmittedOpening { return t.AdmitWaiting(clock.Now()) })
+	for _, a := range admitted {
+		f.execute(a.Flow, a.Verdict, flow.Address{}, append(make([]byte, wire.EnvelopeSize), a.Datagram...))
+		f.awaitAnswer()
+	}
+}
+
+// awaitAnswer makes an opening packet go elsewhere if the endpoint does not answer it.
+func (f *forwarder) awaitAnswer() {
+	time.AfterFunc(flow.AnswerTimeout, func() { f.log.Contain("unanswered opening", f.redirectOpenings) })
 }
 
 const (
