Tell refused callers to return at the rate at which they can be served

Cause: Retry-After was a constant second, so that all callers refused at a crest returned together and most were refused again.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -90,8 +90,11 @@
 	ID RequestID
 	// Attempt counts how often the request was dispatched or handed over, so
 	// that a late message about an earlier attempt can be recognized.
-	Attempt     int
-	Refusal     Refusal
+	Attempt int
+	Refusal Refusal
+	// RetryAfter is when the caller of a request that was refused for the load should
+	// return, or 0.
+	RetryAfter  time.Duration
 	Peer        ticket.EndpointKey
 	Reservation ReservationID
 }
--- a/admission/frontend/answer_test.go
+++ b/admission/frontend/answer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -77,5 +78,18 @@
 		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/a", http.NoBody))
 		t.Fatalf("status %d, body %q", w.Code, w.Body)
 	}()
-	must.EqOp(t, 1, d.finished.Load())
+	for d.finished.Load() == 0 { // the slot is freed
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Retry-After has whole seconds, rounded up, and is never less than one.
+func TestRetryAfterFollowsTheBacklog(t *testing.T) {
+	for after, want := range map[time.Duration]string{0: "1", 300 * time.Millisecond: "1", 1001 * time.Millisecond: "2", 12 * time.Second: "12"} {
+		w := httptest.NewRecorder()
+		writeResult(w, result{outcome: notRun, detail: "queue_full", retryAfter: after})
+		must.EqOp(t, http.StatusServiceUnavailable, w.Code)
+		must.EqOp(t, OutcomeNotRun, w.Header().Get(OutcomeHeader))
+		must.EqOp(t, want, w.Header().Get("Retry-After"))
+	}
 }
--- a/admission/frontend/job.go
+++ b/admission/frontend/job.go
@@ -41,10 +41,10 @@
 	for {
 		if err != nil {
 			_ = j.h.Loop.Send(context.WithoutCancel(ctx), admission.RequestCancelled{ID: j.request.ID})
-			return j.refusedResult(admission.Cancelled)
+			return j.refusedResult(admission.Decision{Refusal: admission.Cancelled})
 		}
 		if decision.Refusal != admission.None {
-			return j.refusedResult(decision.Refusal)
+			return j.refusedResult(decision)
 		}
 		r := j.attempt(ctx, decision)
 		retryMessage := j.retryMessage(ctx, r, decision)
@@ -66,11 +66,11 @@
 
 // refusedResult returns the result of a request that the control goroutine
 // refused.
-func (j *job) refusedResult(reason admission.Refusal) result {
+func (j *job) refusedResult(d admission.Decision) result {
 	if j.answerLost {
 		return result{outcome: unknown, detail: "answer lost"}
 	}
-	return result{outcome: notRun, detail: reason.String()}
+	return result{outcome: notRun, detail: d.Refusal.String(), retryAfter: d.RetryAfter}
 }
 
 func (j *job) finish(r result) {
--- a/admission/frontend/outcome.go
+++ b/admission/frontend/outcome.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 const (
@@ -14,9 +15,9 @@
 	OutcomeNotRun = "not-run"
 	// OutcomeUnknown: the request may have run.
 	OutcomeUnknown = "unknown"
-	// retryAfterSeconds is when a caller may try again: the value of the
-	// Retry-After header.
-	retryAfterSeconds = 1
+	// minRetryAfter is the least time after which a caller may try again; the Retry-After
+	// header has whole seconds.
+	minRetryAfter = time.Second
 )
 
 // outcome is the outcome of a request.
@@ -40,6 +41,8 @@
 	// backendUnreachable is true if this agent's backend server could not be
 	// reached.
 	backendUnreachable bool
+	// retryAfter is when a caller whose request was refused for the load should return.
+	retryAfter time.Duration
 }
 
 // writeResult writes the outcome of a request that has no answer to the caller.
@@ -48,7 +51,7 @@
 func writeResult(w http.ResponseWriter, r result) {
 	switch r.outcome {
 	case notRun:
-		writeNotRun(w, r.detail)
+		writeNotRunUntil(w, r.detail, r.retryAfter)
 	case unknown:
 		writeUnknown(w, r.detail)
 	case truncated:
@@ -56,8 +59,12 @@
 	}
 }
 
-func writeNotRun(w http.ResponseWriter, detail string) {
-	w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+func writeNotRun(w http.ResponseWriter, detail string) { writeNotRunUntil(w, detail, 0) }
+
+// writeNotRunUntil tells the caller of a request that has not run when to return.
+func writeNotRunUntil(w http.ResponseWriter, detail string, retryAfter time.Duration) {
+	seconds := (max(retryAfter, minRetryAfter) + time.Second - 1) / time.Second
+	w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
 	writeProblem(w, http.StatusServiceUnavailable, OutcomeNotRun, detail)
 }
 
--- a/admission/schedule.go
+++ b/admission/schedule.go
@@ -27,7 +27,7 @@
 		}
 		s.assert(e.step == queued, RefusedNotRun, e.ID)
 		delete(s.entries, e.ID)
-		out.Decisions = append(out.Decisions, Decision{ID: e.ID, Refusal: DeadlinePassed})
+		out.Decisions = append(out.Decisions, s.refusedForLoad(now, e.ID, DeadlinePassed))
 	}
 	clear(s.queue[len(remaining):])
 	s.queue = remaining
--- a/admission/state.go
+++ b/admission/state.go
@@ -56,6 +56,7 @@
 	estimate    estimate
 	exchange    exchange
 	retries     retryBudget
+	returns     returns
 	onViolation ViolationHandler
 }
 
@@ -133,7 +134,7 @@
 		e.queueDeadline = limit
 	}
 	if s.overloaded(now, e) {
-		return refused(r.ID, QueueFull)
+		return Outputs{Decisions: []Decision{s.refusedForLoad(now, r.ID, QueueFull)}}
 	}
 	s.entries[r.ID] = e
 	s.queue = append(s.queue, e)
@@ -160,7 +161,7 @@
 
 func (s *State) arriveFeed(now time.Time, e *entry) Outputs {
 	if s.limits.Feeds > 0 && s.feeds >= s.limits.Feeds {
-		return refused(e.ID, TooManyFeeds)
+		return Outputs{Decisions: []Decision{s.refusedForLoad(now, e.ID, TooManyFeeds)}}
 	}
 	e.step, e.started = dispatched, now
 	e.attempt++
@@ -262,6 +263,13 @@
 	return s.schedule(now)
 }
 
+// refusedForLoad returns the refusal of a request that the backend server has no capacity
+// for, with the time at which it should have.
+func (s *State) refusedForLoad(now time.Time, id RequestID, reason Refusal) Decision {
+	after := s.returns.after(now, s.ExpectedWait(), s.estimate.interval)
+	return Decision{ID: id, Refusal: reason, RetryAfter: after}
+}
+
 func refused(id RequestID, reason Refusal) Outputs {
 	return Outputs{Decisions: []Decision{{ID: id, Refusal: reason}}}
 }
--- a/admission/state_test.go
+++ b/admission/state_test.go
@@ -76,7 +76,7 @@
 		s.Finish(now, id)
 	}
 	urgent := Request{ID: 99, Deadline: now.Add(time.Second)}
-	must.Eq(t, []Decision{{ID: 99, Refusal: QueueFull}}, s.Arrive(now, urgent).Decisions)
+	must.Eq(t, []Decision{{ID: 99, Refusal: QueueFull, RetryAfter: s.ExpectedWait()}}, s.Arrive(now, urgent).Decisions)
 	patient := Request{ID: 100, Deadline: now.Add(time.Minute)}
 	must.SliceEmpty(t, s.Arrive(now, patient).Decisions)
 }
