--- a/flow/start_order.go
+++ b/flow/start_order.go
@@ -4,9 +4,10 @@
 
 const (
 	// startTolerance is how much earlier than its agent an endpoint may have started to
-	// count as started with it, as after their machine was switched on. It is shorter than
-	// the restart of an agent, so that no earlier agent can have served the endpoint.
-	startTolerance = 50 * time.Millisecond
+	// count as started with it, as after their machine was switched on: a process takes some
+	// 50 ms to start on a quarter of a core. It is shorter than the time in which a killed
+	// agent runs again, so that no earlier agent can have served the endpoint.
+	startTolerance = 100 * time.Millisecond
 	// clockTolerance is the largest difference between the clocks of an agent and a balancer
 	// with which the start times are compared.
 	clockTolerance = 100 * time.Millisecond
