--- a/flow/agent_table_endpoint.go
+++ b/flow/agent_table_endpoint.go
@@ -81,6 +81,7 @@
 	if r.state != offered {
 		return Verdict{Action: Drop, Reason: EndpointRefused}
 	}
+	t.failureRate.ended(now, true)
 	if !r.otherAgent.IsZero() {
 		return t.forward(now, p.Flow, r.balancer, r.otherAgent, EndpointRefused)
 	}
--- a/flow/failures.go
+++ b/flow/failures.go
@@ -15,7 +15,7 @@
 )
 
 // failureRate is the share of an endpoint's recent requests that failed, as a moving
-// average.
+// average. A flow that the endpoint refuses counts as a failed request.
 type failureRate struct {
 	share float64
 	at    Timestamp
