--- a/admission/frontend/outcome.go
+++ b/admission/frontend/outcome.go
@@ -61,7 +61,8 @@
 
 func writeNotRun(w http.ResponseWriter, detail string) { writeNotRunUntil(w, detail, 0) }
 
-// writeNotRunUntil tells the caller of a request that has not run when to return.
+// writeNotRunUntil writes the outcome of a request that has not run, with the time after
+// which its caller should return.
 func writeNotRunUntil(w http.ResponseWriter, detail string, retryAfter time.Duration) {
 	seconds := (max(retryAfter, minRetryAfter) + time.Second - 1) / time.Second
 	w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
--- a/flow/agent_table.go
+++ b/flow/agent_table.go
@@ -39,8 +39,8 @@
 	refused
 	// lost: the endpoint no longer knows the flow.
 	lost
-	// waitingState: the opening packet waits until the endpoint has room for the request.
-	waitingState
+	// delayed: the opening packet waits at the agent until the endpoint has room.
+	delayed
 )
 
 type flowRecord struct {
@@ -228,7 +228,7 @@
 			return Verdict{Action: ForwardToAgent, To: r.otherAgent, Reason: HandedOn, Notify: d.Balancer, Owner: r.otherAgent}
 		case refused:
 			return Verdict{Action: Return, To: d.Balancer, Reason: EndpointRefused}
-		case waitingState:
+		case delayed:
 			return t.admitOrWait(now, p, r)
 		default:
 			return Verdict{Action: Deliver, Reason: Repeated}
@@ -308,7 +308,7 @@
 		return Verdict{Action: ForwardToAgent, To: r.otherAgent, Reason: HandedOn, Notify: d.Balancer, Owner: r.otherAgent}
 	case lost:
 		return Verdict{Action: SendReset, Reason: EndpointLost, Reset: Reset{Flow: p.Flow, Acknowledged: p.Acknowledged}}
-	case waitingState:
+	case delayed:
 		t.waiting.remove(p.Flow) // its caller took the acceptance of another endpoint
 		t.remove(p.Flow)
 		return t.notHeld(d)
--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -71,7 +71,7 @@
 	// To is the agent that gets the packet, or zero.
 	To Address
 	// SearchAgents are the agents that a search sends the packet to, and QueryAgents those
-	// that it only asks about the flow, with the key and the caller's acknowledgment.
+	// that it only queries, with the key and the caller's acknowledgment.
 	SearchAgents []Address
 	QueryAgents  []Address
 	Query        Query
--- a/flow/query.go
+++ b/flow/query.go
@@ -1,7 +1,7 @@
 package flow
 
-// Query asks an agent whether its endpoint holds a flow. It stands for a packet of the
-// flow, which is many times larger.
+// Query is the question whether an agent's endpoint holds a flow. It replaces a packet of
+// the flow, which is many times larger.
 type Query struct {
 	Flow Key
 	// Acknowledged is the caller's last acknowledgment.
@@ -16,7 +16,7 @@
 	Denies Answer = iota
 	// Holds: the agent delivers the flow's packets to the endpoint.
 	Holds
-	// IsUnsure: only the endpoint knows, and shows it when it gets a packet of the flow.
+	// IsUnsure: only the endpoint knows; its reaction to a packet of the flow shows it.
 	IsUnsure
 	// HasEnded: the endpoint held the flow and lost it; its caller gets a reset.
 	HasEnded
--- a/flow/retry.go
+++ b/flow/retry.go
@@ -14,7 +14,7 @@
 )
 
 // RetrySearches continues the searches that have waited long enough for answers, for reports
-// or for the rate of searches. It asks the agents that have not answered once more; no agent
+// or for the rate of searches. Agents that have not answered are queried once more; no agent
 // is sent the packet again without the caller. more is false if there are no searches.
 func (a *Assignments) RetrySearches(now Timestamp, routing *RoutingTable) (retried []Resend, more bool) {
 	for key, s := range a.searches.flows {
--- a/flow/retry_test.go
+++ b/flow/retry_test.go
@@ -58,7 +58,7 @@
 }
 
 // A packet that was sent to an agent before its endpoint ran is lost. Once the agent is
-// known to have started first, it is asked, and denies the flow.
+// known to have started first, it is queried, and denies the flow.
 func TestAgentThatBecomesCompleteIsAsked(t *testing.T) {
 	a, now := newTestAssignments(), time.Second
 	routing, _ := testRoutingTable(1)
--- a/flow/search.go
+++ b/flow/search.go
@@ -45,8 +45,7 @@
 	// often it has.
 	retryAt Timestamp
 	retries int
-	// queried are the agents that were asked about the flow, received those that were sent
-	// the packet.
+	// queried are the agents that were queried, received those that were sent the packet.
 	queried  map[Address]bool
 	received map[Address]bool
 	// wave is the last wave of agents that was queried.
@@ -55,6 +54,13 @@
 	waiting [][]byte
 }
 
+func newSearch(now Timestamp) *search {
+	return &search{
+		denied: make(map[Address]bool), queried: make(map[Address]bool), received: make(map[Address]bool),
+		startedAt: now, retryAt: now + retryInterval,
+	}
+}
+
 // searches are the searches in progress.
 //
 // Invariant: searches use no more than their rate, so that they leave the link to the
@@ -93,7 +99,7 @@
 	found := s.flows[key]
 	if found == nil || now-found.startedAt > searchTimeout {
 		s.end(key)
-		found = &search{denied: make(map[Address]bool), queried: make(map[Address]bool), received: make(map[Address]bool), startedAt: now, retryAt: now + retryInterval}
+		found = newSearch(now)
 		s.flows[key] = found
 	}
 	return found
@@ -171,9 +177,9 @@
 func (d Decision) searches() bool { return len(d.SearchAgents)+len(d.QueryAgents) > 0 }
 
 // sendSearch continues a search at agents, if the rate of searches allows it. An agent that
-// knows all flows of its endpoint is asked about the flow; one that does not is sent the
-// packet. An agent that does not report may not have started; it is left out until it
-// reports. All of them are sent the packet if the caller sends it again.
+// knows all flows of its endpoint is queried; one that does not is sent the packet. An agent
+// that does not report may not have started, and is left out until it reports. All of them
+// are sent the packet if the caller sends it again.
 func (a *Assignments) sendSearch(now Timestamp, key Key, s *search, route *Route, routing *RoutingTable, to []Address) Decision {
 	d := Decision{Reason: Searched, Continued: s.sentAt != 0, Tag: routeTag(route), Query: Query{Flow: key, Acknowledged: s.acknowledged}}
 	for _, agent := range to {
@@ -242,8 +248,8 @@
 	return a.endIfDenied(now, key, routing), nil
 }
 
-// Unsure records that an agent that was asked about a flow cannot tell whether its endpoint
-// holds it. The agent gets the returned datagram, and its endpoint decides.
+// Unsure records that an agent that was queried does not know whether its endpoint holds
+// the flow. The agent gets the returned datagram, and its endpoint decides.
 func (a *Assignments) Unsure(now Timestamp, key Key, agent Address, routing *RoutingTable) (Decision, []byte) {
 	s, route := a.searches.flows[key], routing.Routes[key.Service]
 	if s == nil || route == nil || s.packet == nil || routing.Agents[agent] == nil || !s.queried[agent] {
--- a/flow/waiting.go
+++ b/flow/waiting.go
@@ -107,7 +107,7 @@
 func (t *AgentTable) wait(now Timestamp, p Packet, r flowRecord) Verdict {
 	t.waiting.remove(p.Flow)
 	t.waiting.add(p.Flow, begunAt(now, p.Copy))
-	r.state = waitingState
+	r.state = delayed
 	t.store(p.Flow, r)
 	return Verdict{Action: Drop, Reason: OpeningWaits}
 }
@@ -132,7 +132,7 @@
 		key := t.waiting.flows[last].key
 		t.waiting.flows = t.waiting.flows[:last]
 		r, known := t.flows[key]
-		if !known || r.state != waitingState {
+		if !known || r.state != delayed {
 			continue
 		}
 		r.state = offered
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -148,8 +148,8 @@
 // Denied informs a balancer that the sender's endpoint does not hold a flow.
 type Denied struct{ Flow flow.Key }
 
-// Queries asks an agent which of the flows its endpoint holds. A datagram has at most
-// MaxQueries.
+// Queries is the question which of the flows an agent's endpoint holds. A datagram has at
+// most MaxQueries.
 type Queries struct{ Flows []flow.Query }
 
 // Answers is an agent's answer to Queries.
