Keep a departed endpoint until its agent could report

Change: such an endpoint is gone a second after the balancer learned of it, and never within 3 s of a report of its agent, which may be restarting.

Measured: TestDepartedEndpointIsNotGoneBeforeItsAgentCouldReport failed before (0 holders in place of 1); the end-to-end test of packet flows passes.

--- a/directory/state.go
+++ b/directory/state.go
@@ -19,6 +19,8 @@
 	// vanishedRetention is the same for an entry that was deleted while the
 	// source was reachable all along.
 	vanishedRetention = time.Second
+	// agentRestart is how long after its last report an agent may be restarting.
+	agentRestart = 3 * time.Second
 	// settleTime is how long after an outage of the source entries may be
 	// missing although their endpoints are alive.
 	settleTime = 3 * time.Second
@@ -43,8 +45,10 @@
 	// ChangedAt is the revision of the last change other than a heartbeat, or a later one.
 	ChangedAt Revision
 	// UsableUntil is until when a departed endpoint stays in use if its agent
-	// reports it alive, and may hold flows if its agent does not report.
+	// reports it alive.
 	UsableUntil time.Duration
+	// GoneAt is from when a departed endpoint holds no flows if its agent does not report.
+	GoneAt time.Duration
 }
 
 // AcceptsNew reports whether new flows may be placed at the endpoint; alive is
@@ -64,16 +68,21 @@
 }
 
 // MayHoldFlows reports whether the endpoint may hold open flows; stopped is whether its agent
-// announced that it would stop, and did, alive whether it reported recently, and asOf when the
-// directory was known to be the newest. An entry can expire while the endpoint is alive, and an
-// unresponsive agent may only be unreachable. Both together, beyond the time in which expired
-// entries are registered again, mean that the endpoint is gone: a caller that waits for it
-// longer gives up its request.
-func (e *Entry) MayHoldFlows(asOf time.Duration, alive, stopped bool) bool {
-	if e.DepartedAt == 0 || alive {
+// announced that it would stop, and did, reportedAt when it last reported, or 0, and asOf when
+// the directory was known to be the newest. An entry can expire while the endpoint is alive,
+// and an unresponsive agent may only be unreachable. Both together, beyond the time in which
+// expired entries are registered again, mean that the endpoint is gone: a caller that waits
+// for it longer gives up its request.
+func (e *Entry) MayHoldFlows(now, asOf, reportedAt time.Duration, stopped bool) bool {
+	switch {
+	case e.DepartedAt == 0:
+		return true
+	case stopped:
+		return false
+	case reportedAt != 0 && now-reportedAt < agentRestart:
 		return true
 	}
-	return !stopped && asOf < e.UsableUntil
+	return asOf < e.GoneAt
 }
 
 // State is a balancer's copy of the directory. The control goroutine owns it.
@@ -302,7 +311,7 @@
 			departedAt-- // 0 means registered
 		}
 		s.entries[d.ID] = &Entry{
-			Endpoint: d.Endpoint, FirstSeen: now, DepartedAt: departedAt, UsableUntil: departedAt + lapsedRetention, ChangedAt: d.ModRevision,
+			Endpoint: d.Endpoint, FirstSeen: now, DepartedAt: departedAt, GoneAt: now + vanishedRetention, ChangedAt: d.ModRevision,
 		}
 		added = true
 	}
@@ -372,6 +381,7 @@
 	if s.outageEnd > 0 && now-s.outageEnd < settleTime {
 		e.UsableUntil = now + lapsedRetention
 	}
+	e.GoneAt = e.UsableUntil
 }
 
 // RemoveExpired removes entries that departed longer than lifetime ago, and the
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -114,7 +114,7 @@
 	}
 	alive := load.Alive(b.now)
 	b.hasDeparted = b.hasDeparted || e.DepartedAt != 0
-	if !e.MayHoldFlows(b.state.directory.AsOf(), alive, load.Stopped(b.now)) {
+	if !e.MayHoldFlows(b.now, b.state.directory.AsOf(), load.ReportedAt(), load.Stopped(b.now)) {
 		return
 	}
 	service := b.service(e.Service)
--- a/packetbalancer/routing_table_test.go
+++ b/packetbalancer/routing_table_test.go
@@ -176,3 +176,29 @@
 	s.loads[s.agentAddress(endpointOf(1, "orders", 2).Address)].Report(later, placement.Usage{})
 	must.EqOp(t, 1, holders(later))
 }
+
+// A balancer that starts learns of departed endpoints from another one, and has had no report
+// of their agents yet: they may hold flows until their agents had time to report. An agent
+// that reported may be restarting.
+func TestDepartedEndpointIsNotGoneBeforeItsAgentCouldReport(t *testing.T) {
+	start := clock.Now()
+	running := stateWith(directory.Change{Revision: 9, Snapshot: true, AsOf: start, Desired: new(directory.Desired), Endpoints: []directory.Endpoint{endpointOf(1, "orders", 2)}})
+	running.directory.Apply(start, directory.Change{Revision: 12, After: 9, AsOf: start, Deleted: []directory.Deleted{{ID: "i-1", ModRevision: 12}}})
+	now := start + 20*time.Second
+	running.directory.ConfirmRevision(13, running.directory.Digest(), now)
+	running.loads[running.agentAddress(endpointOf(1, "orders", 2).Address)] = new(placement.AgentLoad)
+
+	started := stateWith(directory.Change{Revision: 13, Snapshot: true, AsOf: now, Desired: new(directory.Desired)})
+	snapshot := running.directorySnapshot(now, directory.Request{AllDeparted: true})
+	started.directory.Apply(now, snapshot)
+	holders := func(at time.Duration) int {
+		started.directory.ConfirmRevision(14, started.directory.Digest(), at)
+		return len(newTableBuilder(at, started).build().Agents)
+	}
+	must.EqOp(t, 1, holders(now))
+	must.EqOp(t, 1, holders(now+900*time.Millisecond))
+	must.EqOp(t, 0, holders(now+1100*time.Millisecond))
+	started.loads[started.agentAddress(endpointOf(1, "orders", 2).Address)].Report(now+time.Second, placement.Usage{})
+	must.EqOp(t, 1, holders(now+3*time.Second))
+	must.EqOp(t, 0, holders(now+5*time.Second))
+}
