Know and notify all balancers of a deployment with more than 64

A balancer recorded 64 others at most, those that it heard of first, and kept them; of 69 balancers the ones added last were recorded by nearly nobody and got no announcements. They read the registry themselves, but in the order of all balancers, each 0.2 s later: up to 14 s.

Change: 512 balancers are recorded; from the ninth in the order on, all read when their directory is 3 s old at the latest, each at a time of its own.

--- a/directory/reader_schedule.go
+++ b/directory/reader_schedule.go
@@ -16,8 +16,14 @@
 	// the order reads it too: two reads and a pause, so that one late read does
 	// not cause it.
 	takeoverBase = 1000 * time.Millisecond
-	// takeoverStep is how much later each following balancer reads.
-	takeoverStep = 200 * time.Millisecond
+	// takeoverStep is how much later each following balancer reads, up to the one of rank
+	// lastRank. Those that follow read takeoverSpread after it at the latest, each at a
+	// time of its own, so that no directory is older than lastTakeover while the source
+	// answers: a change must be in force within three seconds and more.
+	takeoverStep   = 200 * time.Millisecond
+	lastRank       = 8
+	takeoverSpread = 400 * time.Millisecond
+	lastTakeover   = takeoverBase + lastRank*takeoverStep + takeoverSpread
 	// retryBase and retryMax are the shortest and the longest pause after
 	// failed reads; the pause doubles with each failure.
 	retryBase = 200 * time.Millisecond
@@ -30,7 +36,7 @@
 	peerLifetime = 2 * time.Second
 	// maxPeers bounds how many other balancers are recorded and notified of
 	// changes directly.
-	maxPeers = 64
+	maxPeers = 512
 )
 
 // ReaderSchedule decides when this balancer reads the source. All balancers
@@ -98,7 +104,7 @@
 	}
 	if known {
 		rank := s.rank(now)
-		if rank > 0 && now-asOf < takeoverBase+time.Duration(rank)*takeoverStep {
+		if rank > 0 && now-asOf < s.takeover(rank) {
 			return false
 		}
 	}
@@ -106,6 +112,14 @@
 	return true
 }
 
+// takeover returns the age of the directory from which a balancer of the given rank reads.
+func (s *ReaderSchedule) takeover(rank int) time.Duration {
+	if rank <= lastRank {
+		return takeoverBase + time.Duration(rank)*takeoverStep
+	}
+	return takeoverBase + lastRank*takeoverStep + time.Duration(s.position%uint64(takeoverSpread))
+}
+
 // Ended records the end of a read.
 func (s *ReaderSchedule) Ended(now time.Duration, failed bool) {
 	s.reading, s.lastEnded = false, now
--- a/directory/reader_schedule_test.go
+++ b/directory/reader_schedule_test.go
@@ -140,3 +140,29 @@
 	must.SliceEmpty(t, schedule.Peers(time.Second+peerLifetime+1))
 	must.EqOp(t, 0, schedule.rank(time.Second+peerLifetime+1))
 }
+
+// With hundreds of balancers, all are known and notified, and none lets its directory become
+// older than lastTakeover before it reads the source itself: no announcement may reach it.
+func TestNoBalancerWaitsLongerInALargeDeployment(t *testing.T) {
+	const balancers = 150
+	address := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7)
+	}
+	now := time.Minute
+	reading := make(map[time.Duration]int)
+	for i := range balancers {
+		s := NewReaderSchedule(address(i))
+		for j := range balancers {
+			s.RecordPeer(now, address(j))
+		}
+		must.Len(t, balancers-1, s.Peers(now))
+		age := time.Duration(0)
+		for ; age <= lastTakeover && !s.Due(now, now-age, true); age += 20 * time.Millisecond {
+		}
+		must.LessEq(t, lastTakeover, age)
+		reading[age]++
+	}
+	for _, count := range reading {
+		must.LessEq(t, balancers/10, count, must.Sprint("balancers that read at the same moment"))
+	}
+}
