--- a/packetbalancer/departed.go
+++ b/packetbalancer/departed.go
@@ -19,8 +19,8 @@
 	// of them restart, callers wait for the resets of their lost flows.
 	surveyTimeout = 150 * time.Millisecond
 	// surveyConcurrency is how many balancers are queried at a time, maxSurveyedPeers
-	// how many in total.
-	surveyConcurrency = 4
+	// how many in total. While all of them restart, most queries end by the timeout.
+	surveyConcurrency = 16
 	maxSurveyedPeers  = 64
 )
 
