Do not wait for the answers of assumed former services

Eight agents of drawings ran without an endpoint, could deny nothing, and so no lost flow of any service was reset: 223 of 1,769 requests failed four seconds after the loss, all by their time limit.

Change: the assumed services are queried as before, and awaited for 0.3 s at most. A service that a route is known to have left is awaited as before.

--- a/flow/retry.go
+++ b/flow/retry.go
@@ -28,7 +28,11 @@
 		}
 		s.retries++
 		s.retryAt = now + min(retryInterval<<min(s.retries, 8), maxRetryInterval)
-		if d := a.retry(now, key, s, route, routing); d.searches() {
+		d := a.retry(now, key, s, route, routing)
+		if !d.searches() {
+			d = a.endIfDenied(now, key, routing)
+		}
+		if d.searches() || d.SendReset {
 			packet := Packet{Flow: key, Acknowledged: s.acknowledged}
 			retried = append(retried, Resend{Packet: packet, Decision: d, Datagram: s.packet})
 		}
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -60,6 +60,9 @@
 	// opened earlier. They get no new flows. Services in Shares are ignored, so that routes
 	// can have one list in common.
 	Former []*Service
+	// FormerAssumed is true if the services that the route left are not known, and Former
+	// has all services for that reason.
+	FormerAssumed bool
 }
 
 // present iterates over the services to which the route sends new flows.
--- a/flow/search.go
+++ b/flow/search.go
@@ -23,6 +23,9 @@
 	// querySize is the number of bytes that a query costs for each agent: a flow's key and
 	// the acknowledgment, with a share of the headers.
 	querySize = 24
+	// assumedTimeout is how long a search waits for answers about a former service that the
+	// route is only assumed to have: many times the time of an answer.
+	assumedTimeout = 300 * time.Millisecond
 	// defaultSearchRate limits searches, in bytes per second, unless the settings state
 	// the machine's link: a quarter of 10 Mbit/s, the slowest link.
 	defaultSearchRate = 312_500
@@ -258,6 +261,16 @@
 	return a.sendSearch(now, key, s, route, routing, []Address{agent}), s.packet
 }
 
+// awaited returns the services whose agents must deny the flow before it ends. Those that the
+// route is only assumed to have left are queried, but not waited for beyond assumedTimeout:
+// one agent without an endpoint would hold up the lost flows of every service.
+func (s *search) awaited(now Timestamp, route *Route) iter.Seq[*Service] {
+	if route.FormerAssumed && now-s.startedAt >= assumedTimeout {
+		return route.present
+	}
+	return route.holders
+}
+
 // endIfDenied ends a flow if the routing table is complete and every endpoint that may
 // hold the flow has denied it.
 func (a *Assignments) endIfDenied(now Timestamp, key Key, routing *RoutingTable) Decision {
@@ -265,7 +278,7 @@
 	switch {
 	case route == nil:
 		return Decision{Reason: UnknownAddress}
-	case len(s.remaining(route.holders)) > 0 || !routing.Complete:
+	case len(s.remaining(s.awaited(now, route))) > 0 || !routing.Complete:
 		return Decision{Reason: Searched}
 	case !route.hasHolders():
 		return Decision{Reason: NoEndpoint}
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -79,7 +79,7 @@
 		}
 	}
 	for _, route := range b.table.Routes {
-		route.Former = holders
+		route.Former, route.FormerAssumed = holders, true
 	}
 }
 
