Log when the registry was restored, and updates that are not applied

No line said that a read was not applied, or which history its revision belongs to. Events 3112 and 3113 name the era (the registry's Store-Era) and both revisions.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -12,9 +12,14 @@
 	"time"
 )
 
-// Revision numbers the changes of the source.
+// Revision numbers the changes of the source within an era.
 type Revision uint64
 
+// Era numbers the histories of the source. A source that is restored from a copy begins a
+// new era: it has lost the changes since the copy was made, and assigns their revisions
+// again. It is 0 for a source that does not number its eras.
+type Era uint64
+
 // Share is the part of a route's new flows that a service receives.
 type Share struct {
 	Service string `json:"service"`
@@ -62,6 +67,8 @@
 // Change is an update read from the source or received from another balancer:
 // either the increment after a revision or a full snapshot.
 type Change struct {
+	// Era is the era of the source to which the revisions belong.
+	Era Era
 	// Revision is the revision of the receiver after the update.
 	Revision Revision
 	// After is the revision that an increment follows. A receiver with a lower
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -70,6 +70,8 @@
 	lastComparison time.Duration
 	// fullRead is true if the next read must load the whole directory.
 	fullRead bool
+	// era is the era of the registry at the last read.
+	era directory.Era
 	// sourceDown is true if the last read of the registry failed.
 	sourceDown bool
 	fetching   bool
--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -65,6 +65,8 @@
 	if m.err != nil {
 		return
 	}
+	s.recordEra(m.change)
+	s.logIfOlder(m.change, "registry")
 	changed, ok := s.directory.Apply(now, m.change)
 	s.fullRead = !ok
 	if ok {
@@ -84,6 +86,25 @@
 	s.sourceDown = err != nil
 }
 
+// recordEra logs when the registry has been restored from a copy since the last read.
+func (s *state) recordEra(read directory.Change) {
+	if s.era != 0 && read.Era != s.era {
+		s.log.Emit(EventRegistryRestored, event.Fields{
+			"era": read.Era, "era_before": s.era, "revision": read.Revision, "known_revision": s.directory.Revision(),
+		})
+	}
+	s.era = read.Era
+}
+
+// logIfOlder logs an update that is older than the directory here.
+func (s *state) logIfOlder(c directory.Change, source string) {
+	if s.directory.Known() && c.Revision < s.directory.Revision() {
+		s.log.Emit(EventNotApplied, event.Fields{
+			"source": source, "era": c.Era, "revision": c.Revision, "known_revision": s.directory.Revision(),
+		})
+	}
+}
+
 func (s *state) fetchEnded(now time.Duration, m fetchEnded) {
 	s.fetching = false
 	s.applyFetched(now, m)
@@ -95,6 +116,7 @@
 		s.log.Emit(EventPeerFailed, event.Fields{"peer": m.from, "cause": m.err.Error()})
 		return
 	}
+	s.logIfOlder(m.change, m.from.String())
 	changed, ok := s.directory.Apply(now, m.change)
 	if !ok {
 		s.contentDiffers = true
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -23,6 +23,8 @@
 	EventPeerFailed         = event.Define(3105, logrus.WarnLevel, "fetching the directory from a balancer failed")
 	EventHistoryUnavailable = event.Define(3106, logrus.InfoLevel, "registry no longer has the change history")
 	EventEntryRefused       = event.Define(3108, logrus.WarnLevel, "registry entry rejected")
+	EventRegistryRestored   = event.Define(3112, logrus.WarnLevel, "registry was restored from a copy")
+	EventNotApplied         = event.Define(3113, logrus.InfoLevel, "older directory not applied")
 	EventEndpointSlow       = event.Define(3109, logrus.WarnLevel, "endpoint answers slowly")
 	EventEndpointRecovered  = event.Define(3110, logrus.InfoLevel, "endpoint answers at normal speed again")
 	EventComplete           = event.Define(3111, logrus.InfoLevel, "all endpoints that may hold flows are known")
