Tests that fail: a registry restored from a copy is not followed

Callers saw a confirmed change of the desired state that was not in force after the registry was restored. The stand-in store can now be restored from a copy.

--- a/standin/e2e/packets_test.go
+++ b/standin/e2e/packets_test.go
@@ -163,6 +163,29 @@
 	c.mustUpholdInvariants()
 }
 
+// A registry that is restored from a copy assigns its revisions again. Changes made since, at
+// revisions that the balancers know with other content, are in force on all of them, and
+// no desired state older than one in force comes back.
+func TestPacketRestoredRegistryIsFollowed(t *testing.T) {
+	t.Parallel()
+	c := newPacketCluster(t, 3)
+	kept, added := netip.MustParseAddrPort("198.18.0.8:98"), netip.MustParseAddrPort("198.18.0.9:99")
+	copied := c.store.Copy()
+	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", kept: "drawings"})
+	c.awaitBalancers("desired state in force", `"version":6`)
+	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", kept: "drawings"})
+	c.awaitBalancers("desired state in force", `"version":9`)
+	c.store.Restore(copied)
+	c.awaitBalancers("registry was restored", `"era":2`)
+	must.True(t, c.tryRequest(kept), must.Sprint("a desired state that the registry lost stays in force"))
+	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", added: "drawings"})
+	c.awaitBalancers("desired state in force", `"version":12`)
+	must.True(t, c.tryRequest(added))
+	_, err := c.caller.Open(kept)
+	must.Error(t, err)
+	c.mustUpholdInvariants()
+}
+
 // An address that is reused by another service gets no flow of its former service.
 func TestPacketAddressReusedByAnotherService(t *testing.T) {
 	t.Parallel()
--- a/standin/packets/store.go
+++ b/standin/packets/store.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -42,15 +43,51 @@
 	changed   chan struct{}
 	revision  int
 	compacted int // revision at the last compaction
+	era       int // rises with each restore
 	items     map[string]item
 	history   []item
+	copies    map[int]storeCopy // by revision
 	modes     map[string]Mode
 	calls     int
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{changed: make(chan struct{}), items: make(map[string]item), modes: make(map[string]Mode)}
+	return &Store{
+		changed: make(chan struct{}), era: 1, items: make(map[string]item), modes: make(map[string]Mode), copies: make(map[int]storeCopy),
+	}
+}
+
+// storeCopy is the content of a store at a revision.
+type storeCopy struct {
+	items   map[string]item
+	history []item
+}
+
+// Copy makes a copy of the content for a later Restore, and returns its revision.
+func (s *Store) Copy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies[s.revision] = storeCopy{items: maps.Clone(s.items), history: slices.Clone(s.history)}
+	return s.revision
+}
+
+// Restore replaces the content by the copy of a revision. The changes since are lost, and
+// their revisions are assigned again; a new era begins.
+func (s *Store) Restore(revision int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	restored := s.copies[revision]
+	s.items, s.history, s.revision = maps.Clone(restored.items), slices.Clone(restored.history), revision
+	s.compacted = min(s.compacted, revision)
+	s.era++
+	s.wake()
+}
+
+// wake wakes the watches that wait. The caller holds mu.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // Put writes a value as JSON.
@@ -79,8 +116,7 @@
 	} else {
 		s.items[it.Key] = it
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // SetMode sets the mode for clients at an IP address, or for all clients if ip is empty. Where
@@ -138,7 +174,7 @@
 	}
 	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(a.Key, b.Key) })
 	truncated := len(items) > pageSize
-	answer(w, map[string]any{"items": items[:min(len(items), pageSize)], "truncated": truncated, "current-rev": s.revision})
+	answer(w, s.era, map[string]any{"items": items[:min(len(items), pageSize)], "truncated": truncated, "current-rev": s.revision})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
@@ -147,14 +183,15 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		events, revision, compacted, changed := s.since(after), s.revision, after < s.compacted, s.changed
+		events, revision, unknown, era, changed := s.since(after), s.revision, after < s.compacted || after > s.revision, s.era, s.changed
 		s.mu.Unlock()
-		if compacted {
+		if unknown {
+			w.Header().Set(eraHeader, strconv.Itoa(era))
 			w.WriteHeader(http.StatusGone)
 			return
 		}
 		if len(events) > 0 {
-			answer(w, map[string]any{"events": events, "current-rev": revision})
+			answer(w, era, map[string]any{"events": events, "current-rev": revision})
 			return
 		}
 		select {
@@ -162,7 +199,7 @@
 		case <-r.Context().Done():
 			return
 		case <-timeout:
-			answer(w, map[string]any{"events": []item{}, "current-rev": revision})
+			answer(w, era, map[string]any{"events": []item{}, "current-rev": revision})
 			return
 		}
 	}
@@ -177,7 +214,11 @@
 	return events
 }
 
-func answer(w http.ResponseWriter, body any) {
+// eraHeader has the store's era in each answer.
+const eraHeader = "Store-Era"
+
+func answer(w http.ResponseWriter, era int, body any) {
+	w.Header().Set(eraHeader, strconv.Itoa(era))
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(body)
 }
