Order the directory by the registry's era, versions and endpoints' own writes

Callers saw a confirmed change of the desired state that was not in force after the registry was restored from a copy, and refusals on routes that had been added.

Cause: revisions alone ordered contents. A restored registry assigns its revisions again, so its answers counted as older, and what it wrote at a revision already known was never read: a watch from there succeeds and has nothing.

Positions now have the registry's era before the revision; a watch that is answered by another era is a lost history, and a full read follows. A restored registry has lost writes that are in force: the version orders desired states, and incarnation and sequence number an endpoint's writes, so that no desired state comes back older and no drain is undone. An entry listed again without a later write may be of an endpoint that has stopped: it gets new flows only while its agent reports. Balancers send each other era and digest; one that gets less than it has tells the sender. A starting balancer is not ready without a desired state.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -2,12 +2,15 @@
 // desired state, with every route, and the endpoints that register themselves.
 // A few balancers read it from its source; the others fetch it from them.
 //
-// Invariant: the content for a revision of the source is the same on every node
-// that has it, so revisions alone order the contents, and a node's revision
-// never decreases while it runs.
+// Invariant: a node's position never decreases while it runs. Nodes at the same
+// position have the same content once they have exchanged it: what the source says
+// there, joined with what is known to be later. A source that was restored from a copy
+// has lost writes that are in force; versions order desired states, and the incarnations
+// and sequence numbers of endpoints their entries, whatever the source's era.
 package directory
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -20,6 +23,17 @@
 // again. It is 0 for a source that does not number its eras.
 type Era uint64
 
+// Position is a point in the history of the source.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
+// Compare compares two positions by era, then by revision.
+func (p Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Revision, other.Revision))
+}
+
 // Share is the part of a route's new flows that a service receives.
 type Share struct {
 	Service string `json:"service"`
@@ -35,24 +49,36 @@
 
 // Desired is the desired state. All of it comes into force at once.
 type Desired struct {
-	// Version is assigned by the operator and increases.
+	// Version is assigned by the operator and increases. Desired states with the same
+	// version have the same content.
 	Version int64 `json:"version"`
-	// ModRevision is the source's revision of the last change.
+	// Era and ModRevision are the source's era and revision of the last change.
+	Era         Era      `json:"era"`
 	ModRevision Revision `json:"changed"`
 	Routes      []Route  `json:"routes"`
 	// IdleTime is how long an idle flow is retained.
 	IdleTime time.Duration `json:"idle_time"`
 }
 
+// Compare compares two desired states by version, and equal versions by when the source
+// got them. The greater one is in force.
+func (d *Desired) Compare(other *Desired) int {
+	return cmp.Or(
+		cmp.Compare(d.Version, other.Version), cmp.Compare(d.Era, other.Era), cmp.Compare(d.ModRevision, other.ModRevision),
+	)
+}
+
 // Endpoint is one incarnation of a backend server, as it registered itself.
 type Endpoint struct {
 	ID string `json:"id"`
 	// Incarnation distinguishes incarnations under one ID. It is the time of the start, in
 	// milliseconds since the Unix epoch, by the endpoint's clock.
-	Incarnation int64          `json:"born"`
-	Service     string         `json:"service"`
-	Address     netip.AddrPort `json:"address"`
-	Zone        string         `json:"zone"`
+	Incarnation int64 `json:"born"`
+	// Sequence counts what the incarnation has written, heartbeats included.
+	Sequence uint64         `json:"sequence"`
+	Service  string         `json:"service"`
+	Address  netip.AddrPort `json:"address"`
+	Zone     string         `json:"zone"`
 	// Slots is how many requests it processes at once.
 	Slots int `json:"slots"`
 	// Draining is true if it accepts no new flows.
@@ -60,8 +86,17 @@
 	// WarmUpTime is the endpoint's remaining warm-up time, in which it is slow,
 	// when it wrote this entry.
 	WarmUpTime time.Duration `json:"cold_for"`
-	// ModRevision is the source's revision of the last change.
+	// ModRevision is the source's revision of the last change, or 0 if that was in an
+	// earlier era.
 	ModRevision Revision `json:"changed"`
+	// Relisted is true, between balancers, if the entry may be a copy of one that had been
+	// deleted.
+	Relisted bool `json:"relisted,omitempty"`
+}
+
+// laterThan reports whether the endpoint wrote e after other. Both have the same ID.
+func (e Endpoint) laterThan(other Endpoint) bool {
+	return cmp.Or(cmp.Compare(e.Incarnation, other.Incarnation), cmp.Compare(e.Sequence, other.Sequence)) > 0
 }
 
 // Change is an update read from the source or received from another balancer:
@@ -103,8 +138,13 @@
 	// Complete is true if the sender knows every endpoint that may hold open
 	// flows.
 	Complete bool
+	// Digest is the digest of the sender's content, or 0 if the update is from the source.
+	Digest uint64
 }
 
+// Position returns the position of the receiver after the update.
+func (c Change) Position() Position { return Position{Era: c.Era, Revision: c.Revision} }
+
 // Departed is an endpoint that is no longer registered.
 type Departed struct {
 	Endpoint
--- a/directory/exchange/codec.go
+++ b/directory/exchange/codec.go
@@ -10,7 +10,9 @@
 
 func encode(c directory.Change, now time.Duration) *directorypb.FetchResponse {
 	r := &directorypb.FetchResponse{
+		Era:      uint64(c.Era),
 		Revision: uint64(c.Revision),
+		Digest:   c.Digest,
 		AgeUs:    uint64(max(now-c.AsOf, 0).Microseconds()),
 		Desired:  encodeDesired(c.Desired),
 		Complete: c.Complete,
@@ -43,6 +45,7 @@
 		Id: e.ID, Born: e.Incarnation, Service: e.Service, Address: e.Address.String(), Zone: e.Zone,
 		Slots: uint32(e.Slots), Draining: e.Draining,
 		ColdUs: uint64(e.WarmUpTime.Microseconds()), Changed: uint64(e.ModRevision),
+		Sequence: e.Sequence, Relisted: e.Relisted,
 	}
 }
 
@@ -51,7 +54,7 @@
 		return nil
 	}
 	encoded := &directorypb.Desired{
-		Version: d.Version, Changed: uint64(d.ModRevision), IdleUs: uint64(d.IdleTime.Microseconds()),
+		Version: d.Version, Era: uint64(d.Era), Changed: uint64(d.ModRevision), IdleUs: uint64(d.IdleTime.Microseconds()),
 	}
 	for _, route := range d.Routes {
 		r := &directorypb.Route{Name: route.Name, Address: route.Address.String()}
@@ -67,7 +70,9 @@
 // version of the sender may send. sentAt is when the request was sent.
 func decode(r *directorypb.FetchResponse, sentAt time.Duration) directory.Change {
 	c := directory.Change{
+		Era:      directory.Era(r.GetEra()),
 		Revision: directory.Revision(r.GetRevision()),
+		Digest:   r.GetDigest(),
 		After:    directory.Revision(r.GetAfter()),
 		Snapshot: r.GetAfter() == 0,
 		AsOf:     sentAt - microseconds(r.GetAgeUs()),
@@ -106,12 +111,13 @@
 		ID: e.GetId(), Incarnation: e.GetBorn(), Service: e.GetService(), Address: address, Zone: e.GetZone(),
 		Slots: int(e.GetSlots()), Draining: e.GetDraining(),
 		WarmUpTime: microseconds(e.GetColdUs()), ModRevision: directory.Revision(e.GetChanged()),
+		Sequence: e.GetSequence(), Relisted: e.GetRelisted(),
 	}, err == nil
 }
 
 func decodeDesired(d *directorypb.Desired) *directory.Desired {
 	decoded := &directory.Desired{
-		Version: d.GetVersion(), ModRevision: directory.Revision(d.GetChanged()), IdleTime: microseconds(d.GetIdleUs()),
+		Version: d.GetVersion(), Era: directory.Era(d.GetEra()), ModRevision: directory.Revision(d.GetChanged()), IdleTime: microseconds(d.GetIdleUs()),
 	}
 	for _, route := range d.GetRoutes() {
 		address, err := netip.ParseAddrPort(route.GetAddress())
--- a/directory/exchange/exchange.go
+++ b/directory/exchange/exchange.go
@@ -56,7 +56,8 @@
 // Fetch returns what the sender of the request lacks.
 func (s *Server) Fetch(ctx context.Context, r *directorypb.FetchRequest) (*directorypb.FetchResponse, error) {
 	request := directory.Request{
-		Revision: directory.Revision(r.GetKnownRevision()), Desired: directory.Revision(r.GetKnownDesired()), AllDeparted: r.GetAllDeparted(),
+		Position: directory.Position{Era: directory.Era(r.GetEra()), Revision: directory.Revision(r.GetKnownRevision())},
+		Version:  r.GetKnownVersion(), AllDeparted: r.GetAllDeparted(),
 	}
 	snapshot, err := control.Call(ctx, s.loop, func(reply chan<- SnapshotReply) control.Message {
 		return SnapshotRequested{Request: request, Reply: reply}
@@ -91,7 +92,7 @@
 	client := directorypbconnect.NewDirectoryServiceClient(c.http, "http://"+peer.String())
 	sentAt := clock.Now()
 	response, err := client.Fetch(ctx, &directorypb.FetchRequest{
-		KnownRevision: uint64(r.Revision), KnownDesired: uint64(r.Desired), AllDeparted: r.AllDeparted,
+		Era: uint64(r.Era), KnownRevision: uint64(r.Revision), KnownVersion: r.Version, AllDeparted: r.AllDeparted,
 	})
 	if err != nil {
 		return directory.Change{}, err
--- a/directory/route_history.go
+++ b/directory/route_history.go
@@ -30,10 +30,10 @@
 // Invariant: every service to which a present route sent new flows at or after since,
 // and no longer does, has an entry, unless its flows have expired.
 type routeHistory struct {
-	// since is from when the history is known, and from the revision of the desired state
+	// since is from when the history is known, and from the version of the desired state
 	// that was in force then.
 	since time.Duration
-	from  Revision
+	from  int64
 	// former has the time at which each route last sent flows to the service.
 	former map[routeService]time.Duration
 }
@@ -45,15 +45,15 @@
 	return routeHistory{former: make(map[routeService]time.Duration)}
 }
 
-// begin starts the history anew with the desired state of the given revision.
-func (h *routeHistory) begin(now time.Duration, from Revision) { h.since, h.from = now, from }
+// begin starts the history anew with the desired state of the given version.
+func (h *routeHistory) begin(now time.Duration, from int64) { h.since, h.from = now, from }
 
 // merge adds the history of another balancer, which knows every desired state in force
 // during the given span, the last of which is its desired state. It reports whether
 // former services were added. present is the desired state in force here.
 func (h *routeHistory) merge(now, span time.Duration, last *Desired, former []FormerService, present *Desired) bool {
 	before := len(h.former)
-	if last.ModRevision < present.ModRevision {
+	if last.Compare(present) < 0 {
 		h.replaced(now, last, present)
 	}
 	for _, f := range former {
@@ -61,8 +61,8 @@
 	}
 	h.restrictTo(servicesOf(present))
 	// A balancer whose desired state is older may lack states that were in force since.
-	if last.ModRevision >= h.from && now-span < h.since {
-		h.since, h.from = now-span, present.ModRevision
+	if last.Version >= h.from && now-span < h.since {
+		h.since, h.from = now-span, present.Version
 	}
 	return len(h.former) != before
 }
--- a/directory/source.go
+++ b/directory/source.go
@@ -9,10 +9,11 @@
 type Source interface {
 	// Load returns a full snapshot.
 	Load(ctx context.Context) (Change, error)
-	// Watch returns the changes after a revision as soon as there are any, or
+	// Watch returns the changes after a position as soon as there are any, or
 	// an empty change after the given time. It fails with ErrHistoryUnavailable
-	// if the source no longer has those changes and Load is needed.
-	Watch(ctx context.Context, after Revision, wait time.Duration) (Change, error)
+	// if the source no longer has those changes, or is in another era, and Load is
+	// needed.
+	Watch(ctx context.Context, after Position, wait time.Duration) (Change, error)
 }
 
 // HistoryUnavailableError reports that the source no longer has the changes
--- a/directory/state.go
+++ b/directory/state.go
@@ -27,6 +27,9 @@
 	// outageGap is the time between two successful reads that counts as an
 	// outage: several times the usual pause between two reads.
 	outageGap = 2 * time.Second
+	// relistedTime is how long the entry of an endpoint that has stopped may be listed by a
+	// restored source: until three heartbeats are missing, and the source was read again.
+	relistedTime = 5 * time.Second
 )
 
 // Entry is an endpoint and its status on this balancer.
@@ -49,15 +52,36 @@
 	UsableUntil time.Duration
 	// GoneAt is from when a departed endpoint holds no flows if its agent does not report.
 	GoneAt time.Duration
+	// RelistedUntil is until when the entry may be a copy: a restored source lists it
+	// although it had been deleted, and the endpoint has not written it since.
+	RelistedUntil time.Duration
+}
+
+// relisted reports whether the entry may be a copy of one that had been deleted.
+func (e *Entry) relisted(now time.Duration) bool { return e.DepartedAt == 0 && now < e.RelistedUntil }
+
+// Doubtful reports whether the endpoint may be gone: it is not registered, or its entry may
+// be a copy of one that had been deleted.
+func (e *Entry) Doubtful(now time.Duration) bool { return e.DepartedAt != 0 || e.relisted(now) }
+
+// Replaces reports whether e is the entry to use for an address that other has too.
+func (e *Entry) Replaces(other *Entry, now time.Duration) bool {
+	if doubtful := e.Doubtful(now); doubtful != other.Doubtful(now) {
+		return !doubtful
+	}
+	return cmp.Or(cmp.Compare(e.ModRevision, other.ModRevision), cmp.Compare(e.Incarnation, other.Incarnation)) > 0
 }
 
 // AcceptsNew reports whether new flows may be placed at the endpoint; alive is
 // whether its agent reported it recently.
 func (e *Entry) AcceptsNew(now time.Duration, alive bool) bool {
-	if e.Draining {
+	switch {
+	case e.Draining:
 		return false
+	case e.DepartedAt == 0:
+		return alive || !e.relisted(now)
 	}
-	return e.DepartedAt == 0 || alive && now < e.UsableUntil
+	return alive && now < e.UsableUntil
 }
 
 // AcceptsWhileDraining reports whether a draining endpoint may still get new flows if its
@@ -75,7 +99,7 @@
 // for it longer gives up its request.
 func (e *Entry) MayHoldFlows(now, asOf, reportedAt time.Duration, stopped bool) bool {
 	switch {
-	case e.DepartedAt == 0:
+	case !e.Doubtful(now):
 		return true
 	case stopped:
 		return false
@@ -87,6 +111,7 @@
 
 // State is a balancer's copy of the directory. The control goroutine owns it.
 type State struct {
+	era      Era
 	revision Revision
 	asOf     time.Duration
 	// outageEnd is when the source last became reachable after an outage.
@@ -117,6 +142,9 @@
 // Revision returns the current revision.
 func (s *State) Revision() Revision { return s.revision }
 
+// Position returns the current position.
+func (s *State) Position() Position { return Position{Era: s.era, Revision: s.revision} }
+
 // AsOf returns when the revision was known to be the newest.
 func (s *State) AsOf() time.Duration { return s.asOf }
 
@@ -144,12 +172,12 @@
 func (s *State) Snapshot(now time.Duration) Change {
 	desired := s.desired
 	c := Change{
-		Revision: s.revision, Snapshot: true, AsOf: s.asOf, Desired: &desired,
+		Era: s.era, Revision: s.revision, Snapshot: true, AsOf: s.asOf, Desired: &desired, Digest: s.Digest(),
 		Former: s.routes.snapshot(now), RouteHistory: max(now-s.routes.since, 1),
 	}
 	for _, e := range s.entries {
 		if e.DepartedAt == 0 {
-			c.Endpoints = append(c.Endpoints, e.Endpoint)
+			c.Endpoints = append(c.Endpoints, e.message(now))
 		} else {
 			c.Departed = append(c.Departed, Departed{Endpoint: e.Endpoint, Age: now - e.DepartedAt})
 		}
@@ -158,12 +186,19 @@
 	return c
 }
 
+// message returns the endpoint as it is sent to other balancers.
+func (e *Entry) message(now time.Duration) Endpoint {
+	endpoint := e.Endpoint
+	endpoint.Relisted = e.relisted(now)
+	return endpoint
+}
+
 // Request describes what a balancer has of the directory that it requests.
 type Request struct {
-	// Revision is its revision, or 0 if it has none; Desired is the source's revision of its
-	// desired state.
-	Revision Revision
-	Desired  Revision
+	// Position is its position; the revision is 0 if it has no directory.
+	Position
+	// Version is the version of its desired state, or 0 if it has none.
+	Version int64
 	// AllDeparted requests every departed endpoint, whenever it departed.
 	AllDeparted bool
 }
@@ -172,10 +207,10 @@
 // it has no directory or one so old that deletions since may have been forgotten.
 func (s *State) ChangesFor(now time.Duration, r Request) Change {
 	c := s.Snapshot(now)
-	if r.Revision != 0 && r.Revision >= s.changesFrom {
+	if r.Era == s.era && r.Revision != 0 && r.Revision >= s.changesFrom {
 		c = s.increment(now, r)
 	}
-	if r.Desired != 0 && r.Desired == s.desired.ModRevision {
+	if r.Version != 0 && r.Version == s.desired.Version {
 		c.Desired, c.DesiredKnown = nil, true
 	}
 	return c
@@ -185,13 +220,13 @@
 func (s *State) increment(now time.Duration, r Request) Change {
 	desired := s.desired
 	c := Change{
-		Revision: s.revision, After: r.Revision, AsOf: s.asOf, Desired: &desired,
+		Era: s.era, Revision: s.revision, After: r.Revision, AsOf: s.asOf, Desired: &desired, Digest: s.Digest(),
 		Former: s.routes.snapshot(now), RouteHistory: max(now-s.routes.since, 1),
 	}
 	for id, e := range s.entries {
 		changed := e.ChangedAt > r.Revision
-		if changed && e.DepartedAt == 0 {
-			c.Endpoints = append(c.Endpoints, e.Endpoint)
+		if e.DepartedAt == 0 && (changed || r.AllDeparted && e.relisted(now)) {
+			c.Endpoints = append(c.Endpoints, e.message(now))
 		}
 		if changed && e.DepartedAt != 0 {
 			c.Deleted = append(c.Deleted, Deleted{ID: id, ModRevision: e.ModRevision})
@@ -203,17 +238,17 @@
 	return c
 }
 
-// ConfirmRevision records that a revision with the given digest was the newest
-// at asOf, and reports whether the content need not be fetched: it is the same
-// as here, or older. If it returns false, the content must be fetched.
-func (s *State) ConfirmRevision(revision Revision, digest uint64, asOf time.Duration) bool {
-	if !s.known || revision < s.revision {
+// Confirm records that a position with the given digest was the newest at asOf, and
+// reports whether the content need not be fetched: it is the same as here, or older. If
+// it returns false, the content must be fetched.
+func (s *State) Confirm(position Position, digest uint64, asOf time.Duration) bool {
+	if !s.known || position.Compare(s.Position()) < 0 {
 		return s.known
 	}
-	if digest != s.Digest() {
+	if position.Era != s.era || digest != s.Digest() {
 		return false
 	}
-	s.revision = revision
+	s.revision = position.Revision
 	s.advanceAsOf(asOf)
 	return true
 }
@@ -232,22 +267,27 @@
 
 // Apply applies an update and reports whether the content changed. An increment
 // is refused, and ok is false, if no directory was received yet or if the
-// increment follows a revision higher than the current one.
+// increment follows a position higher than the current one.
 func (s *State) Apply(now time.Duration, c Change) (changed, ok bool) {
-	if !c.Snapshot && (!s.known || c.After > s.revision) {
+	isOlder := s.known && c.Position().Compare(s.Position()) < 0
+	if !c.Snapshot && !isOlder && (!s.known || c.Era != s.era || c.After > s.revision) {
 		return false, false
 	}
-	added := s.addDeparted(now, c.Departed)
-	if c.Revision < s.revision {
-		return s.mergeRouteHistory(now, c) || added, true
-	}
 	before := s.Digest()
+	if s.known && c.Era > s.era {
+		s.beginEra(c)
+	}
+	added := s.addDeparted(now, c.Departed)
 	s.applyDesired(now, c)
+	if isOlder {
+		s.mergeEntries(now, c)
+		return s.mergeRouteHistory(now, c) || added || s.Digest() != before, true
+	}
 	added = s.mergeRouteHistory(now, c) || added
 	asOf := s.asOf
 	s.advanceAsOf(c.AsOf)
 	for _, e := range c.Endpoints {
-		s.put(now, asOf, e)
+		added = s.put(now, asOf, e) || added
 	}
 	if c.Snapshot {
 		s.markMissing(now, c)
@@ -258,22 +298,47 @@
 	if c.Snapshot {
 		s.changesFrom = c.Revision // it does not show what was deleted before
 	}
-	s.revision, s.known = c.Revision, true
+	s.era, s.revision, s.known = c.Era, c.Revision, true
 	return added || s.Digest() != before, true
 }
 
+// beginEra prepares for the first snapshot of a later era, whose revisions cannot be compared
+// with those known. Entries that were written after the copy was made are missing until
+// their endpoints write them again, as after an outage.
+func (s *State) beginEra(c Change) {
+	s.era, s.revision, s.outageEnd = c.Era, 0, max(s.outageEnd, c.AsOf)
+	for _, e := range s.entries {
+		e.ModRevision, e.ChangedAt = 0, 0
+	}
+}
+
+// mergeEntries takes what an older update knows of registered endpoints beyond the
+// entries here. Those may be copies in a restored source.
+func (s *State) mergeEntries(now time.Duration, c Change) {
+	for _, e := range c.Endpoints {
+		existing := s.entries[e.ID]
+		switch {
+		case existing == nil || existing.DepartedAt != 0 || !e.laterThan(existing.Endpoint):
+		case c.Era == s.era && e.ModRevision != existing.ModRevision: // the revisions decide
+		default:
+			e.ModRevision = existing.ModRevision
+			s.put(now, s.asOf, e)
+		}
+	}
+}
+
 // applyDesired puts the desired state of an update into force, if it has a newer one.
 func (s *State) applyDesired(now time.Duration, c Change) {
-	if c.Desired == nil || c.Desired.ModRevision < s.desired.ModRevision {
+	if c.Desired == nil || c.Desired.Compare(&s.desired) < 0 {
 		return
 	}
 	before := s.desired
 	s.desired = *c.Desired
 	switch {
-	case !s.known && s.routes.since != systemStart, s.known && c.skips(now-s.asOf) && c.Desired.ModRevision != before.ModRevision:
-		s.routes.begin(now, c.Desired.ModRevision)
+	case !s.known && s.routes.since != systemStart, s.known && c.skips(now-s.asOf) && c.Desired.Version != before.Version:
+		s.routes.begin(now, c.Desired.Version)
 	case !s.known:
-		s.routes.from = c.Desired.ModRevision
+		s.routes.from = c.Desired.Version
 	}
 	for _, superseded := range c.Superseded {
 		s.routes.replaced(now, superseded, &s.desired)
@@ -298,12 +363,16 @@
 	return s.routes.merge(now, c.RouteHistory, desired, c.Former, &s.desired)
 }
 
-// addDeparted adds the departed endpoints without an entry here, and reports
-// whether there were any.
+// addDeparted adds the departed endpoints without an entry here, and reports whether there
+// were any. A registered entry that is not later than the departed one is a copy.
 func (s *State) addDeparted(now time.Duration, departed []Departed) bool {
 	added := false
 	for _, d := range departed {
-		if s.entries[d.ID] != nil {
+		if existing := s.entries[d.ID]; existing != nil {
+			if existing.DepartedAt == 0 && !existing.laterThan(d.Endpoint) {
+				d.ModRevision, d.Relisted = existing.ModRevision, true
+				added = s.put(now, s.asOf, d.Endpoint) || added
+			}
 			continue
 		}
 		departedAt := now - d.Age
@@ -318,20 +387,27 @@
 	return added
 }
 
-// put adds or updates a registered endpoint, unless the existing entry has a
-// later revision, which was the newest at asOf.
-func (s *State) put(now, asOf time.Duration, e Endpoint) {
+// put adds or updates a registered endpoint, unless the existing entry has a later
+// revision, which was the newest at asOf. Where revisions don't decide, as with an existing
+// entry of an earlier era, the endpoint's own later write does. It reports whether the entry
+// became doubtful.
+func (s *State) put(now, asOf time.Duration, e Endpoint) (doubtful bool) {
 	existing := s.entries[e.ID]
 	if existing != nil && existing.ModRevision > e.ModRevision {
 		if !existing.sameContent(e) {
 			existing.ChangedAt = existing.ModRevision // it has changed back
 		}
-		return
+		return false
 	}
+	if existing != nil && (existing.ModRevision == 0 || existing.ModRevision == e.ModRevision) {
+		e = existing.joinCopy(now, e)
+	}
+	relisted := e.Relisted
+	e.Relisted = false
 	if existing != nil && existing.DepartedAt == 0 {
 		if existing.sameContent(e) {
-			existing.ModRevision = e.ModRevision // a heartbeat
-			return
+			existing.ModRevision, existing.Sequence = e.ModRevision, e.Sequence // a heartbeat
+			return existing.setRelisted(now, relisted)
 		}
 		s.digest ^= existing.digest()
 	}
@@ -344,6 +420,35 @@
 		}
 	}
 	s.entries[e.ID] = entry
+	return entry.setRelisted(now, relisted)
+}
+
+// joinCopy returns the later of the existing entry and e, which is registered at a revision
+// that does not show which of them is later.
+func (e *Entry) joinCopy(now time.Duration, other Endpoint) Endpoint {
+	if !other.laterThan(e.Endpoint) {
+		other.Relisted = other.Relisted || e.Doubtful(now)
+	}
+	if e.laterThan(other) {
+		later := e.Endpoint
+		later.ModRevision, later.Relisted = other.ModRevision, other.Relisted
+		return later
+	}
+	return other
+}
+
+// setRelisted records whether the entry may be a copy of one that had been deleted, and
+// reports whether that is new.
+func (e *Entry) setRelisted(now time.Duration, relisted bool) bool {
+	switch {
+	case !relisted:
+		e.RelistedUntil = 0
+		return false
+	case e.RelistedUntil != 0:
+		return false // it was relisted before, and is still registered
+	}
+	e.RelistedUntil, e.GoneAt = now+relistedTime, now+vanishedRetention
+	return true
 }
 
 // markMissing marks the entries that a full snapshot does not list as departed.
@@ -421,9 +526,9 @@
 }
 
 // sameContent reports whether two entries with one ID are equal except for
-// revision and warm-up time.
+// revision, sequence number and warm-up time.
 func (e Endpoint) sameContent(other Endpoint) bool {
-	e.ModRevision, e.WarmUpTime = other.ModRevision, other.WarmUpTime
+	e.ModRevision, e.Sequence, e.WarmUpTime = other.ModRevision, other.Sequence, other.WarmUpTime
 	return e == other
 }
 
--- a/directory/state_test.go
+++ b/directory/state_test.go
@@ -96,16 +96,16 @@
 	must.False(t, deleteEntry(true, true).AcceptsNew(20*time.Second, true))
 }
 
-func TestConfirmRevision(t *testing.T) {
+func TestConfirm(t *testing.T) {
 	s := known(t, endpointAt("i", 5))
-	must.True(t, s.ConfirmRevision(15, s.Digest(), 4*time.Second))
+	must.True(t, s.Confirm(Position{Revision: 15}, s.Digest(), 4*time.Second))
 	must.EqOp(t, 15, s.Revision())
 	must.EqOp(t, 4*time.Second, s.AsOf())
-	must.False(t, s.ConfirmRevision(16, s.Digest()+1, 5*time.Second))
+	must.False(t, s.Confirm(Position{Revision: 16}, s.Digest()+1, 5*time.Second))
 	must.EqOp(t, 4*time.Second, s.AsOf())
-	must.True(t, s.ConfirmRevision(3, 7, 9*time.Second)) // older than the current revision
+	must.True(t, s.Confirm(Position{Revision: 3}, 7, 9*time.Second)) // older than the current revision
 	must.EqOp(t, 4*time.Second, s.AsOf())
-	must.False(t, NewState().ConfirmRevision(1, 0, 0))
+	must.False(t, NewState().Confirm(Position{Revision: 1}, 0, 0))
 }
 
 // Balancers with the same revision have the same content, whether they received
@@ -129,7 +129,7 @@
 		// A balancer that stopped following earlier gets only what it lacks.
 		lagging := NewState()
 		follow(t, lagging, history[:rapid.IntRange(1, len(history)).Draw(t, "lagging")])
-		request := Request{Revision: lagging.Revision(), Desired: lagging.Desired().ModRevision}
+		request := Request{Position: lagging.Position(), Version: lagging.Desired().Version}
 		changes := a.ChangesFor(time.Second, request)
 		if _, ok := lagging.Apply(time.Second, changes); !ok || lagging.Digest() != a.Digest() {
 			t.Fatalf("revision %d becomes %d by %+v, with digest %x, want %x", request.Revision, lagging.Revision(), changes, lagging.Digest(), a.Digest())
@@ -237,18 +237,18 @@
 	draining := endpointAt("j", 15)
 	draining.Draining = true
 	s.Apply(3*time.Second, Change{Revision: 16, After: 14, Endpoints: []Endpoint{draining}, Deleted: []Deleted{{ID: "k", ModRevision: 16}}})
-	c := s.ChangesFor(4*time.Second, Request{Revision: 14, Desired: 1})
+	c := s.ChangesFor(4*time.Second, Request{Position: Position{Revision: 14}, Version: 1})
 	must.False(t, c.Snapshot)
 	must.Eq(t, []Endpoint{draining}, c.Endpoints)
 	must.Eq(t, []Deleted{{ID: "k", ModRevision: 16}}, c.Deleted)
 	must.Len(t, 1, c.Departed)
 	must.Nil(t, c.Desired)
 	must.True(t, c.DesiredKnown)
-	must.NotNil(t, s.ChangesFor(4*time.Second, Request{Revision: 14}).Desired)
+	must.NotNil(t, s.ChangesFor(4*time.Second, Request{Position: Position{Revision: 14}}).Desired)
 	// Deletions before the first read are not known.
-	must.True(t, s.ChangesFor(4*time.Second, Request{Revision: 9}).Snapshot)
+	must.True(t, s.ChangesFor(4*time.Second, Request{Position: Position{Revision: 9}}).Snapshot)
 	// Nor are those whose entries have expired.
 	s.RemoveExpired(2*time.Minute, time.Minute)
-	must.True(t, s.ChangesFor(2*time.Minute, Request{Revision: 14}).Snapshot)
-	must.False(t, s.ChangesFor(2*time.Minute, Request{Revision: 16}).Snapshot)
+	must.True(t, s.ChangesFor(2*time.Minute, Request{Position: Position{Revision: 14}}).Snapshot)
+	must.False(t, s.ChangesFor(2*time.Minute, Request{Position: Position{Revision: 16}}).Snapshot)
 }
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -157,8 +157,8 @@
 
 // DirectoryAnnouncement announces to a balancer the revision of the sender's directory.
 type DirectoryAnnouncement struct {
-	Revision directory.Revision
-	Digest   uint64
+	directory.Position
+	Digest uint64
 	// Age is the time since the revision was last known to be the newest.
 	Age time.Duration
 	// Control is the address from which the sender's directory can be fetched.
@@ -197,7 +197,7 @@
 		return &flowpb.Notice{Kind: &flowpb.Notice_Answers{Answers: answers}}
 	case DirectoryAnnouncement:
 		news := &flowpb.News{
-			Revision: uint64(m.Revision), Digest: m.Digest,
+			Era: uint64(m.Era), Revision: uint64(m.Revision), Digest: m.Digest,
 			AgeUs: uint64(max(m.Age, 0).Microseconds()), Control: appendAddress(nil, m.Control),
 		}
 		return &flowpb.Notice{Kind: &flowpb.Notice_News{News: news}}
@@ -285,7 +285,8 @@
 	}
 	age := time.Duration(n.GetAgeUs()) * time.Microsecond
 	return DirectoryAnnouncement{
-		Revision: directory.Revision(n.GetRevision()), Digest: n.GetDigest(), Age: age, Control: decodeAddress(n.GetControl()),
+		Position: directory.Position{Era: directory.Era(n.GetEra()), Revision: directory.Revision(n.GetRevision())},
+		Digest:   n.GetDigest(), Age: age, Control: decodeAddress(n.GetControl()),
 	}, nil
 }
 
--- a/flow/wire/wire_test.go
+++ b/flow/wire/wire_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"cactustray/directory"
 	"cactustray/flow"
 	"cactustray/flow/flowpb"
 	"cactustray/placement"
@@ -29,7 +30,7 @@
 		Report{},
 		Owner{Flow: key}, Owner{Flow: key, Agent: service},
 		Denied{Flow: key},
-		DirectoryAnnouncement{Revision: 7, Digest: 1 << 63, Age: 1500 * time.Microsecond, Control: caller},
+		DirectoryAnnouncement{Position: directory.Position{Era: 2, Revision: 7}, Digest: 1 << 63, Age: 1500 * time.Microsecond, Control: caller},
 	} {
 		decoded, err := Decode(Encode(m))
 		must.NoError(t, err)
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -39,6 +39,8 @@
 	// compareInterval is how often the processing times of a service's endpoints are
 	// compared. Each endpoint reports a few times in between.
 	compareInterval = 250 * time.Millisecond
+	// correctionInterval is the least pause between two corrections of other balancers.
+	correctionInterval = 200 * time.Millisecond
 )
 
 // reportReceived is the message that lists the balancers an agent reports to.
@@ -70,8 +72,10 @@
 	lastComparison time.Duration
 	// fullRead is true if the next read must load the whole directory.
 	fullRead bool
-	// era is the era of the registry at the last read.
-	era directory.Era
+	// lastCorrection is when a balancer was last told that its directory lacks content.
+	lastCorrection time.Duration
+	// loggedVersion is the version of the desired state that was last logged.
+	loggedVersion int64
 	// sourceDown is true if the last read of the registry failed.
 	sourceDown bool
 	fetching   bool
--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -17,7 +17,7 @@
 		return
 	}
 	// The reader is idle, so this does not block.
-	s.reader.requests <- readRequest{fullRead: s.fullRead, after: s.directory.Revision()}
+	s.reader.requests <- readRequest{fullRead: s.fullRead, after: s.directory.Position()}
 }
 
 // fetchFromSeeds fetches the directory from the seed balancers in turn while none is
@@ -49,25 +49,25 @@
 	if !s.directory.Known() || s.contentDiffers {
 		return directory.Request{AllDeparted: allDeparted}
 	}
-	return directory.Request{Revision: s.directory.Revision(), Desired: s.directory.Desired().ModRevision, AllDeparted: allDeparted}
+	return directory.Request{Position: s.directory.Position(), Version: s.directory.Desired().Version, AllDeparted: allDeparted}
 }
 
 func (s *state) readEnded(now time.Duration, m readEnded) {
 	if errors.Is(m.err, directory.ErrHistoryUnavailable) {
 		s.log.Emit(EventHistoryUnavailable, event.Fields{"revision": s.directory.Revision()})
-		s.fullRead = true
-		s.schedule.RetryNow()
-		s.readIfDue(now)
-		return
+		if !m.fullRead {
+			s.fullRead = true
+			s.schedule.RetryNow()
+			s.readIfDue(now)
+			return
+		}
 	}
 	s.schedule.Ended(now, m.err != nil)
 	s.recordSourceStatus(m.err)
 	if m.err != nil {
 		return
 	}
-	s.recordEra(m.change)
-	s.logIfOlder(m.change, "registry")
-	changed, ok := s.directory.Apply(now, m.change)
+	changed, ok := s.applyChange(now, m.change, "registry")
 	s.fullRead = !ok
 	if ok {
 		s.updateTraffic(now, changed, "registry")
@@ -86,23 +86,21 @@
 	s.sourceDown = err != nil
 }
 
-// recordEra logs when the registry has been restored from a copy since the last read.
-func (s *state) recordEra(read directory.Change) {
-	if s.era != 0 && read.Era != s.era {
-		s.log.Emit(EventRegistryRestored, event.Fields{
-			"era": read.Era, "era_before": s.era, "revision": read.Revision, "known_revision": s.directory.Revision(),
-		})
-	}
-	s.era = read.Era
-}
-
-// logIfOlder logs an update that is older than the directory here.
-func (s *state) logIfOlder(c directory.Change, source string) {
-	if s.directory.Known() && c.Revision < s.directory.Revision() {
-		s.log.Emit(EventNotApplied, event.Fields{
-			"source": source, "era": c.Era, "revision": c.Revision, "known_revision": s.directory.Revision(),
-		})
-	}
+// applyChange applies an update to the directory, and logs whether it is older than the
+// directory or shows that the registry was restored from a copy.
+func (s *state) applyChange(now time.Duration, c directory.Change, source string) (changed, ok bool) {
+	before, isKnown := s.directory.Position(), s.directory.Known()
+	changed, ok = s.directory.Apply(now, c)
+	fields := event.Fields{
+		"source": source, "era": c.Era, "era_before": before.Era, "revision": c.Revision, "known_revision": before.Revision,
+	}
+	switch {
+	case isKnown && c.Position().Compare(before) < 0:
+		s.log.Emit(EventNotApplied, fields)
+	case isKnown && ok && c.Era != before.Era && before.Era != 0:
+		s.log.Emit(EventRegistryRestored, fields)
+	}
+	return changed, ok
 }
 
 func (s *state) fetchEnded(now time.Duration, m fetchEnded) {
@@ -116,8 +114,7 @@
 		s.log.Emit(EventPeerFailed, event.Fields{"peer": m.from, "cause": m.err.Error()})
 		return
 	}
-	s.logIfOlder(m.change, m.from.String())
-	changed, ok := s.directory.Apply(now, m.change)
+	changed, ok := s.applyChange(now, m.change, m.from.String())
 	if !ok {
 		s.contentDiffers = true
 		return
@@ -129,16 +126,30 @@
 	s.updateTraffic(now, changed, m.from.String())
 	if changed {
 		s.announceDirectory(now)
+	} else {
+		s.correctSender(now, m)
 	}
 	if m.change.Complete && !s.survey.complete {
 		s.markComplete(now, m.from.String())
 	}
 }
 
+// correctSender announces the directory to the sender of an update that lacks content known
+// here, so that it fetches it.
+func (s *state) correctSender(now time.Duration, m fetchEnded) {
+	isSame := m.change.Digest == 0 || m.change.Digest == s.directory.Digest()
+	if isSame || m.change.Position() != s.directory.Position() || now-s.lastCorrection < correctionInterval {
+		return
+	}
+	s.lastCorrection = now
+	sender := netip.AddrPortFrom(m.from.Addr(), s.settings.Packets.Peer.Port())
+	s.traffic.counters.Send(s.traffic.peers, s.announcement(now), sender)
+}
+
 func (s *state) announcementReceived(now time.Duration, m announcementReceived) {
 	s.schedule.RecordPeer(now, m.from.AddrPort())
-	if !s.directory.ConfirmRevision(m.Revision, m.Digest, now-m.Age) {
-		s.contentDiffers = s.contentDiffers || m.Revision == s.directory.Revision()
+	if !s.directory.Confirm(m.Position, m.Digest, now-m.Age) {
+		s.contentDiffers = s.contentDiffers || m.Position == s.directory.Position()
 		s.fetch(m.Control.AddrPort())
 		return
 	}
@@ -154,7 +165,9 @@
 		s.logChange(source)
 		s.sendHellos(now)
 	}
-	if !s.leaving && !s.healthy.Load() {
+	// Without a desired state there are no routes: a registry restored to its beginning
+	// must not make a starting balancer refuse what others serve.
+	if !s.leaving && !s.healthy.Load() && s.directory.Desired().Version != 0 {
 		s.healthy.Store(true)
 		s.log.Emit(EventReady, event.Fields{"after_ms": (now - s.started).Milliseconds(), "source": source})
 	}
@@ -163,7 +176,8 @@
 func (s *state) logChange(source string) {
 	desired := s.directory.Desired()
 	fields := event.Fields{"revision": s.directory.Revision(), "version": desired.Version, "source": source}
-	if desired.ModRevision == s.directory.Revision() {
+	if desired.Version != s.loggedVersion {
+		s.loggedVersion = desired.Version
 		s.log.Emit(EventDesired, fields)
 		return
 	}
@@ -171,14 +185,19 @@
 	s.log.Emit(EventEndpoints, fields)
 }
 
-// announceDirectory sends revision, digest and age of the directory to the other
+// announceDirectory sends position, digest and age of the directory to the other
 // balancers.
 func (s *state) announceDirectory(now time.Duration) {
-	announcement := wire.Encode(wire.DirectoryAnnouncement{
-		Revision: s.directory.Revision(), Digest: s.directory.Digest(), Age: now - s.directory.AsOf(),
-		Control: flow.AddressOf(s.settings.Packets.AdvertisedControl()),
-	})
+	announcement := s.announcement(now)
 	for _, peer := range s.schedule.Peers(now) {
 		s.traffic.counters.Send(s.traffic.peers, announcement, peer)
 	}
 }
+
+// announcement returns the datagram that announces the directory.
+func (s *state) announcement(now time.Duration) []byte {
+	return wire.Encode(wire.DirectoryAnnouncement{
+		Position: s.directory.Position(), Digest: s.directory.Digest(), Age: now - s.directory.AsOf(),
+		Control: flow.AddressOf(s.settings.Packets.AdvertisedControl()),
+	})
+}
--- a/packetbalancer/reader.go
+++ b/packetbalancer/reader.go
@@ -21,11 +21,12 @@
 type readRequest struct {
 	// fullRead requests the whole directory instead of the changes after a revision.
 	fullRead bool
-	after    directory.Revision
+	after    directory.Position
 }
 
 // readEnded brings the result of a read to the control goroutine.
 type readEnded struct {
+	readRequest
 	change directory.Change
 	err    error
 }
@@ -87,7 +88,7 @@
 func (r *reader) read(ctx context.Context, request readRequest) readEnded {
 	r.readings.Add(1)
 	start := clock.Now()
-	var result readEnded
+	result := readEnded{readRequest: request}
 	result.err = &ReadPanicError{}
 	r.log.Contain("read of the registry", func() {
 		if request.fullRead {
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -17,7 +17,8 @@
 	state    *state
 	services map[string]*flow.Service
 	table    *flow.RoutingTable
-	// hasDeparted is true if there are departed endpoints, which may still be in use.
+	// hasDeparted is true if there are departed endpoints, which may still be in use, or
+	// ones that may have departed.
 	hasDeparted bool
 	// hasDraining is true if draining endpoints accept new flows.
 	hasDraining bool
@@ -89,8 +90,7 @@
 	latestEntries := make(map[flow.Address]*directory.Entry)
 	b.state.directory.Each(func(e *directory.Entry) {
 		agent := b.state.agentAddress(e.Address)
-		current := latestEntries[agent]
-		if current == nil || current.DepartedAt != 0 && e.DepartedAt == 0 || (current.DepartedAt != 0) == (e.DepartedAt != 0) && e.ModRevision > current.ModRevision {
+		if current := latestEntries[agent]; current == nil || e.Replaces(current, b.now) {
 			latestEntries[agent] = e
 		}
 	})
@@ -113,7 +113,7 @@
 		b.state.loads[agent] = load
 	}
 	alive := load.Alive(b.now)
-	b.hasDeparted = b.hasDeparted || e.DepartedAt != 0
+	b.hasDeparted = b.hasDeparted || e.Doubtful(b.now)
 	if !e.MayHoldFlows(b.now, b.state.directory.AsOf(), load.ReportedAt(), load.Stopped(b.now)) {
 		return
 	}
--- a/packetbalancer/routing_table_test.go
+++ b/packetbalancer/routing_table_test.go
@@ -171,7 +171,7 @@
 	s.directory.Apply(start, directory.Change{Revision: 12, After: 9, AsOf: start, Deleted: []directory.Deleted{{ID: "i-1", ModRevision: 12}, {ID: "i-2", ModRevision: 12}}})
 	later := start + 10*time.Second
 	must.EqOp(t, 2, holders(later), must.Sprint("the registry was not read since"))
-	s.directory.ConfirmRevision(13, s.directory.Digest(), later)
+	s.directory.Confirm(directory.Position{Revision: 13}, s.directory.Digest(), later)
 	must.EqOp(t, 0, holders(later))
 	s.loads[s.agentAddress(endpointOf(1, "orders", 2).Address)].Report(later, placement.Usage{})
 	must.EqOp(t, 1, holders(later))
@@ -185,14 +185,14 @@
 	running := stateWith(directory.Change{Revision: 9, Snapshot: true, AsOf: start, Desired: new(directory.Desired), Endpoints: []directory.Endpoint{endpointOf(1, "orders", 2)}})
 	running.directory.Apply(start, directory.Change{Revision: 12, After: 9, AsOf: start, Deleted: []directory.Deleted{{ID: "i-1", ModRevision: 12}}})
 	now := start + 20*time.Second
-	running.directory.ConfirmRevision(13, running.directory.Digest(), now)
+	running.directory.Confirm(directory.Position{Revision: 13}, running.directory.Digest(), now)
 	running.loads[running.agentAddress(endpointOf(1, "orders", 2).Address)] = new(placement.AgentLoad)
 
 	started := stateWith(directory.Change{Revision: 13, Snapshot: true, AsOf: now, Desired: new(directory.Desired)})
 	snapshot := running.directorySnapshot(now, directory.Request{AllDeparted: true})
 	started.directory.Apply(now, snapshot)
 	holders := func(at time.Duration) int {
-		started.directory.ConfirmRevision(14, started.directory.Digest(), at)
+		started.directory.Confirm(directory.Position{Revision: 14}, started.directory.Digest(), at)
 		return len(newTableBuilder(at, started).build().Agents)
 	}
 	must.EqOp(t, 1, holders(now))
