Read the whole registry after changes that cannot be read

A watch whose answer is too long or cannot be decoded was repeated with the same revision and got the same answer, so a balancer could stop following the registry. It is reported as *UnreadableError and a full read follows, after the pause for failures.

--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -65,6 +65,8 @@
 	s.schedule.Ended(now, m.err != nil)
 	s.recordSourceStatus(m.err)
 	if m.err != nil {
+		var unreadable *directory.UnreadableError
+		s.fullRead = s.fullRead || errors.As(m.err, &unreadable)
 		return
 	}
 	changed, ok := s.applyChange(now, m.change, "registry")
