An entry of a service without routes takes no endpoint's address

Of two entries with one address the later was used, whatever its service: an entry that another writer left with the address of an endpoint took it out of use. One of a service that routes have, or had, goes first now. TestEntryOfUnnamedServiceTakesNoAddress failed before (5 of 5) and passes.

--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -85,18 +85,38 @@
 }
 
 // latestEntries returns the current entry of each address: a new endpoint may reuse
-// the address of a departed one.
+// the address of a departed one. An entry of a service that routes have, or had, goes before
+// one of another service, which may be anybody's.
 func (b *tableBuilder) latestEntries() map[flow.Address]*directory.Entry {
 	latestEntries := make(map[flow.Address]*directory.Entry)
+	named := b.namedServices()
 	b.state.directory.Each(func(e *directory.Entry) {
 		agent := b.state.agentAddress(e.Address)
-		if current := latestEntries[agent]; current == nil || e.Replaces(current, b.now) {
+		current := latestEntries[agent]
+		switch {
+		case current == nil, named[e.Service] && !named[current.Service]:
+			latestEntries[agent] = e
+		case named[e.Service] == named[current.Service] && e.Replaces(current, b.now):
 			latestEntries[agent] = e
 		}
 	})
 	return latestEntries
 }
 
+// namedServices returns the services to which routes send flows, or sent some earlier.
+func (b *tableBuilder) namedServices() map[string]bool {
+	named := make(map[string]bool)
+	for _, route := range b.state.directory.Desired().Routes {
+		for _, share := range route.Shares {
+			named[share.Service] = true
+		}
+	}
+	for _, former := range b.state.directory.FormerServices(b.now) {
+		named[former.Service] = true
+	}
+	return named
+}
+
 // agentAddress returns the address at which an endpoint's agent receives datagrams: on
 // the same machine, at the port that all nodes use.
 func (s *state) agentAddress(endpoint netip.AddrPort) flow.Address {
--- a/packetbalancer/routing_table_test.go
+++ b/packetbalancer/routing_table_test.go
@@ -59,6 +59,22 @@
 	must.EqOp(t, orders, endpoint.Service)
 }
 
+// An entry of a service that no route names does not take the address of an endpoint that
+// has routes, whoever wrote it and however late.
+func TestEntryOfUnnamedServiceTakesNoAddress(t *testing.T) {
+	odd := endpointOf(1, "nonsense", 8)
+	odd.ID = "i-odd"
+	s := stateWith(directory.Change{
+		Revision: 9, Snapshot: true, Desired: &directory.Desired{Version: 1, Routes: []directory.Route{routeTo(80, "orders")}},
+		Endpoints: []directory.Endpoint{endpointOf(1, "orders", 2), odd},
+	})
+	table := newTableBuilder(clock.Now(), s).build()
+	must.MapLen(t, 1, table.Agents)
+	for _, endpoint := range table.Agents {
+		must.EqOp(t, "orders", endpoint.Service.Name)
+	}
+}
+
 // An address that is reused by another service belongs to the newer entry. The load
 // reported for the address outlives a rebuild of the table.
 func TestReusedAddressBelongsToNewerEntry(t *testing.T) {
