Refuse odd entries of the list of VMs alone

The class of the odd registry entry in the roles that speak HTTP/3: one entry of another type in the platform's list of VMs made the whole list unreadable (checked with the former decoding: an error for the list), so balancers kept the previous list until it was published again. TestOddVMHidesNoOther.

--- a/balancer/liveness.go
+++ b/balancer/liveness.go
@@ -203,6 +203,9 @@
 	if m.Err != nil {
 		s.log.Emit(EventListRefused, event.Fields{"cause": m.Err})
 	}
+	for _, cause := range m.Refused {
+		s.log.Emit(EventListRefused, event.Fields{"cause": cause})
+	}
 	s.members.SetList(m)
 	s.observer.SetBalancers(now, s.members.Balancers())
 	s.refreshBalancers()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -24,6 +24,8 @@
 // NodeList is the message that brings the platform's list to the control goroutine.
 type NodeList struct {
 	Nodes []Node
+	// Refused are why entries of the list could not be read; the others hold.
+	Refused []error
 	// Err is why the list could not be read, or nil.
 	Err error
 }
--- a/ticket/platform/parse.go
+++ b/ticket/platform/parse.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 
 	"cactustray/membership"
@@ -49,13 +50,42 @@
 	return parsed{pair: pair, record: record, err: err}
 }
 
+// VMError is returned for an entry of the list of VMs that cannot be read.
+type VMError struct {
+	// Position is the entry's position in the list, from 0.
+	Position int
+	Cause    error
+}
+
+func (e *VMError) Error() string {
+	return fmt.Sprintf("entry %d of the list of VMs: %v", e.Position, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *VMError) Unwrap() error { return e.Cause }
+
+// NoNameError is returned for an entry without a name.
+type NoNameError struct{}
+
+func (*NoNameError) Error() string { return "no name" }
+
+// parseVMs reads the list of VMs. Entries that cannot be read are refused alone.
 func parseVMs(document []byte) membership.NodeList {
-	var vms []VM
-	if err := json.Unmarshal(document, &vms); err != nil {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(document, &entries); err != nil {
 		return membership.NodeList{Err: err}
 	}
 	list := membership.NodeList{}
-	for _, vm := range vms {
+	for i, entry := range entries {
+		var vm VM
+		err := json.Unmarshal(entry, &vm)
+		if err == nil && vm.Name == "" {
+			err = &NoNameError{}
+		}
+		if err != nil {
+			list.Refused = append(list.Refused, &VMError{Position: i, Cause: err})
+			continue
+		}
 		list.Nodes = append(list.Nodes, membership.Node(vm))
 	}
 	return list
--- a/ticket/platform/watch_test.go
+++ b/ticket/platform/watch_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -38,6 +39,22 @@
 	must.EqOp(t, 2, rewritten.Records[0].Ticket.Number, must.Sprint("a platform restored to an older state repeats its indexes"))
 }
 
+// One odd entry in the list of VMs does not hide the others.
+func TestOddVMHidesNoOther(t *testing.T) {
+	const good = `{"name": "entry-1", "role": "balancer", "datagram": "10.0.0.1:80", "control": "10.0.0.1:81"}`
+	for _, odd := range []string{
+		`7`, `null`, `"entry-2"`, `{"name": 7}`, `{"role": "balancer"}`, `{"name": "entry-2", "leaving": "yes"}`,
+		strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000), `1e400`,
+	} {
+		list := parseVMs([]byte("[" + odd + "," + good + "]"))
+		must.NoError(t, list.Err)
+		must.Len(t, 1, list.Nodes, must.Sprint(odd))
+		must.EqOp(t, "entry-1", list.Nodes[0].Name)
+		must.Len(t, 1, list.Refused, must.Sprint(odd))
+	}
+	must.Error(t, parseVMs([]byte(`{"name": "entry-1"}`)).Err)
+}
+
 // sink passes the messages of a watcher to the test.
 type sink struct{ messages chan control.Message }
 
