Restores of the store in the fault soak

--restores adds restores of the store from a copy of up to 2.5 s before; what is lost is written again 0.7 s later, and lost deletions take effect after 3 s more. Plans without it stay as they are. The stand-in's entries carry rising sequence numbers, as the platform's do.

--- a/standin/cmd/standin/soak.go
+++ b/standin/cmd/standin/soak.go
@@ -18,6 +18,7 @@
 	Balancers int           `default:"3"`
 	Endpoints int           `default:"7"`
 	Planned   bool          `help:"Draw planned work alone, under which no request may fail."`
+	Restores  bool          `help:"Add restores of the store from copies of some seconds before."`
 	Plan      string        `type:"existingfile" help:"Run this plan instead of drawing plans from seeds."`
 	Keep      string        `type:"existingdir" default:"." help:"Folder for the plan, settings and logs of a run with violations."`
 	Shrink    time.Duration `help:"Time limit of the search for a smaller plan that also has violations."`
@@ -67,7 +68,7 @@
 		plan, err := soak.LoadPlan(c.Plan)
 		return []soak.Plan{plan}, err
 	}
-	size := soak.Size{Balancers: c.Balancers, Endpoints: c.Endpoints, Length: c.Length, PlannedOnly: c.Planned}
+	size := soak.Size{Balancers: c.Balancers, Endpoints: c.Endpoints, Length: c.Length, PlannedOnly: c.Planned, Restores: c.Restores}
 	var plans []soak.Plan
 	for seed := c.First; seed < c.First+c.Seeds; seed++ {
 		plans = append(plans, soak.Draw(seed, size))
--- a/standin/packets/deployment.go
+++ b/standin/packets/deployment.go
@@ -134,7 +134,7 @@
 func (d *Deployment) RegisterAs(store *Store, id string, host int, service, state string, incarnation int) {
 	store.Put("servers/"+id, map[string]any{
 		"service": service, "address": d.Address(host, "endpoint").String(), "zone": zone, "version": "v1",
-		"capacity": slots, "state": state, "cold-left-ms": 0, "seq": 1, "born": incarnation,
+		"capacity": slots, "state": state, "cold-left-ms": 0, "seq": store.NextSequence(), "born": incarnation,
 	})
 }
 
--- a/standin/packets/store.go
+++ b/standin/packets/store.go
@@ -1,6 +1,7 @@
 package packets
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"maps"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,44 +48,90 @@
 	era       int // rises with each restore
 	items     map[string]item
 	history   []item
-	copies    map[int]storeCopy // by revision
-	modes     map[string]Mode
-	calls     int
+	// writtenSince has the keys that were written or deleted since the last restore.
+	writtenSince map[string]bool
+	sequence     atomic.Int64
+	modes        map[string]Mode
+	calls        int
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
-		changed: make(chan struct{}), era: 1, items: make(map[string]item), modes: make(map[string]Mode), copies: make(map[int]storeCopy),
+		changed: make(chan struct{}), era: 1, items: make(map[string]item), modes: make(map[string]Mode), writtenSince: make(map[string]bool),
 	}
 }
 
-// storeCopy is the content of a store at a revision.
-type storeCopy struct {
-	items   map[string]item
-	history []item
+// StoreCopy is a copy of a store's content.
+type StoreCopy struct {
+	items    map[string]item
+	history  []item
+	revision int
 }
 
-// Copy makes a copy of the content for a later Restore, and returns its revision.
-func (s *Store) Copy() int {
+// Copy makes a copy of the content for a later Restore.
+func (s *Store) Copy() StoreCopy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copies[s.revision] = storeCopy{items: maps.Clone(s.items), history: slices.Clone(s.history)}
-	return s.revision
+	return StoreCopy{items: maps.Clone(s.items), history: slices.Clone(s.history), revision: s.revision}
 }
 
-// Restore replaces the content by the copy of a revision. The changes since are lost, and
-// their revisions are assigned again; a new era begins.
-func (s *Store) Restore(revision int) {
+// Lost are the changes that a store lost by a Restore.
+type Lost struct {
+	written []item
+	deleted []string
+}
+
+// Restore replaces the content by a copy. The changes since are lost, and their revisions
+// are assigned again; a new era begins.
+func (s *Store) Restore(from StoreCopy) (lost Lost) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	restored := s.copies[revision]
-	s.items, s.history, s.revision = maps.Clone(restored.items), slices.Clone(restored.history), revision
-	s.compacted = min(s.compacted, revision)
+	for key, it := range s.items {
+		if before, exists := from.items[key]; !exists || !bytes.Equal(before.Value, it.Value) {
+			lost.written = append(lost.written, it)
+		}
+	}
+	for key := range from.items {
+		if _, exists := s.items[key]; !exists {
+			lost.deleted = append(lost.deleted, key)
+		}
+	}
+	s.items, s.history, s.revision = maps.Clone(from.items), slices.Clone(from.history), from.revision
+	s.compacted = min(s.compacted, s.revision)
+	s.writtenSince = make(map[string]bool)
 	s.era++
 	s.wake()
+	return lost
+}
+
+// WriteAgain writes the values that were lost, unless their keys were written since.
+func (s *Store) WriteAgain(lost Lost) {
+	for _, it := range lost.written {
+		if !s.wasWrittenSince(it.Key) {
+			s.write(item{Key: it.Key, Value: it.Value})
+		}
+	}
+}
+
+// DeleteAgain deletes the keys whose deletion was lost, unless they were written since.
+func (s *Store) DeleteAgain(lost Lost) {
+	for _, key := range lost.deleted {
+		if !s.wasWrittenSince(key) {
+			s.Delete(key)
+		}
+	}
 }
 
+func (s *Store) wasWrittenSince(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writtenSince[key]
+}
+
+// NextSequence returns a number that rises with each call, also after a Restore.
+func (s *Store) NextSequence() int64 { return s.sequence.Add(1) }
+
 // wake wakes the watches that wait. The caller holds mu.
 func (s *Store) wake() {
 	close(s.changed)
@@ -109,6 +157,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
+	s.writtenSince[it.Key] = true
 	it.Revision, it.Created = s.revision, s.revision
 	s.history = append(s.history, it)
 	if it.Deleted {
--- a/standin/soak/inject.go
+++ b/standin/soak/inject.go
@@ -25,6 +25,8 @@
 		c.injectStreamFault(f, c.controlProxy)
 	case ForgetHistory:
 		c.store.Compact()
+	case RestoreStore:
+		c.restoreStore(f)
 	case AddRoute, RemoveRoute:
 		c.injectRouteChange(f)
 	default:
@@ -33,6 +35,23 @@
 	return nil
 }
 
+const (
+	// writeAgainDelay is how long after a restore what was lost is written again, expiryTime
+	// how much later the entries of endpoints that have stopped expire: after three heartbeats.
+	writeAgainDelay = 700 * time.Millisecond
+	expiryTime      = 3 * time.Second
+)
+
+func (c *cluster) restoreStore(f Fault) {
+	copied := c.store.Copy()
+	time.Sleep(f.For)
+	lost := c.store.Restore(copied)
+	time.Sleep(writeAgainDelay)
+	c.store.WriteAgain(lost)
+	time.Sleep(expiryTime)
+	c.store.DeleteAgain(lost)
+}
+
 func (c *cluster) injectProcessFault(f Fault) error {
 	m := c.machines[f.Host]
 	m.mu.Lock()
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -45,6 +45,9 @@
 	ResetControl   Kind = "reset-control"
 	// ForgetHistory drops the store's history of changes, as a compaction does.
 	ForgetHistory Kind = "forget-history"
+	// RestoreStore restores the store from a copy that is as old as the fault's duration. What
+	// it lost is written again soon after. Plans have it only if Size.Restores is set.
+	RestoreStore Kind = "restore-store"
 	// LapseEntry removes the entry of a running endpoint for the fault's duration.
 	LapseEntry Kind = "lapse-entry"
 	// CrashEndpoint ends an endpoint, which loses its flows; a new one starts at once.
@@ -90,7 +93,7 @@
 	NoisyLink: {balancerAndEndpoint, false, 3}, CutCallers: {balancer, false, 2},
 	SilenceStore: {balancerOrAll, false, 2}, ResetStore: {balancerOrAll, false, 2}, SlowStore: {balancerOrAll, false, 1},
 	SilenceControl: {balancer, false, 1}, ResetControl: {balancer, false, 1},
-	ForgetHistory: {noTarget, false, 2}, LapseEntry: {endpoint, false, 2},
+	ForgetHistory: {noTarget, false, 2}, RestoreStore: {noTarget, false, 0}, LapseEntry: {endpoint, false, 2},
 	CrashEndpoint: {endpoint, false, 2}, DarkenEndpoint: {endpoint, false, 2}, FillEndpoint: {endpoint, false, 1},
 	ReplaceEndpoint: {endpoint, true, 3}, ReuseAddress: {endpoint, false, 1},
 	AddRoute: {noTarget, true, 2}, RemoveRoute: {noTarget, true, 2},
@@ -125,6 +128,8 @@
 	Length               time.Duration
 	// PlannedOnly restricts the plan to planned work.
 	PlannedOnly bool
+	// Restores adds restores of the store to the plan, whose other faults stay as they are.
+	Restores bool
 }
 
 const (
@@ -139,6 +144,7 @@
 	minFaultDuration = 300 * time.Millisecond
 	maxFaultDuration = 2500 * time.Millisecond
 	drainTime        = maxDrainDelay + 2*time.Second
+	restoreInterval  = 4 * time.Second
 	// seriesShare is the share of the faults that are repeated, as a series of two or three.
 	seriesShare     = 0.3
 	maxSeriesLength = 3
@@ -166,10 +172,23 @@
 			plan.Faults = append(plan.Faults, repeated)
 		}
 	}
+	if size.Restores {
+		plan.addRestores(seed)
+	}
 	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
 
+// addRestores adds a restore of the store in about every restoreInterval.
+func (p *Plan) addRestores(seed uint64) {
+	random := rand.New(rand.NewPCG(seed, uint64(len(p.Faults))))
+	for at := firstFaultAt; at < p.Length; at += restoreInterval {
+		begin := at + time.Duration(random.Int64N(int64(restoreInterval)))
+		length := minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
+		p.Faults = append(p.Faults, Fault{Kind: RestoreStore, At: begin, For: length})
+	}
+}
+
 // drawable returns the kinds that a plan may have, in a fixed order, each as often as its
 // weight.
 func drawable(plannedOnly bool) []Kind {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -62,6 +62,13 @@
 	must.SliceEmpty(t, runPlan(t, Draw(2, planned)).Violations)
 }
 
+func TestPropertiesHoldWhileStoreIsRestored(t *testing.T) {
+	t.Parallel()
+	restored := short
+	restored.Restores = true
+	must.SliceEmpty(t, runPlan(t, Draw(3, restored)).Violations)
+}
+
 func TestRegressions(t *testing.T) {
 	for _, r := range regressions {
 		t.Run(r.name, func(t *testing.T) {
