--- a/packetbalancer/balancer.go
+++ b/packetbalancer/balancer.go
@@ -83,6 +83,8 @@
 	f.counters.Register(registry)
 	registry.GaugeFunc("directory.age_ms", s.ageMillis)
 	registry.GaugeFunc("directory.version", s.metricValues.version.Load)
+	registry.GaugeFunc("directory.era", s.metricValues.era.Load)
+	registry.GaugeFunc("directory.revision", s.metricValues.revision.Load)
 	registry.GaugeFunc("endpoints.ready", s.metricValues.ready.Load)
 	registry.GaugeFunc("endpoints.draining", s.metricValues.draining.Load)
 	registry.GaugeFunc("endpoints.gone", s.metricValues.gone.Load)
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -99,7 +99,7 @@
 }
 
 // metricValues holds the control state's values for the metrics.
-type metricValues struct{ version, ready, draining, gone, slow atomic.Int64 }
+type metricValues struct{ era, revision, version, ready, draining, gone, slow atomic.Int64 }
 
 func newState(s *settings.Settings, log *event.Log, f *forwarder, r *reader, healthy *atomic.Bool) *state {
 	now := clock.Now()
--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -155,13 +155,20 @@
 		s.fetch(m.Control.AddrPort())
 		return
 	}
+	s.recordPosition()
+}
+
+// recordPosition stores what traffic goroutines and metrics read of the directory's position.
+func (s *state) recordPosition() {
 	s.asOf.Store(int64(s.directory.AsOf()))
+	s.metricValues.era.Store(int64(s.directory.Position().Era))
+	s.metricValues.revision.Store(int64(s.directory.Position().Revision))
 }
 
 // updateTraffic publishes a changed directory to the traffic goroutines, and marks
 // the balancer as ready for traffic.
 func (s *state) updateTraffic(now time.Duration, changed bool, source string) {
-	s.asOf.Store(int64(s.directory.AsOf()))
+	s.recordPosition()
 	if changed {
 		s.publish(now)
 		s.logChange(source)
--- a/standin/e2e/packets_test.go
+++ b/standin/e2e/packets_test.go
@@ -251,6 +251,7 @@
 	must.NoError(t, json.NewDecoder(response.Body).Decode(&shown))
 	must.MapContainsKey(t, shown, "packets.known")
 	must.MapContainsKey(t, shown, "directory.age_ms")
+	must.MapContainsKey(t, shown, "directory.era")
 }
 
 // awaitBalancers waits until the log of every balancer has a line that contains the
