Doubt about a relisted entry once, and only after a restore

Found by reading: balancers that learned at different times that an entry may be a copy reminded each other of it without end, and a lagging balancer of the same era could put an endpoint in doubt that is registered again. TestDoubtAboutAnEntryEnds and TestDepartureBeforeRegistrationIsIgnored failed before and pass.

--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -114,6 +114,33 @@
 	must.True(t, s.entries["j"].AcceptsNew(later, false))
 }
 
+// Balancers that learn at different times that an entry may be a copy do not remind each
+// other of it for ever: the entry is in doubt once.
+func TestDoubtAboutAnEntryEnds(t *testing.T) {
+	s := knownInEra(t, writtenAt("i", 5, 1))
+	s.Apply(2*time.Second, Change{Era: 1, Revision: 13, After: 12, AsOf: 2 * time.Second, Deleted: []Deleted{{ID: "i", ModRevision: 13}}})
+	now := 4 * time.Second
+	s.Apply(now, restoredAt(now, 9, writtenAt("i", 5, 1)))
+	other := NewState()
+	later := now + relistedTime - 1
+	other.Apply(later, s.Snapshot(later))
+	must.True(t, other.entries["i"].Doubtful(later))
+	now = later + relistedTime/2
+	must.False(t, s.entries["i"].Doubtful(now))
+	s.Apply(now, restoredAt(now, 9, writtenAt("i", 5, 1))) // the source does not know of doubts
+	s.Apply(now, other.Snapshot(now))
+	must.False(t, s.entries["i"].Doubtful(now))
+}
+
+// Within an era revisions decide: an endpoint that is registered again is not in doubt
+// because another balancer has not noticed, whatever sequence numbers say.
+func TestDepartureBeforeRegistrationIsIgnored(t *testing.T) {
+	s := knownInEra(t, writtenAt("i", 11, 0))
+	lagging := Change{Era: 1, Revision: 10, Snapshot: true, Departed: []Departed{{Endpoint: writtenAt("i", 8, 3), Age: time.Second}}}
+	s.Apply(2*time.Second, lagging)
+	must.False(t, s.entries["i"].Doubtful(2*time.Second))
+}
+
 // A balancer that starts with a restored source takes its copy for current, until another
 // tells it what the copy lacks.
 func TestBalancersCorrectACopy(t *testing.T) {
--- a/directory/state.go
+++ b/directory/state.go
@@ -277,7 +277,7 @@
 	if s.known && c.Era > s.era {
 		s.beginEra(c)
 	}
-	added := s.addDeparted(now, c.Departed)
+	added := s.addDeparted(now, c)
 	s.applyDesired(now, c)
 	if isOlder {
 		s.mergeEntries(now, c)
@@ -364,12 +364,13 @@
 }
 
 // addDeparted adds the departed endpoints without an entry here, and reports whether there
-// were any. A registered entry that is not later than the departed one is a copy.
-func (s *State) addDeparted(now time.Duration, departed []Departed) bool {
+// were any. A registered entry that is not later than one that had departed in an earlier era is
+// a copy.
+func (s *State) addDeparted(now time.Duration, c Change) bool {
 	added := false
-	for _, d := range departed {
+	for _, d := range c.Departed {
 		if existing := s.entries[d.ID]; existing != nil {
-			if existing.DepartedAt == 0 && !existing.laterThan(d.Endpoint) {
+			if c.Era < s.era && existing.DepartedAt == 0 && !existing.laterThan(d.Endpoint) {
 				d.ModRevision, d.Relisted = existing.ModRevision, true
 				added = s.put(now, s.asOf, d.Endpoint) || added
 			}
@@ -406,7 +407,11 @@
 	e.Relisted = false
 	if existing != nil && existing.DepartedAt == 0 {
 		if existing.sameContent(e) {
+			isRepeated := existing.ModRevision == e.ModRevision
 			existing.ModRevision, existing.Sequence = e.ModRevision, e.Sequence // a heartbeat
+			if isRepeated && !relisted {
+				return false
+			}
 			return existing.setRelisted(now, relisted)
 		}
 		s.digest ^= existing.digest()
