Ask the other balancers before a restored registry's desired state is used

The queries begin with the first read instead of the next tick, and a balancer listed among its own seeds no longer queries itself.

--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -166,6 +166,7 @@
 	s.readIfDue(now)
 	s.fetchFromSeeds(now)
 	s.surveyPeers(now)
+	s.admitTraffic(now, "registry")
 	if now-s.lastHello >= helloInterval {
 		s.sendHellos(now)
 	} else if now-s.lastPublish < eagerHelloPeriod {
@@ -189,7 +190,6 @@
 	builder := newTableBuilder(now, s)
 	s.traffic.table.Store(builder.build())
 	s.traffic.endSearches(now)
-	s.traffic.earlyQueue.release()
 	s.tableExpires, s.hasFormer = builder.hasDeparted || builder.hasDraining, builder.hasFormer
 }
 
--- a/packetbalancer/departed.go
+++ b/packetbalancer/departed.go
@@ -22,6 +22,11 @@
 	// how many in total. While all of them restart, most queries end by the timeout.
 	surveyConcurrency = 16
 	maxSurveyedPeers  = 64
+	// firstEra is the era of a registry that was never restored from a copy.
+	firstEra directory.Era = 1
+	// consultTimeout is how long after its start a balancer waits for the others at most
+	// before it takes traffic by what a restored registry has.
+	consultTimeout = 2 * surveyTimeout
 )
 
 // survey is the state of the queries to other balancers for departed endpoints. The
@@ -42,6 +47,16 @@
 	complete bool
 }
 
+// hasConsulted reports whether the directory can be used for traffic. A registry that was
+// restored from a copy may lack the desired state in force and the drains of endpoints;
+// the other balancers are queried for them first.
+func (s *state) hasConsulted(now time.Duration) bool {
+	if s.directory.Position().Era <= firstEra || s.survey.complete {
+		return true
+	}
+	return len(s.survey.queried) > 0 && s.survey.pending == 0 || now-s.started > consultTimeout
+}
+
 // surveyEnded brings the result of a query to the control goroutine.
 type surveyEnded struct{ fetchEnded }
 
@@ -72,8 +87,9 @@
 		s.markComplete(now, "time")
 		return
 	}
+	self := s.settings.Packets.AdvertisedControl()
 	for _, peer := range s.otherBalancers(now) {
-		if !s.survey.queried[peer] && len(s.survey.queried) < maxSurveyedPeers {
+		if peer != self && !s.survey.queried[peer] && len(s.survey.queried) < maxSurveyedPeers {
 			s.survey.queried[peer] = true
 			s.survey.pending++
 			s.reader.surveys <- fetchRequest{peer: peer, Request: s.request(true)} // has capacity for maxSurveyedPeers
@@ -88,6 +104,7 @@
 	s.survey.pending--
 	s.applyFetched(now, m.fetchEnded)
 	s.surveyPeers(now)
+	s.admitTraffic(now, m.from.String())
 }
 
 // otherBalancers returns the control addresses of the other balancers: those from the
--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -74,6 +74,7 @@
 	if ok {
 		s.updateTraffic(now, changed, "registry")
 		s.announceDirectory(now)
+		s.surveyPeers(now)
 	}
 }
 
@@ -165,8 +166,8 @@
 	s.metricValues.revision.Store(int64(s.directory.Position().Revision))
 }
 
-// updateTraffic publishes a changed directory to the traffic goroutines, and marks
-// the balancer as ready for traffic.
+// updateTraffic publishes a changed directory to the traffic goroutines, and admits
+// traffic.
 func (s *state) updateTraffic(now time.Duration, changed bool, source string) {
 	s.recordPosition()
 	if changed {
@@ -174,12 +175,21 @@
 		s.logChange(source)
 		s.sendHellos(now)
 	}
-	// Without a desired state there are no routes: a registry restored to its beginning
-	// must not make a starting balancer refuse what others serve.
-	if !s.leaving && !s.healthy.Load() && s.directory.Desired().Version != 0 {
-		s.healthy.Store(true)
-		s.log.Emit(EventReady, event.Fields{"after_ms": (now - s.started).Milliseconds(), "source": source})
+	s.admitTraffic(now, source)
+}
+
+// admitTraffic marks the balancer as ready, and forwards the packets that arrived early, once
+// the directory can be used. Without a desired state it would refuse what others serve.
+func (s *state) admitTraffic(now time.Duration, source string) {
+	if s.directory.Desired().Version == 0 || !s.hasConsulted(now) {
+		return
+	}
+	s.traffic.earlyQueue.release()
+	if s.leaving || s.healthy.Load() {
+		return
 	}
+	s.healthy.Store(true)
+	s.log.Emit(EventReady, event.Fields{"after_ms": (now - s.started).Milliseconds(), "source": source})
 }
 
 func (s *state) logChange(source string) {
--- a/packetbalancer/early.go
+++ b/packetbalancer/early.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// maxEarlyPackets limits the packets stored while no directory is known, at most
+	// maxEarlyPackets limits the packets stored before traffic is admitted, at most
 	// 1.3 KB each.
 	maxEarlyPackets = 512
 	// earlyLifetime is how long a stored packet is worth forwarding: callers give up
@@ -23,20 +23,20 @@
 	at     time.Duration
 }
 
-// earlyQueue stores callers' packets that arrive before the directory is known, so
+// earlyQueue stores callers' packets that arrive before traffic is admitted, so
 // that callers need not retransmit them.
 type earlyQueue struct {
 	mu       sync.Mutex
 	packets  []earlyPacket
 	released bool
-	// known is closed once the directory is known.
-	known chan struct{}
+	// admitted is closed once traffic is admitted.
+	admitted chan struct{}
 }
 
-func newEarlyQueue() *earlyQueue { return &earlyQueue{known: make(chan struct{})} }
+func newEarlyQueue() *earlyQueue { return &earlyQueue{admitted: make(chan struct{})} }
 
 // add stores a copy of a packet and reports whether it did: it does not once the
-// directory is known. A full queue drops its oldest packet.
+// traffic is admitted. A full queue drops its oldest packet.
 func (e *earlyQueue) add(now time.Duration, buffer []byte) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -51,22 +51,22 @@
 }
 
 // release lets serveEarly forward the stored packets, and makes add store no more. The
-// control goroutine calls it when the directory is known.
+// control goroutine calls it when traffic is admitted.
 func (e *earlyQueue) release() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.released {
 		e.released = true
-		close(e.known)
+		close(e.admitted)
 	}
 }
 
-// serveEarly forwards the stored packets once the directory is known.
+// serveEarly forwards the stored packets once traffic is admitted.
 func (f *forwarder) serveEarly(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
 		return nil
-	case <-f.earlyQueue.known:
+	case <-f.earlyQueue.admitted:
 	}
 	f.earlyQueue.mu.Lock()
 	packets := f.earlyQueue.packets
--- a/standin/e2e/packets_test.go
+++ b/standin/e2e/packets_test.go
@@ -186,6 +186,24 @@
 	c.mustUpholdInvariants()
 }
 
+// A balancer that starts after the registry was restored reads a desired state that is older
+// than the one in force, and gets that one from the others.
+func TestPacketRestartNeverRevertsDesiredState(t *testing.T) {
+	t.Parallel()
+	c := newPacketCluster(t, 3)
+	added := netip.MustParseAddrPort("198.18.0.9:99")
+	copied := c.store.Copy()
+	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", drawingsAddress: "drawings", added: "drawings"})
+	c.awaitBalancers("desired state in force", `"version":6`)
+	c.store.Restore(copied)
+	c.restart(balancerHost+1, syscall.SIGKILL)
+	c.await(func() bool { return c.router.Check() == 3 })
+	for range 30 {
+		must.True(t, c.tryRequest(added))
+	}
+	c.mustUpholdInvariants()
+}
+
 // An address that is reused by another service gets no flow of its former service.
 func TestPacketAddressReusedByAnotherService(t *testing.T) {
 	t.Parallel()
