A process that starts after its clock was set back refutes its earlier self

The class of the restored registry in the roles that speak HTTP/3: an incarnation is a time of day, and orders facts and loads beyond the clock that assigned it. A process that had stopped as planned and started again with an earlier time of day stayed out of use: its facts counted as older than 'stopped', and it ignored facts about other incarnations. It takes an incarnation after the one believed now. Tokens keep the incarnation of the process's start; none is reset once the new fact has spread, since no stopped incarnation is left. TestRestartAfterClockWasSetBack failed before and passes, the tests of liveness, balancer, placement and e2e restarts pass.

--- a/liveness/fact.go
+++ b/liveness/fact.go
@@ -5,6 +5,8 @@
 package liveness
 
 import (
+	"math"
+
 	"cactustray/steering"
 	"cactustray/ticket"
 
@@ -93,15 +95,21 @@
 
 // Refute compares the fact that another process stores about this one with the
 // newest fact. If the other one is neither equal nor older, Refute raises the
-// version above it and returns true: the new fact then replaces the believed one
-// everywhere. Facts about other processes or incarnations are ignored.
+// version above it, or the incarnation if that is later, and returns true: the new fact
+// then replaces the believed one everywhere. A later incarnation is one that ran before this
+// machine's clock was set back. Facts about other processes or earlier incarnations are
+// ignored.
 func (s *Self) Refute(believed Fact) bool {
-	if believed.Subject != s.fact.Subject || believed.Incarnation != s.fact.Incarnation {
+	if believed.Subject != s.fact.Subject || believed == s.fact || s.fact.Newer(believed) {
 		return false
 	}
-	if believed == s.fact || s.fact.Newer(believed) {
+	if believed.Incarnation == s.fact.Incarnation {
+		s.fact.Version = believed.Version + 1
+		return true
+	}
+	if believed.Incarnation == math.MaxUint32 {
 		return false
 	}
-	s.fact.Version = believed.Version + 1
+	s.fact.Incarnation, s.fact.Version = believed.Incarnation+1, 0
 	return true
 }
