--- a/packetbalancer/restored_test.go
+++ b/packetbalancer/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,13 +61,12 @@
 	own, err := datagram.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	must.NoError(t, err)
 	defer own.Close()
-	s.traffic = &forwarder{peers: own}
+	s.traffic, s.healthy = &forwarder{peers: own, earlyQueue: newEarlyQueue()}, new(atomic.Bool)
 
 	sender := readingState(3)
 	received := fetchEnded{from: netip.MustParseAddrPort("127.0.0.1:1"), change: sender.directory.Snapshot(clock.Now())}
-	s.directory.Apply(clock.Now(), received.change)
-	s.correctSender(time.Second, received)
-	s.correctSender(time.Second, received) // within correctionInterval
+	s.applyFetched(time.Second, received)
+	s.applyFetched(time.Second, received) // within correctionInterval
 	must.NoError(t, peer.SetReadDeadline(time.Now().Add(5*time.Second)))
 	buffer := make([]byte, datagram.MaxPacket)
 	n, _, err := peer.ReadFromUDPAddrPort(buffer)
@@ -78,6 +78,6 @@
 	must.False(t, sender.directory.Confirm(announced.Position, announced.Digest, clock.Now()))
 	must.EqOp(t, time.Second, s.lastCorrection)
 	// Nothing is announced to a sender with the same content.
-	s.correctSender(time.Minute, fetchEnded{from: received.from, change: s.directory.Snapshot(clock.Now())})
+	s.applyFetched(time.Minute, fetchEnded{from: received.from, change: s.directory.Snapshot(clock.Now())})
 	must.EqOp(t, time.Second, s.lastCorrection)
 }
