Soak: replace an endpoint on its socket, so that its address cannot be taken

Cause: a crash of an endpoint closed its socket and bound the address again. Between fork and the closing of its copies on exec, a process that another cluster of the same test program starts holds a copy of the socket, so that the address is still bound. Ruled out: another deployment's network (process id and counter keep them apart), a caller's socket (bound to other addresses). Change: Endpoint.Replace starts the next endpoint on the socket of the former one.

--- a/standin/packets/endpoint.go
+++ b/standin/packets/endpoint.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"time"
 )
 
 // flowKey identifies a flow by the caller's and the service's address.
@@ -26,6 +27,8 @@
 
 	socket   *net.UDPConn
 	outbound netip.AddrPort
+	// served is closed once the endpoint no longer reads from its socket.
+	served chan struct{}
 
 	mu           sync.Mutex
 	flows        map[flowKey]*endpointFlow
@@ -44,12 +47,30 @@
 	if err != nil {
 		return nil, err
 	}
+	return start(name, service, socket, outbound), nil
+}
+
+func start(name, service string, socket *net.UDPConn, outbound netip.AddrPort) *Endpoint {
 	e := &Endpoint{
-		Name: name, Service: service, socket: socket, outbound: outbound,
+		Name: name, Service: service, socket: socket, outbound: outbound, served: make(chan struct{}),
 		flows: make(map[flowKey]*endpointFlow), runs: make(map[string]int),
 	}
 	go e.serve()
-	return e, nil
+	return e
+}
+
+// Replace ends the endpoint and starts another one on its socket, without the endpoint's flows.
+// The socket stays open because its address could not be bound again at once: a process that is
+// being started holds a copy of each socket until it executes its program.
+func (e *Endpoint) Replace(name, service string) (*Endpoint, error) {
+	if err := e.socket.SetReadDeadline(time.Now()); err != nil {
+		return nil, err
+	}
+	<-e.served
+	if err := e.socket.SetReadDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	return start(name, service, e.socket, e.outbound), nil
 }
 
 // Address returns the address at which the endpoint receives packets.
@@ -99,6 +120,7 @@
 }
 
 func (e *Endpoint) serve() {
+	defer close(e.served)
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, _, err := e.socket.ReadFromUDPAddrPort(buffer)
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -156,11 +156,18 @@
 	return c.startDaemon(m)
 }
 
-// bootEndpoint starts a new endpoint on a machine under a new id, and registers it.
+// bootEndpoint starts a new endpoint on a machine under a new id in place of the former one, if
+// any, and registers it.
 func (c *cluster) bootEndpoint(m *machine) error {
 	m.boots++
 	name := fmt.Sprintf("%s-%d", packets.EndpointID(m.host), m.boots)
-	endpoint, err := packets.NewEndpoint(name, m.service, c.Bound(m.host, "endpoint"), c.Bound(m.host, "outbound"))
+	var endpoint *packets.Endpoint
+	var err error
+	if m.endpoint == nil {
+		endpoint, err = packets.NewEndpoint(name, m.service, c.Bound(m.host, "endpoint"), c.Bound(m.host, "outbound"))
+	} else {
+		endpoint, err = m.endpoint.Replace(name, m.service)
+	}
 	if err != nil {
 		return err
 	}
--- a/standin/soak/inject.go
+++ b/standin/soak/inject.go
@@ -211,7 +211,6 @@
 func (c *cluster) crash(m *machine, linger time.Duration) error {
 	former := m.endpoint.Name
 	c.history.recordEnd(former)
-	m.endpoint.Close()
 	err := c.bootEndpoint(m)
 	time.Sleep(linger)
 	c.store.Delete("servers/" + former)
@@ -222,7 +221,6 @@
 // its address.
 func (c *cluster) replace(m *machine, service string) error {
 	c.history.recordEnd(m.endpoint.Name)
-	m.endpoint.Close()
 	c.store.Delete("servers/" + m.endpoint.Name)
 	m.service = service
 	return c.bootEndpoint(m)
