A flow that its endpoint has closed keeps no request in progress

Cause: these agents took their endpoint for saturated (6 to 20 requests in progress, two slots) while it was idle, and let all opening packets wait. After its restart an agent knows no flow: a request that its caller repeats on a flow which the endpoint has already answered and closed counts as begun, and the endpoint repeats only the end of the flow, without data. Nothing ended such a request until its flow expired (60 s). Ruled out: routes or the desired state (flows of both routes were placed), the endpoints' limit of connections, load (p50 of the others 17 ms). Change: the end of the flow from the endpoint ends its request, and data on a flow that the endpoint has closed begins none. TestClosedFlowKeepsNoRequestInProgress failed first.

--- a/flow/agent_table_endpoint.go
+++ b/flow/agent_table_endpoint.go
@@ -40,6 +40,9 @@
 		}
 	}
 	r.endpointDone = r.endpointDone || p.Closing || p.Reset
+	if r.endpointDone {
+		t.endRequest(&r) // no answer follows: it was sent while another agent ran
+	}
 	r.callerDone = r.callerDone || p.Reset
 	r.lastSeen = now
 	t.store(p.Flow, r)
--- a/flow/agent_table_test.go
+++ b/flow/agent_table_test.go
@@ -90,6 +90,25 @@
 	must.Eq(t, Usage{RunningTime: time.Second}, table.Usage(2*time.Second))
 }
 
+// After a restart of the agent, a caller repeats a request on a flow that the endpoint has
+// answered and closed, in either order. It kept the endpoint saturated until the flow expired.
+func TestClosedFlowKeepsNoRequestInProgress(t *testing.T) {
+	key := Key{Caller: Address{IP: [4]byte{100, 64, 0, 1}, Port: 1}, Service: serviceAddress}
+	closing := Packet{Flow: key, Closing: true}
+	t.Run("request first", func(t *testing.T) {
+		table := NewAgentTable(time.Second, 2, time.Minute, false)
+		must.True(t, table.FromBalancer(time.Second, request(key, 1), Delivery{}, nil).RequestBegins)
+		must.False(t, table.FromEndpoint(time.Second, closing).RequestEnds)
+		must.EqOp(t, 0, table.Usage(time.Second).Running)
+	})
+	t.Run("end of flow first", func(t *testing.T) {
+		table := NewAgentTable(time.Second, 2, time.Minute, false)
+		table.FromEndpoint(time.Second, closing)
+		must.False(t, table.FromBalancer(time.Second, request(key, 1), Delivery{}, nil).RequestBegins)
+		must.EqOp(t, 0, table.Usage(time.Second).Running)
+	})
+}
+
 func TestSweepReturnsUnansweredRequests(t *testing.T) {
 	table, key := openedFlow(t)
 	table.FromBalancer(time.Second, request(key, 1), Delivery{}, nil)
--- a/flow/usage.go
+++ b/flow/usage.go
@@ -78,8 +78,8 @@
 // whether the request begins with this packet.
 func (t *AgentTable) beginRequest(now Timestamp, r *flowRecord, p Packet) bool {
 	end := p.Sequence + uint32(p.Data)
-	if p.Data == 0 || r.received != 0 && int32(end-r.received) <= 0 {
-		return false // no data, or a retransmission
+	if p.Data == 0 || r.endpointDone || r.received != 0 && int32(end-r.received) <= 0 {
+		return false // no data, a flow that gets no answer any more, or a retransmission
 	}
 	r.received = end
 	if r.busy {
