Hand records of keys over from one list, so that a full table fits into the agent's memory

Seen while reading: a stopping agent built a list of its records for each other agent, up to 65,536 records of some 80 B a receiver: 47 MB at ten receivers, beside the budget of 128 MB. Change: one list for all receivers; a receiver that is not the key's next owner gets a record without its answer when its request is built (HandOver.For), 1 MiB at a time. The memory was not measured.

--- a/admission/departure.go
+++ b/admission/departure.go
@@ -39,6 +39,27 @@
 	Age     time.Duration
 }
 
+// HandOver is what a stopping agent hands over.
+type HandOver struct {
+	// Receivers are the endpoints whose agents get the records.
+	Receivers []ticket.EndpointKey
+	// Records are all records, each with its answer.
+	Records []HandedRecord
+	// Owners are the endpoints that can own the keys from now on.
+	Owners []ticket.EndpointKey
+	// Fresh is true if this agent may lack records of keys.
+	Fresh bool
+}
+
+// For returns the record as one receiver gets it: an answer goes to the key's next owner
+// alone, all others learn that the key may have run.
+func (h HandOver) For(receiver ticket.EndpointKey, r HandedRecord) HandedRecord {
+	if next, _ := KeyOwner(r.Key, h.Owners); next != receiver {
+		r.Answer = nil
+	}
+	return r
+}
+
 // Departure is one of the messages that a stopping agent sends to another agent: a first
 // one without records, those with the records, and a last one with Complete set.
 type Departure struct {
@@ -54,37 +75,26 @@
 // has no outcome of.
 func (k *KeyTable) Depart() { k.departing = true }
 
-// HandOver returns the records to hand over, for each other agent of the ticket, and
-// whether this agent may lack some; it stores no replicas from then on. The answer of a key that this agent owns goes to
-// the key's next owner; all others learn that the key may have run. A key whose first
-// request is in progress counts as one that may have run; keys that did not run are left
-// out.
+// HandOver returns the records to hand over; this agent stores no replicas from then on. A
+// key whose first request is in progress counts as one that may have run; keys that did not
+// run are left out.
 func (k *KeyTable) HandOver(now time.Time) HandOver {
 	k.handedOver = true
 	departed := append(k.Departed(now), k.self)
-	records := make(map[ticket.EndpointKey][]HandedRecord)
-	for _, e := range Without(k.members.All, departed) {
-		records[e] = nil
+	h := HandOver{
+		Receivers: Without(k.members.All, departed), Owners: Without(k.members.Owners, departed), Fresh: k.fresh(now),
 	}
-	owners := Without(k.members.Owners, departed)
 	for key, r := range k.records {
 		if r.state == notRun {
 			continue
 		}
-		handed := HandedRecord{Key: key, Fingerprint: r.fingerprint, Replica: r.state == replicated}
+		handed := HandedRecord{Key: key, Fingerprint: r.fingerprint, Answer: r.answer, Replica: r.state == replicated}
 		if handed.Replica {
 			handed.Age = now.Sub(r.created)
 		}
-		next, _ := KeyOwner(key, owners)
-		for e := range records {
-			handed.Answer = nil
-			if e == next && r.state == answered {
-				handed.Answer = r.answer
-			}
-			records[e] = append(records[e], handed)
-		}
+		h.Records = append(h.Records, handed)
 	}
-	return HandOver{Records: records, Fresh: k.fresh(now)}
+	return h
 }
 
 // ReceiveDeparture applies one message of another agent's planned stop. ok is false if
--- a/admission/departure_test.go
+++ b/admission/departure_test.go
@@ -36,7 +36,9 @@
 	last := d
 	last.Complete = true
 	begun := to.ReceiveDeparture(now, d)
-	d.Records = handOver.Records[to.self]
+	for _, r := range handOver.Records {
+		d.Records = append(d.Records, handOver.For(to.self, r))
+	}
 	return begun && to.ReceiveDeparture(now, d) && to.ReceiveDeparture(now, last)
 }
 
--- a/admission/handover/departure.go
+++ b/admission/handover/departure.go
@@ -46,13 +46,20 @@
 	return &admissionpb.HandOverRecordsResponse{}, nil
 }
 
-// HandOver sends the departure of this agent, with all its records, to another agent; if a
-// call fails, it begins again until ctx ends. It fails with *connect.Error if that agent
-// refuses the records, or if the last call failed.
-func HandOver(ctx context.Context, client *http.Client, address netip.AddrPort, departure admission.Departure) error {
+// Departure is the planned stop of this agent.
+type Departure struct {
+	Endpoint ticket.EndpointKey
+	ID       admission.DepartureID
+	admission.HandOver
+}
+
+// Send sends the departure to one of its receivers, at address; if a call fails, it begins
+// again until ctx ends. It fails with *connect.Error if that agent refuses the records, or if
+// the last call failed.
+func (d Departure) Send(ctx context.Context, client *http.Client, receiver ticket.EndpointKey, address netip.AddrPort) error {
 	remote := admissionpbconnect.NewHandOverServiceClient(client, rpc.BaseURL(address.String()))
 	for {
-		err := sendDeparture(ctx, remote, departure)
+		err := d.sendOnce(ctx, remote, receiver)
 		code := connect.CodeOf(err)
 		if err == nil || code == connect.CodeFailedPrecondition || code == connect.CodeUnimplemented {
 			return err
@@ -63,19 +70,21 @@
 	}
 }
 
-func sendDeparture(ctx context.Context, remote admissionpbconnect.HandOverServiceClient, departure admission.Departure) error {
+func (d Departure) sendOnce(ctx context.Context, remote admissionpbconnect.HandOverServiceClient, receiver ticket.EndpointKey) error {
 	send := func(batch []admission.HandedRecord, complete bool) error {
 		ctx, cancel := context.WithTimeout(ctx, rpc.CallTimeout)
 		defer cancel()
-		message := departure
-		message.Records, message.Complete = batch, complete
+		message := admission.Departure{Endpoint: d.Endpoint, ID: d.ID, Complete: complete, Fresh: d.Fresh}
+		for _, r := range batch {
+			message.Records = append(message.Records, d.For(receiver, r))
+		}
 		_, err := remote.HandOverRecords(ctx, encodeDeparture(message))
 		return err
 	}
 	if err := send(nil, false); err != nil {
 		return err
 	}
-	for records := departure.Records; len(records) > 0; {
+	for records := d.Records; len(records) > 0; {
 		n := batchLength(records)
 		if err := send(records[:n], false); err != nil {
 			return err
--- a/admission/handover/departure_test.go
+++ b/admission/handover/departure_test.go
@@ -10,6 +10,7 @@
 
 	"cactustray/admission"
 	"cactustray/control"
+	"cactustray/ticket"
 
 	"connectrpc.com/connect"
 	"github.com/shoenig/test/must"
@@ -30,8 +31,11 @@
 
 func (*receiver) Tick(time.Time, time.Duration) {}
 
-// handOver sends a departure to a receiver and returns the result.
-func handOver(t *testing.T, r *receiver, departure admission.Departure) error {
+// self and peer are the endpoints of the sender and of the receiver.
+const self, peer ticket.EndpointKey = 7, 8
+
+// send sends a departure to a receiver and returns the result.
+func send(t *testing.T, r *receiver, departure Departure) error {
 	loop := control.NewLoop(time.Second)
 	ctx, cancel := context.WithCancel(t.Context())
 	running := make(chan struct{})
@@ -44,23 +48,25 @@
 	server := httptest.NewTLSServer(handler)
 	defer server.Close()
 	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "https://"))
-	return HandOver(ctx, server.Client(), address, departure)
+	return departure.Send(ctx, server.Client(), peer, address)
 }
 
 // The receiver gets the records as they were sent, after a first message without records and
 // before a last one that completes the departure.
 func TestDepartureArrivesAsSent(t *testing.T) {
 	answer := &admission.StoredAnswer{Status: 200, Header: map[string][]string{"Content-Type": {"text/plain"}}, Body: []byte("confirmed")}
-	departure := admission.Departure{Endpoint: 7, ID: 9, Fresh: true, Records: []admission.HandedRecord{
+	records := []admission.HandedRecord{
 		{Key: "truck-1", Fingerprint: 3, Answer: answer},
 		{Key: "truck-2", Fingerprint: 4},
 		{Key: "truck-3", Replica: true, Age: time.Minute},
-	}}
+	}
 	r := &receiver{refuseFrom: 100}
-	must.NoError(t, handOver(t, r, departure))
-	first, last := departure, departure
-	first.Records, last.Records, last.Complete = nil, nil, true
-	must.Eq(t, []admission.Departure{first, departure, last}, r.received)
+	handOver := admission.HandOver{Records: records, Owners: []ticket.EndpointKey{peer}, Fresh: true}
+	must.NoError(t, send(t, r, Departure{Endpoint: self, ID: 9, HandOver: handOver}))
+	first := admission.Departure{Endpoint: self, ID: 9, Fresh: true}
+	second, last := first, first
+	second.Records, last.Complete = records, true
+	must.Eq(t, []admission.Departure{first, second, last}, r.received)
 }
 
 // Records with large answers are sent in several messages.
@@ -74,7 +80,7 @@
 // An agent that refuses the records is not sent them again.
 func TestRefusedDepartureIsNotSentAgain(t *testing.T) {
 	r := &receiver{refuseFrom: 2}
-	err := handOver(t, r, admission.Departure{Endpoint: 7, ID: 9})
+	err := send(t, r, Departure{Endpoint: self, ID: 9})
 	must.EqOp(t, connect.CodeFailedPrecondition, connect.CodeOf(err))
 	must.SliceLen(t, 2, r.received)
 }
--- a/admission/keytable.go
+++ b/admission/keytable.go
@@ -418,7 +418,7 @@
 		status.Known = true
 		status.Age = ownerAge
 		if r.state == answered || r.state == uncertain {
-			k.setState(now, r, r.state) // of the request that runs now, if it does
+			k.setState(now, r, r.state) // the key may run at the owner now, if its record there expired
 		}
 	}
 	return status
--- a/admission/keytable_test.go
+++ b/admission/keytable_test.go
@@ -315,14 +315,14 @@
 	if !begun {
 		id := DepartureID(1 + len(k.runs) + k.incarnations[agent])
 		handOver := k.nodes[agent].HandOver(k.now)
-		for to := range keyAgents {
-			list, member := handOver.Records[ticket.EndpointKey(to+1)]
-			if !member {
-				continue
-			}
+		for _, receiver := range handOver.Receivers {
+			to := int(receiver - 1)
 			base := Departure{Endpoint: ticket.EndpointKey(agent + 1), ID: id, Fresh: handOver.Fresh}
 			handed, complete := base, base
-			handed.Records, complete.Complete = list, true
+			complete.Complete = true
+			for _, r := range handOver.Records {
+				handed.Records = append(handed.Records, handOver.For(receiver, r))
+			}
 			queue = append(queue, departureMessage{to, base}, departureMessage{to, handed}, departureMessage{to, complete})
 		}
 		k.departures[agent] = queue
--- a/admission/message.go
+++ b/admission/message.go
@@ -137,14 +137,6 @@
 // each other agent.
 type HandOverRequested struct{ Reply chan<- HandOver }
 
-// HandOver is what a stopping agent hands over.
-type HandOver struct {
-	// Records are the records to hand over to each endpoint's agent.
-	Records map[ticket.EndpointKey][]HandedRecord
-	// Fresh is true if this agent may lack records of keys.
-	Fresh bool
-}
-
 // DepartureReceived brings a message of another agent's planned stop to the control
 // goroutine. The reply is false if this agent can't take the records over.
 type DepartureReceived struct {
--- a/agent/departure.go
+++ b/agent/departure.go
@@ -32,18 +32,16 @@
 		p.log.Emit(EventRecordsNotHandedOver, event.Fields{"cause": err})
 		return
 	}
-	departure := admission.Departure{
+	departure := handover.Departure{
 		Endpoint: ticket.EndpointKeyOf(p.settings.Agent.Service, p.settings.Agent.Endpoint),
-		ID:       admission.DepartureID(rand.Uint64()), Fresh: handOver.Fresh,
+		ID:       admission.DepartureID(rand.Uint64()), HandOver: handOver,
 	}
 	var accepted atomic.Int64
 	var group errgroup.Group
-	for peer, list := range handOver.Records {
-		address := (*p.snapshots.agents.Load())[peer]
-		sent := departure
-		sent.Records = list
+	for _, receiver := range handOver.Receivers {
+		address := (*p.snapshots.agents.Load())[receiver]
 		group.Go(func() error {
-			if err := handover.HandOver(ctx, p.peers, address, sent); err != nil {
+			if err := departure.Send(ctx, p.peers, receiver, address); err != nil {
 				p.log.Emit(EventRecordsNotHandedOver, event.Fields{"agent": address, "cause": err})
 				return nil // the other agents take their records over all the same
 			}
