--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -39,6 +39,7 @@
 var cases = map[string]func(*cluster, bool) (broken bool, err error){
 	"moved":    moved,
 	"settings": settings,
+	"lifetime": lifetime,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_standin/settings.go
+++ b/review/_standin/settings.go
@@ -28,22 +28,17 @@
 		return false, err
 	}
 	before := serve(c, "before")
-	c.bounds["grace-s"] = graceWhole
+	grace := any(graceWhole)
 	if trouble {
-		c.bounds["grace-s"] = graceFraction
+		grace = graceFraction
 	}
-	hosts := []int{balancerHost, balancerHost + 1, endpointHost, endpointHost + 1}
-	for _, host := range hosts {
-		if _, err := c.writeSettings(host, false); err != nil {
-			return false, err
-		}
-		c.record.line("process", "node-%d: grace-s is now %v; gets %v", host, c.bounds["grace-s"], syscall.SIGHUP)
-		_ = c.daemon(host).Signal(syscall.SIGHUP)
+	if err := c.changeSettings("grace-s", grace); err != nil {
+		return false, err
 	}
 	time.Sleep(3 * time.Second)
 	changed := serve(c, "after the change")
 	ended := 0
-	for _, host := range hosts {
+	for _, host := range []int{balancerHost, balancerHost + 1, endpointHost, endpointHost + 1} {
 		n, err := c.restartSupervised(host)
 		if err != nil {
 			return false, err
