--- a/review/_standin/caller.go
+++ b/review/_standin/caller.go
@@ -60,24 +60,30 @@
 	}
 }
 
-func (r *router) route(key flowKey) (netip.AddrPort, bool) {
+// route returns the balancer for a flow. All balancers are in the callers' zone: if fewer than half
+// of them are in rotation, all are used.
+func (r *router) route(key flowKey) netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	best, highest := -1, uint64(0)
+	inRotation := 0
+	for _, misses := range r.misses {
+		if misses < maxMisses {
+			inRotation++
+		}
+	}
+	useAll := 2*inRotation < len(r.balancers)
+	best, highest := 0, uint64(0)
 	for i, balancer := range r.balancers {
-		if r.misses[i] >= maxMisses {
+		if r.misses[i] >= maxMisses && !useAll {
 			continue
 		}
 		h := fnv.New64a()
-		fmt.Fprint(h, balancer, key.caller, key.service)
+		fmt.Fprint(h, balancer, key)
 		if score := h.Sum64()*0x9e3779b97f4a7c15 | 1; score > highest {
 			best, highest = i, score
 		}
 	}
-	if best < 0 {
-		return netip.AddrPort{}, false
-	}
-	return r.balancers[best], true
+	return r.balancers[best]
 }
 
 // caller opens flows from one IP address.
@@ -205,9 +211,7 @@
 
 func (f *callerFlow) send(p packet) {
 	p.to, p.from = f.key.service, f.key.caller
-	if balancer, ok := f.caller.router.route(f.key); ok {
-		_, _ = f.caller.socket.WriteToUDPAddrPort(p.encode(), balancer)
-	}
+	_, _ = f.caller.socket.WriteToUDPAddrPort(p.encode(), f.caller.router.route(f.key))
 }
 
 func (f *callerFlow) receive(wait time.Duration) (received, bool) {
--- a/review/_standin/cluster.go
+++ b/review/_standin/cluster.go
@@ -85,7 +85,13 @@
 	return netip.AddrPortFrom(netip.MustParseAddr(c.ip(host)), c.ports[port])
 }
 
-func (c *cluster) zone(host int) string { return string(rune('a' + host%2)) }
+// zone returns the zone of a host: all balancers are in that of the callers.
+func (c *cluster) zone(host int) string {
+	if host < endpointHost {
+		return "a"
+	}
+	return string(rune('a' + host%2))
+}
 
 // fields are the fields of the platform's settings file that the templates use.
 func (c *cluster) fields(host int, service string, bootstrap bool) map[string]any {
--- a/review/_standin/endpoint.go
+++ b/review/_standin/endpoint.go
@@ -15,6 +15,8 @@
 
 type flowKey struct{ caller, service netip.AddrPort }
 
+func (k flowKey) String() string { return k.caller.String() + "->" + k.service.String() }
+
 // heldFlow is a flow that an endpoint holds.
 type heldFlow struct {
 	seq  uint32
--- a/review/_standin/lifetime.go
+++ b/review/_standin/lifetime.go
@@ -25,7 +25,7 @@
 		c.bounds["flow-ttl-s"] = lifetimeBefore
 	}
 	c.publish(2, map[string]string{ordersRoute: "orders", drawingsRoute: "drawings"})
-	if err := c.start(2, []string{"orders", "orders", "orders", "orders", "drawings", "drawings"}, 2, 13*time.Millisecond); err != nil {
+	if err := c.start(movedBalancers, []string{"orders", "orders", "orders", "orders", "drawings", "drawings"}, 2, 13*time.Millisecond); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Second)
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -40,6 +40,7 @@
 	"moved":    moved,
 	"settings": settings,
 	"lifetime": lifetime,
+	"history":  history,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_standin/moved.go
+++ b/review/_standin/moved.go
@@ -4,17 +4,19 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 const (
-	ordersRoute   = "198.18.0.1:8080"
-	drawingsRoute = "198.18.0.2:443"
-	movedFeeds    = 300
+	ordersRoute    = "198.18.0.1:8080"
+	drawingsRoute  = "198.18.0.2:443"
+	movedFeeds     = 300
+	movedBalancers = 2
 	// rollGap is the pause between the stops of two machines.
 	rollGap = 1000 * time.Millisecond
 	// stableTime is longer than the bound stable-ms, 4 s.
@@ -29,7 +31,7 @@
 // breaks FLOW: the endpoints send none.
 func moved(c *cluster, trouble bool) (bool, error) {
 	c.publish(2, map[string]string{ordersRoute: "orders", drawingsRoute: "drawings"})
-	if err := c.start(3, []string{"orders", "orders", "orders", "orders", "drawings", "drawings"}, 2, 13*time.Millisecond); err != nil {
+	if err := c.start(movedBalancers, []string{"orders", "orders", "orders", "orders", "drawings", "drawings"}, 2, 13*time.Millisecond); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
@@ -43,7 +45,7 @@
 	time.Sleep(2 * time.Second)
 	c.publish(5, map[string]string{ordersRoute: "drawings", drawingsRoute: "drawings"})
 	time.Sleep(propagationTime)
-	if err := roll(c); err != nil {
+	if err := roll(c, 2); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
@@ -71,16 +73,15 @@
 	return c.awaitReady()
 }
 
-// roll stops the balancers in turn and starts them again, twice.
-func roll(c *cluster) error {
-	hosts := slices.Concat(c.balancers, c.balancers)
-	failed := make(chan error, len(hosts))
-	for _, host := range hosts {
-		go func() { failed <- c.restart(host, syscall.SIGTERM) }()
-		time.Sleep(rollGap)
-	}
-	for range hosts {
-		if err := <-failed; err != nil {
+// roll stops the balancers in turn and starts them again, as often as rounds says.
+func roll(c *cluster, rounds int) error {
+	for range rounds {
+		var group errgroup.Group
+		for _, host := range c.balancers {
+			group.Go(func() error { return c.restart(host, syscall.SIGTERM) })
+			time.Sleep(rollGap)
+		}
+		if err := group.Wait(); err != nil {
 			return err
 		}
 	}
