--- a/review/_standin/moved.go
+++ b/review/_standin/moved.go
@@ -27,7 +27,7 @@
 
 // moved kills all balancers at the same moment (the disruption) and lets them start again.
 // Later a desired state moves a route to another service, and the balancers are stopped and
-// started in turn, twice. A reset that a caller gets on an open flow whose endpoint holds it
+// started in turn, three times. A reset that a caller gets on an open flow whose endpoint holds it
 // breaks FLOW: the endpoints send none.
 func moved(c *cluster, trouble bool) (bool, error) {
 	c.publish(2, map[string]string{ordersRoute: "orders", drawingsRoute: "drawings"})
@@ -45,7 +45,7 @@
 	time.Sleep(2 * time.Second)
 	c.publish(5, map[string]string{ordersRoute: "drawings", drawingsRoute: "drawings"})
 	time.Sleep(propagationTime)
-	if err := roll(c, 2); err != nil {
+	if err := roll(c, 3); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
