Query other balancers for the route history until it is known

Cause: a balancer that starts with a newer desired state than the others cannot take their route history over, and requested it only once, at its start. Other balancers fetch only if digests differ, which leave the history out. After a few such restarts no balancer knew which service the route had left.

Events 3114 and 3115 show when it becomes known and when it is lost.

Old builds answer it as any other request.

--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -62,7 +62,11 @@
 	healthy   *atomic.Bool
 	directory *directory.State
 	schedule  *directory.ReaderSchedule
-	loads     map[flow.Address]*placement.AgentLoad
+	// history schedules queries for the route history, and historyKnown is whether the
+	// routing table was built with it.
+	history      *directory.HistorySchedule
+	historyKnown bool
+	loads        map[flow.Address]*placement.AgentLoad
 
 	started     time.Duration
 	lastTick    time.Duration
@@ -110,6 +114,7 @@
 	return &state{
 		settings: s, log: log, traffic: f, reader: r, healthy: healthy,
 		directory: known, schedule: directory.NewReaderSchedule(s.Packets.AdvertisedPeer()),
+		history: directory.NewHistorySchedule(s.Packets.AdvertisedPeer()),
 		loads:   make(map[flow.Address]*placement.AgentLoad),
 		started: now, lastTick: now, fullRead: true, seeds: s.Packets.SeedAddresses(), drainLimit: s.Packets.DrainLimit(),
 		survey: survey{queried: make(map[netip.AddrPort]bool), complete: s.Packets.FirstStart},
@@ -166,6 +171,7 @@
 	s.readIfDue(now)
 	s.fetchFromSeeds(now)
 	s.surveyPeers(now)
+	s.queryRouteHistory(now)
 	s.admitTraffic(now, "registry")
 	if now-s.lastHello >= helloInterval {
 		s.sendHellos(now)
@@ -187,6 +193,7 @@
 	s.lastPublish = now
 	s.directory.RemoveExpired(now, s.settings.Packets.FlowLifetime())
 	s.updateMetrics()
+	s.recordRouteHistory(now)
 	builder := newTableBuilder(now, s)
 	s.traffic.table.Store(builder.build())
 	s.traffic.endSearches(now)
--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -126,7 +126,7 @@
 		s.contentDiffers = false
 	}
 	s.fullRead = false
-	s.updateTraffic(now, changed, m.from.String())
+	s.updateTraffic(now, changed || s.knowsRouteHistory(now) != s.historyKnown, m.from.String())
 	if changed {
 		s.announceDirectory(now)
 	} else {
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -28,6 +28,8 @@
 	EventEndpointSlow       = event.Define(3109, logrus.WarnLevel, "endpoint answers slowly")
 	EventEndpointRecovered  = event.Define(3110, logrus.InfoLevel, "endpoint answers at normal speed again")
 	EventComplete           = event.Define(3111, logrus.InfoLevel, "all endpoints that may hold flows are known")
+	EventHistoryKnown       = event.Define(3114, logrus.InfoLevel, "route history is known")
+	EventHistoryLost        = event.Define(3115, logrus.WarnLevel, "route history was lost")
 	EventPaused             = event.Define(3107, logrus.WarnLevel, "packet balancer was paused")
 	EventFlowPlaced         = event.Define(3201, logrus.InfoLevel, "flow placed")
 	EventFlowSearched       = event.Define(3203, logrus.InfoLevel, "flow search sent to agents")
