Await the former services of a route also while its history is not known

Cause: while the route history is not known, every service is assumed to be a former one, and searches waited 0.3 s at most for all of them, those included that the balancer had seen the route leave.

Change: known and assumed former services are kept apart. A known one is awaited like a present one and queried before the assumed ones. An agent of an assumed one is awaited as long as something shows that its endpoint lives: it knows its flows and answers, it has reported to this balancer and is silent now, or the registry lists its endpoint for longer than an entry that is not renewed. Any other is awaited for 1 s from the balancer's start and 0.3 s from that of the search.

--- a/directory/entry.go
+++ b/directory/entry.go
@@ -16,9 +16,9 @@
 	vanishedRetention = time.Second
 	// agentRestart is how long after its last report an agent may be restarting.
 	agentRestart = 3 * time.Second
-	// relistedTime is how long the entry of an endpoint that has stopped may be listed by a
-	// restored source: until three heartbeats are missing, and the source was read again.
-	relistedTime = 5 * time.Second
+	// unrenewedLifetime is how long the source may list an entry that its endpoint no longer
+	// renews: until three heartbeats are missing, and the source was read again.
+	unrenewedLifetime = 5 * time.Second
 )
 
 // Entry is an endpoint and its status on this balancer.
@@ -98,6 +98,24 @@
 	return asOf < e.GoneAt
 }
 
+// MissedReturn reports whether the entry is missing beyond the time in which one that expired
+// although its endpoint is alive is registered again.
+func (e *Entry) MissedReturn(now time.Duration) bool {
+	if e.DepartedAt == 0 {
+		return false
+	}
+	return now >= cmp.Or(e.UsableUntil, e.DepartedAt+lapsedRetention)
+}
+
+// ConfirmedFrom returns the time from which the entry shows that its endpoint lives, if the
+// registry still lists it then, or 0 if it is not registered.
+func (e *Entry) ConfirmedFrom() time.Duration {
+	if e.DepartedAt != 0 {
+		return 0
+	}
+	return max(e.FirstSeen+unrenewedLifetime, e.RelistedUntil)
+}
+
 // message returns the endpoint as it is sent to other balancers.
 func (e *Entry) message(now time.Duration) Endpoint {
 	endpoint := e.Endpoint
@@ -129,6 +147,6 @@
 	case e.RelistedUntil != 0:
 		return false // it was relisted before, and is still registered
 	}
-	e.RelistedUntil, e.GoneAt = now+relistedTime, now+vanishedRetention
+	e.RelistedUntil, e.GoneAt = now+unrenewedLifetime, now+vanishedRetention
 	return true
 }
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -104,7 +104,7 @@
 	must.False(t, copied.AcceptsNew(now, false))
 	must.True(t, copied.AcceptsNew(now, true))
 	must.False(t, copied.MayHoldFlows(now, now+vanishedRetention, 0, false))
-	must.True(t, copied.AcceptsNew(now+relistedTime, false))
+	must.True(t, copied.AcceptsNew(now+unrenewedLifetime, false))
 	must.True(t, lapsed.AcceptsNew(now+lapsedRetention-1, true))
 	must.True(t, lapsed.Replaces(copied, now), must.Sprint("the address of a stopped endpoint may have been reused"))
 	// Both are usable without doubt once their endpoints have written them again.
@@ -122,10 +122,10 @@
 	now := 4 * time.Second
 	s.Apply(now, restoredAt(now, 9, writtenAt("i", 5, 1)))
 	other := NewState()
-	later := now + relistedTime - 1
+	later := now + unrenewedLifetime - 1
 	other.Apply(later, s.Snapshot(later))
 	must.True(t, other.entries["i"].Doubtful(later))
-	now = later + relistedTime/2
+	now = later + unrenewedLifetime/2
 	must.False(t, s.entries["i"].Doubtful(now))
 	s.Apply(now, restoredAt(now, 9, writtenAt("i", 5, 1))) // the source does not know of doubts
 	s.Apply(now, other.Snapshot(now))
--- a/flow/retry_test.go
+++ b/flow/retry_test.go
@@ -74,26 +74,3 @@
 	must.Eq(t, []Address{agentAt(0)}, retried[0].Decision.QueryAgents)
 	must.EqOp(t, Denies, agent.Query(now, retried[0].Decision.Query))
 }
-
-// While it is not known which services a route left, their agents are queried too, but one
-// that cannot answer, since its endpoint does not run, holds up no lost flow for long.
-func TestAssumedFormerServiceHoldsUpNoFlow(t *testing.T) {
-	a, routing, now := newTestAssignments(), knowingRoutingTable(2), time.Second
-	other := &Service{Name: "drawings", Tag: 3}
-	addEndpoint(routing, other, 2)
-	routing.Routes[serviceAddress].Former = []*Service{other}
-	packet := Packet{Flow: callerKey(1), Acknowledged: 77, Data: 900}
-	must.Len(t, 2, a.FromCaller(now, packet, routing, []byte("data")).QueryAgents)
-	a.Denied(now, packet.Flow, agentAt(0), routing)
-	must.Eq(t, []Address{agentAt(2)}, decisionOf(a.Denied(now, packet.Flow, agentAt(1), routing)).SearchAgents)
-	ended := func(assumed bool) bool {
-		routing.Routes[serviceAddress].FormerAssumed = assumed
-		retried, _ := a.RetrySearches(now, routing)
-		return len(retried) == 1 && retried[0].Decision.SendReset
-	}
-	must.False(t, ended(true))
-	now += assumedTimeout
-	must.False(t, ended(false), must.Sprint("a known former service is waited for"))
-	now += maxRetryInterval
-	must.True(t, ended(true))
-}
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"iter"
 	"slices"
 
 	"cactustray/placement"
@@ -15,6 +16,12 @@
 	// StartedAt is when the endpoint started, in milliseconds since the Unix epoch by its
 	// own clock.
 	StartedAt int64
+	// Unregistered is true if the registry no longer lists the endpoint, and an entry that
+	// expired although its endpoint lives would be back.
+	Unregistered bool
+	// ConfirmedFrom is when the registry has shown that the endpoint lives, if it still lists
+	// it then: an entry that is not renewed expires sooner.
+	ConfirmedFrom Timestamp
 	// hash is the hash of the agent's address, for the order in which a flow prefers
 	// endpoints.
 	hash uint64
@@ -56,13 +63,13 @@
 type Route struct {
 	Shares []Share
 	Weight uint32
-	// Former are other services, whose endpoints may hold flows of the route that were
-	// opened earlier. They get no new flows. Services in Shares are ignored, so that routes
-	// can have one list in common.
+	// Former are the services that the route is known to have left. Their endpoints may hold
+	// flows that were opened earlier; they get no new flows.
 	Former []*Service
-	// FormerAssumed is true if the services that the route left are not known, and Former
-	// has all services for that reason.
-	FormerAssumed bool
+	// Assumed are further services that the route may have left, while its history is not
+	// known. Services in Shares and Former are ignored, so that routes can have one list in
+	// common.
+	Assumed []*Service
 }
 
 // present iterates over the services to which the route sends new flows.
@@ -74,26 +81,43 @@
 	}
 }
 
-// former iterates over the other services whose endpoints may hold flows of the route.
+// isPresent reports whether the route sends new flows to the service.
+func (r *Route) isPresent(service *Service) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+}
+
+// former iterates over the services that the route is known to have left.
 func (r *Route) former(yield func(*Service) bool) {
 	for _, service := range r.Former {
-		isPresent := slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
-		if !isPresent && !yield(service) {
+		if !r.isPresent(service) && !yield(service) {
 			return
 		}
 	}
 }
 
+// assumed iterates over the services that the route may have left, but is not known to.
+func (r *Route) assumed(yield func(*Service) bool) {
+	for _, service := range r.Assumed {
+		if !r.isPresent(service) && !slices.Contains(r.Former, service) && !yield(service) {
+			return
+		}
+	}
+}
+
+// known iterates over the services to which the route is known to have sent flows.
+func (r *Route) known(yield func(*Service) bool) { concatenate(yield, r.present, r.former) }
+
 // holders iterates over all services whose endpoints may hold flows of the route.
-func (r *Route) holders(yield func(*Service) bool) {
-	stopped := false
-	r.present(func(s *Service) bool {
-		stopped = !yield(s)
-		return !stopped
-	})
-	if !stopped {
-		r.former(yield)
+func (r *Route) holders(yield func(*Service) bool) { concatenate(yield, r.known, r.assumed) }
+
+// concatenate iterates over first, then over second.
+func concatenate(yield func(*Service) bool, first, second iter.Seq[*Service]) {
+	for service := range first {
+		if !yield(service) {
+			return
+		}
 	}
+	second(yield)
 }
 
 // Service returns the service of a new flow: the same for all its packets on every
@@ -122,6 +146,8 @@
 	Agents map[Address]*Endpoint
 	// Complete is true if the table has every endpoint that may hold open flows.
 	Complete bool
+	// StartedAt is when the balancer started. Agents have reported to it only since.
+	StartedAt Timestamp
 	// CurrentAt returns when the table was last known to be the newest.
 	CurrentAt func() Timestamp
 }
--- a/flow/search.go
+++ b/flow/search.go
@@ -23,9 +23,13 @@
 	// querySize is the number of bytes that a query costs for each agent: a flow's key and
 	// the acknowledgment, with a share of the headers.
 	querySize = 24
-	// assumedTimeout is how long a search waits for answers about a former service that the
-	// route is only assumed to have: many times the time of an answer.
+	// assumedTimeout is how long a search waits for answers about a service that the route is
+	// only assumed to have left, if nothing shows that its endpoint lives: many times the time
+	// of an answer.
 	assumedTimeout = 300 * time.Millisecond
+	// agentStartTime is how long an agent that is being restarted takes to report to a
+	// balancer that has started meanwhile.
+	agentStartTime = time.Second
 	// defaultSearchRate limits searches, in bytes per second, unless the settings state
 	// the machine's link: a quarter of 10 Mbit/s, the slowest link.
 	defaultSearchRate = 312_500
@@ -214,7 +218,7 @@
 // routeTag returns the tag of the only service whose endpoints may hold the route's
 // flows, or 0 if there are several or none.
 func routeTag(r *Route) uint16 {
-	if len(r.Shares) != 1 || len(r.Former) > 0 {
+	if len(r.Shares) != 1 || len(r.Former)+len(r.Assumed) > 0 {
 		return 0
 	}
 	return r.Shares[0].Service.Tag
@@ -261,14 +265,41 @@
 	return a.sendSearch(now, key, s, route, routing, []Address{agent}), s.packet
 }
 
-// awaited returns the services whose agents must deny the flow before it ends. Those that the
-// route is only assumed to have left are queried, but not waited for beyond assumedTimeout:
-// one agent without an endpoint would hold up the lost flows of every service.
-func (s *search) awaited(now Timestamp, route *Route) iter.Seq[*Service] {
-	if route.FormerAssumed && now-s.startedAt >= assumedTimeout {
-		return route.present
+// awaited returns the agents that must deny the flow before it ends.
+func (s *search) awaited(now Timestamp, route *Route, routing *RoutingTable) []Address {
+	awaited := s.remaining(route.known)
+	for service := range route.assumed {
+		for _, endpoint := range service.Holders {
+			if !s.denied[endpoint.Agent] && s.awaitsAssumed(now, endpoint, routing) {
+				awaited = append(awaited, endpoint.Agent)
+			}
+		}
+	}
+	return awaited
+}
+
+// awaitsAssumed reports whether an agent of a service that the route is only assumed to have
+// left must deny the flow. The lost flows of all routes wait for such agents. One whose
+// endpoint does not run denies nothing, and until its entry expires the registry lists it
+// like any other.
+//
+// Invariant: an agent that can deny the flow, that was in touch with this balancer, or whose
+// endpoint lives according to the registry, is awaited. Any other is awaited while it may be
+// starting, and for assumedTimeout.
+func (s *search) awaitsAssumed(now Timestamp, endpoint *Endpoint, routing *RoutingTable) bool {
+	load := endpoint.AgentLoad
+	alive, inTime := load.Alive(now), now-s.startedAt < assumedTimeout
+	switch {
+	case alive && load.FlowsKnown():
+		return true
+	case endpoint.Unregistered:
+		return inTime
+	case endpoint.ConfirmedFrom != 0 && routing.CurrentAt() >= endpoint.ConfirmedFrom:
+		return true
+	case !alive && load.ReportedAt() != 0:
+		return true // it may be restarting
 	}
-	return route.holders
+	return inTime || now-routing.StartedAt < agentStartTime
 }
 
 // endIfDenied ends a flow if the routing table is complete and every endpoint that may
@@ -278,7 +309,7 @@
 	switch {
 	case route == nil:
 		return Decision{Reason: UnknownAddress}
-	case len(s.remaining(s.awaited(now, route))) > 0 || !routing.Complete:
+	case len(s.awaited(now, route, routing)) > 0 || !routing.Complete:
 		return Decision{Reason: Searched}
 	case !route.hasHolders():
 		return Decision{Reason: NoEndpoint}
--- a/flow/simulation_search_test.go
+++ b/flow/simulation_search_test.go
@@ -70,15 +70,26 @@
 // moveRoute sends new flows to the service that got none until now.
 func (s *simulation) moveRoute() {
 	route := s.table.Routes[serviceAddress]
-	present, former := route.Shares[0].Service, route.Former[0]
+	present, former := route.Shares[0].Service, append(route.Former, route.Assumed...)[0]
 	s.t.Logf("%v the route moves to %s", s.now, former.Name)
 	moved := *s.table
 	moved.Routes = map[Address]*Route{serviceAddress: {Shares: []Share{{Service: former, Weight: 1}}, Weight: 1, Former: []*Service{present}}}
 	s.table = &moved
 }
 
-// As TestFlowsAreFoundAndNeverResetInError, for a route that moves between two services:
-// flows stay where they were opened, and new ones open at the present service.
+// forgetHistory makes all balancers assume which services the route has left.
+func (s *simulation) forgetHistory() {
+	s.t.Logf("%v the route history is lost", s.now)
+	forgotten := *s.table
+	route := *s.table.Routes[serviceAddress]
+	route.Former, route.Assumed = nil, append(route.Former, route.Assumed...)
+	forgotten.Routes = map[Address]*Route{serviceAddress: &route}
+	s.table = &forgotten
+}
+
+// As TestFlowsAreFoundAndNeverResetInError, for a route that moves between two services,
+// while the balancers lose its history and learn it again: flows stay where they were opened,
+// and new ones open at the present service.
 func TestFlowsOfMovedRouteAreFound(t *testing.T) {
 	for _, agents := range []int{2, preferenceThreshold + 1} {
 		rapid.Check(t, func(t *rapid.T) {
@@ -90,8 +101,11 @@
 				s.newCaller()
 			}
 			for range rapid.IntRange(10, 100).Draw(t, "steps") {
-				if s.draw("move", 12) == 0 {
+				switch s.draw("move", 12) {
+				case 0:
 					s.moveRoute()
+				case 1:
+					s.forgetHistory()
 				}
 				s.step()
 			}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -90,6 +90,7 @@
 		a.flowTable = NewAgentTable(s.now, 2, simFlowLifetime, true)
 		s.agents = append(s.agents, a)
 		endpoint := NewEndpoint(a.address, service, placement.Candidate{AgentLoad: new(placement.AgentLoad), Slots: 2, AddedAt: s.now, Remote: i%2 == 1})
+		endpoint.ConfirmedFrom = s.now // the registry lists it as long as it lives
 		service.Accepting = append(service.Accepting, endpoint)
 		service.Candidates = append(service.Candidates, &endpoint.Candidate)
 		service.Holders = append(service.Holders, endpoint)
--- a/flow/wave.go
+++ b/flow/wave.go
@@ -14,14 +14,19 @@
 	preferredWave wave = 2
 	// allWave is all agents of the services to which the route sends new flows.
 	allWave wave = 3
-	// formerWave is the agents of the services to which it sent new flows earlier.
+	// formerWave is the agents of the services that the route is known to have left.
 	formerWave wave = 4
+	// assumedWave is the agents of the services that it may have left.
+	assumedWave wave = 5
 )
 
 // lastWave returns the wave after which every agent that may hold a flow of the route has
 // been queried.
 func (r *Route) lastWave() wave {
-	if len(r.Former) > 0 {
+	switch {
+	case len(r.Assumed) > 0:
+		return assumedWave
+	case len(r.Former) > 0:
 		return formerWave
 	}
 	return allWave
@@ -51,6 +56,8 @@
 		return s.remaining(route.present)
 	case formerWave:
 		return s.remaining(route.former)
+	case assumedWave:
+		return s.remaining(route.assumed)
 	}
 	var remaining []Address
 	for _, share := range route.Shares {
--- a/packetbalancer/moved_route_test.go
+++ b/packetbalancer/moved_route_test.go
@@ -91,3 +91,16 @@
 	must.True(t, restarted.directory.KnowsRouteHistory(start, time.Minute))
 	must.EqOp(t, 2, queriedAgents(restarted, start))
 }
+
+// A balancer that started after all others were killed, and saw a route leave a service since,
+// did not tell that service from those that the route is only assumed to have left.
+func TestSeenMoveIsKnownWhileHistoryIsUnknown(t *testing.T) {
+	start := clock.Now()
+	s := stateWith(beforeMove())
+	s.directory.Apply(start, afterMove())
+	must.False(t, s.directory.KnowsRouteHistory(start, time.Minute))
+	route := newTableBuilder(start, s).build().Routes[flow.AddressOf(routeTo(80, "").Address)]
+	must.Len(t, 1, route.Former)
+	must.EqOp(t, "orders", route.Former[0].Name)
+	must.Len(t, 2, route.Assumed)
+}
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -32,6 +32,7 @@
 
 func (b *tableBuilder) build() *flow.RoutingTable {
 	b.table.Complete = b.state.survey.complete
+	b.table.StartedAt = b.state.started
 	b.table.CurrentAt = func() flow.Timestamp { return time.Duration(b.state.asOf.Load()) }
 	latestEntries := b.latestEntries()
 	for _, e := range latestEntries {
@@ -61,7 +62,6 @@
 		b.hasFormer = true
 		if len(b.table.Agents) <= maxAssumedHolders {
 			b.assumeAllServices()
-			return
 		}
 	}
 	for _, former := range directory.FormerServices(b.now) {
@@ -80,7 +80,7 @@
 		}
 	}
 	for _, route := range b.table.Routes {
-		route.Former, route.FormerAssumed = holders, true
+		route.Assumed = holders
 	}
 }
 
@@ -143,6 +143,7 @@
 		ColdUntil: e.WarmAt, AddedAt: e.FirstSeen,
 	})
 	endpoint.StartedAt = e.Incarnation
+	endpoint.Unregistered, endpoint.ConfirmedFrom = e.MissedReturn(b.now), e.ConfirmedFrom()
 	service.Holders = append(service.Holders, endpoint)
 	b.table.Agents[agent] = endpoint
 	if e.AcceptsNew(b.now, alive) {
