--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -96,6 +96,9 @@
 		history: newHistory(), closers: []func(){release}, endpointCounts: make(map[string]int),
 		routes: map[netip.AddrPort]string{packets.OrdersAddress: "orders", packets.DrawingsAddress: "drawings"},
 	}
+	if plan.moves() {
+		c.routes[movingAddress] = "orders"
+	}
 	if err := c.start(); err != nil {
 		c.close()
 		return nil, err
--- a/standin/soak/history.go
+++ b/standin/soak/history.go
@@ -58,6 +58,12 @@
 	Added bool
 }
 
+// RouteMove is a move of the moving route to a service.
+type RouteMove struct {
+	At      time.Duration
+	Service string
+}
+
 // Exit is the unrequested exit of a daemon.
 type Exit struct{ Host, Code int }
 
@@ -77,7 +83,9 @@
 	Attempts     []Attempt
 	Spans        []Span
 	RouteChanges []RouteChange
-	Exits        []Exit
+	// RouteMoves are the moves of the moving route, which leads to orders before.
+	RouteMoves []RouteMove
+	Exits      []Exit
 	// SlowStops lists the hosts whose daemon did not stop within maxStopTime.
 	SlowStops []int
 	Endpoints []EndpointRecord
@@ -140,6 +148,12 @@
 	})
 }
 
+func (h *history) recordMove(service string) {
+	h.record(func(now time.Duration) {
+		h.recorded.RouteMoves = append(h.recorded.RouteMoves, RouteMove{At: now, Service: service})
+	})
+}
+
 func (h *history) recordExit(host, code int) {
 	h.record(func(time.Duration) { h.recorded.Exits = append(h.recorded.Exits, Exit{Host: host, Code: code}) })
 }
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -64,6 +64,10 @@
 	// AddRoute and RemoveRoute add and remove the extra route in the desired state.
 	AddRoute    Kind = "add-route"
 	RemoveRoute Kind = "remove-route"
+	// MoveRoute moves the moving route to the other service, KillBalancers ends all balancers
+	// by SIGKILL at once. Plans have them only if Size.Moves is set.
+	MoveRoute     Kind = "move-route"
+	KillBalancers Kind = "kill-balancers"
 )
 
 // target is what a kind of fault hits.
@@ -97,6 +101,7 @@
 	CrashEndpoint: {endpoint, false, 2}, DarkenEndpoint: {endpoint, false, 2}, FillEndpoint: {endpoint, false, 1},
 	ReplaceEndpoint: {endpoint, true, 3}, ReuseAddress: {endpoint, false, 1},
 	AddRoute: {noTarget, true, 2}, RemoveRoute: {noTarget, true, 2},
+	MoveRoute: {noTarget, true, 0}, KillBalancers: {noTarget, false, 0},
 }
 
 // Planned reports whether the kind is planned work.
@@ -130,6 +135,9 @@
 	PlannedOnly bool
 	// Restores adds restores of the store to the plan, whose other faults stay as they are.
 	Restores bool
+	// Moves adds moves of a route to the plan, and restarts of balancers in turn and of agents;
+	// unless PlannedOnly is set, also kills of all balancers.
+	Moves bool
 }
 
 const (
@@ -145,6 +153,13 @@
 	maxFaultDuration = 2500 * time.Millisecond
 	drainTime        = maxDrainDelay + 2*time.Second
 	restoreInterval  = 4 * time.Second
+	// moveInterval is the mean time between two moves of the route, killBalancersInterval that
+	// between two kills of all balancers, rollInterval that between two rounds of restarts of
+	// all balancers, and rollPause the time between two restarts of a round.
+	moveInterval          = 3 * time.Second
+	killBalancersInterval = 6 * time.Second
+	rollInterval          = 4 * time.Second
+	rollPause             = 500 * time.Millisecond
 	// seriesShare is the share of the faults that are repeated, as a series of two or three.
 	seriesShare     = 0.3
 	maxSeriesLength = 3
@@ -175,6 +190,9 @@
 	if size.Restores {
 		plan.addRestores(seed)
 	}
+	if size.Moves {
+		plan.addMoves(seed, size.PlannedOnly)
+	}
 	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
@@ -189,6 +207,40 @@
 	}
 }
 
+// addMoves adds moves of the moving route, and what may lose the balancers' knowledge of it:
+// kills of all balancers, and restarts of balancers in turn, half of them while the route moves.
+func (p *Plan) addMoves(seed uint64, plannedOnly bool) {
+	random := rand.New(rand.NewPCG(seed, uint64(len(p.Faults))+1))
+	each := func(interval time.Duration, add func(at time.Duration)) {
+		for at := firstFaultAt; at < p.Length; at += interval {
+			add(at + time.Duration(random.Int64N(int64(interval))))
+		}
+	}
+	each(moveInterval, func(at time.Duration) { p.Faults = append(p.Faults, Fault{Kind: MoveRoute, At: at}) })
+	each(rollInterval, func(at time.Duration) {
+		for i, host := range random.Perm(p.Balancers) {
+			stop := Fault{Kind: StopProcess, At: at + time.Duration(i)*rollPause, Host: packets.BalancerHost + host}
+			p.Faults = append(p.Faults, stop)
+			if random.IntN(2) == 0 {
+				p.Faults = append(p.Faults, Fault{Kind: MoveRoute, At: stop.At + time.Duration(random.Int64N(int64(2*time.Second)))})
+			}
+		}
+	})
+	each(rollInterval/2, func(at time.Duration) {
+		p.Faults = append(p.Faults, Fault{Kind: StopProcess, At: at, Host: packets.EndpointHost + random.IntN(p.Endpoints)})
+	})
+	if !plannedOnly {
+		each(killBalancersInterval, func(at time.Duration) {
+			p.Faults = append(p.Faults, Fault{Kind: KillBalancers, At: at, For: minFaultDuration})
+		})
+	}
+}
+
+// moves reports whether the plan moves the moving route.
+func (p Plan) moves() bool {
+	return slices.ContainsFunc(p.Faults, func(f Fault) bool { return f.Kind == MoveRoute })
+}
+
 // drawable returns the kinds that a plan may have, in a fixed order, each as often as its
 // weight.
 func drawable(plannedOnly bool) []Kind {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -39,6 +39,15 @@
 	},
 }
 
+// movesBroken are seeds of plans with moves of a route that once reset flows of that route,
+// which their endpoints held.
+var movesBroken = []struct {
+	cause string
+	seed  uint64
+}{
+	{cause: "searches did not wait for the services that a route had left, after all balancers were killed", seed: 2006},
+}
+
 func runPlan(t *testing.T, plan Plan) Result {
 	t.Helper()
 	binary, err := process.BuildDaemon(t.TempDir())
@@ -69,6 +78,13 @@
 	must.SliceEmpty(t, runPlan(t, Draw(3, restored)).Violations)
 }
 
+func TestPropertiesHoldWhileRouteMoves(t *testing.T) {
+	t.Parallel()
+	moves := short
+	moves.Moves = true
+	must.SliceEmpty(t, runPlan(t, Draw(4, moves)).Violations)
+}
+
 func TestRegressions(t *testing.T) {
 	for _, r := range regressions {
 		t.Run(r.name, func(t *testing.T) {
@@ -78,6 +94,16 @@
 	}
 }
 
+func TestFlowsOfMovedRouteOutliveRestarts(t *testing.T) {
+	for _, r := range movesBroken {
+		t.Run(r.cause, func(t *testing.T) {
+			t.Parallel()
+			size := Size{Balancers: 3, Endpoints: 7, Length: 12 * time.Second, Moves: true}
+			must.SliceEmpty(t, runPlan(t, Draw(r.seed, size)).Violations)
+		})
+	}
+}
+
 // An injected reset of a flow that its endpoint holds is reported as a violation.
 func TestCheckReportsInjectedReset(t *testing.T) {
 	t.Parallel()
