Apply a changed lifetime of flows to the route history

Cause: the control state kept the settings with which it had started, so that a service was forgotten when flows by the former lifetime had ended. It also claimed to know the whole history still, and balancers that started later believed it.

Change: the control state takes over the lifetime with changed settings, and the history counts as known only from the last service that was removed from it.

Measured: TestRaisedFlowLifetimeAppliesToRouteHistory and TestRemovedFormerServiceIsNotKnownForLongerLifetime fail without.

--- a/directory/route_history.go
+++ b/directory/route_history.go
@@ -119,11 +119,16 @@
 	delete(h.former, oldest)
 }
 
-// expire removes the services whose flows are all older than lifetime.
-func (h *routeHistory) expire(now, lifetime time.Duration) {
+// expire removes the services whose flows are all older than lifetime. The history is known
+// only from then on: the lifetime may become longer. version is that of the desired state in
+// force.
+func (h *routeHistory) expire(now, lifetime time.Duration, version int64) {
 	for key, at := range h.former {
 		if now-at > lifetime {
 			delete(h.former, key)
+			if at >= h.since {
+				h.begin(at+1, version)
+			}
 		}
 	}
 }
--- a/directory/route_history_test.go
+++ b/directory/route_history_test.go
@@ -64,6 +64,19 @@
 	must.SliceEmpty(t, formerAt(s, 65*time.Second))
 }
 
+// If the lifetime of flows becomes longer, services that were removed by the former one may
+// still hold flows.
+func TestRemovedFormerServiceIsNotKnownForLongerLifetime(t *testing.T) {
+	s := stateOf(desiredTo(1, "a"), time.Second)
+	increment(s, 2*time.Second, nil, desiredTo(2, "b"))
+	now := 63 * time.Second
+	s.RemoveExpired(now, time.Minute)
+	must.SliceEmpty(t, formerAt(s, now))
+	must.True(t, s.KnowsRouteHistory(now, time.Minute))
+	must.False(t, s.KnowsRouteHistory(now, 2*time.Minute))
+	must.True(t, s.KnowsRouteHistory(now+time.Minute, 2*time.Minute))
+}
+
 // A service whose weight falls to 0 gets no new flows and keeps its open ones.
 func TestServiceWithoutWeightIsFormer(t *testing.T) {
 	s := stateOf(desiredTo(1, "a", "b"), time.Second)
--- a/directory/state.go
+++ b/directory/state.go
@@ -302,7 +302,7 @@
 // RemoveExpired removes entries that departed longer than lifetime ago, and the
 // services that routes left longer ago; lifetime is the longest lifetime of a flow.
 func (s *State) RemoveExpired(now, lifetime time.Duration) {
-	s.routes.expire(now, lifetime)
+	s.routes.expire(now, lifetime, s.desired.Version)
 	for id, e := range s.entries {
 		if e.DepartedAt != 0 && now-e.DepartedAt > lifetime {
 			s.changesFrom = max(s.changesFrom, e.ChangedAt)
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -203,6 +203,10 @@
 // apply applies changed settings, except addresses, which need a restart.
 func (s *state) apply(changed *settings.Settings) {
 	s.seeds, s.drainLimit = changed.Packets.SeedAddresses(), changed.Packets.DrainLimit()
+	applied, packets := *s.settings, *s.settings.Packets
+	packets.FlowSeconds = changed.Packets.FlowSeconds
+	applied.Packets = &packets
+	s.settings = &applied
 	s.traffic.apply(changed.Packets)
 	s.log.Emit(EventSettings, event.Fields{"seeds": len(s.seeds), "flow_seconds": changed.Packets.FlowSeconds, "stop_ms": changed.Packets.StopMillis})
 }
--- a/packetbalancer/moved_route_test.go
+++ b/packetbalancer/moved_route_test.go
@@ -9,6 +9,7 @@
 	"cactustray/directory"
 	"cactustray/flow"
 	"cactustray/placement"
+	"cactustray/settings"
 
 	"github.com/shoenig/test/must"
 )
@@ -104,3 +105,19 @@
 	must.EqOp(t, "orders", route.Former[0].Name)
 	must.Len(t, 2, route.Assumed)
 }
+
+// Balancers kept the lifetime of flows with which they had started, and forgot which service a
+// route had left before the flows there were too old.
+func TestRaisedFlowLifetimeAppliesToRouteHistory(t *testing.T) {
+	start := clock.Now()
+	s := stateAtFirstStart(beforeMove(), afterMove())
+	s.traffic = &forwarder{assignments: flow.NewAssignments(time.Minute, newRandom())}
+	s.traffic.table.Store(flow.NewRoutingTable())
+	raised := *s.settings.Packets
+	raised.FlowSeconds = 120
+	s.apply(&settings.Settings{Packets: &raised})
+	s.publish(start + 100*time.Second)
+	must.EqOp(t, 2, queriedAgents(s, start+100*time.Second))
+	s.publish(start + 121*time.Second)
+	must.EqOp(t, 1, queriedAgents(s, start+121*time.Second))
+}
