Take fractions of seconds for the lifetime of flows and the stop timeout

Cause: the templates append 000 to a bound in seconds, which makes 6.5000 of a fraction, and the settings read whole numbers.

Files with whole numbers stay valid.

--- a/settings/packets.go
+++ b/settings/packets.go
@@ -20,9 +20,9 @@
 	// Health is the address of the HTTP readiness check.
 	Health netip.AddrPort `json:"health"`
 	// FlowSeconds is the maximum lifetime of a flow, in seconds.
-	FlowSeconds int `json:"flow_seconds"`
+	FlowSeconds float64 `json:"flow_seconds"`
 	// StopMillis is the timeout of a planned stop, in milliseconds.
-	StopMillis int `json:"stop_ms"`
+	StopMillis float64 `json:"stop_ms"`
 	// LinkMbps is the speed of the machine's network link, in Mbit/s.
 	LinkMbps float64 `json:"link_mbps"`
 	// FirstStart is true if no node of the system has run before.
@@ -57,12 +57,12 @@
 
 // FlowLifetime returns the maximum lifetime of a flow.
 func (p *PacketSettings) FlowLifetime() time.Duration {
-	return time.Duration(p.FlowSeconds) * time.Second
+	return time.Duration(p.FlowSeconds * float64(time.Second))
 }
 
 // StopTimeout returns the timeout of a planned stop.
 func (p *PacketSettings) StopTimeout() time.Duration {
-	return time.Duration(p.StopMillis) * time.Millisecond
+	return time.Duration(p.StopMillis * float64(time.Millisecond))
 }
 
 // DrainLimit returns how long after it began to drain an endpoint may get new flows.
--- a/standin/e2e/packets_test.go
+++ b/standin/e2e/packets_test.go
@@ -231,7 +231,7 @@
 	c := newPacketCluster(t, 1)
 	for i, signals := range []bool{true, false} {
 		s := c.Settings(balancerHost)
-		s.Packets.FlowSeconds = 70 + i
+		s.Packets.FlowSeconds = 70 + float64(i)
 		raw, err := json.Marshal(s)
 		must.NoError(t, err)
 		must.NoError(t, os.WriteFile(filepath.Join(c.dir, "10.json"), raw, 0o600))
