Agents introduce themselves to balancers that do not know them

Cause: no balancer was left that knew of the endpoint.

Change: an agent reports for 10 s to balancers whose hello messages stopped and, after its start, to the seeds, with growing pauses. A balancer with less than 10 s of route history takes such an agent up as a holder of flows of every route, and hands it over to balancers that start (FetchResponse.introduced). It gets no new flows and no hello message. The agents' template passes the seeds.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -135,6 +135,10 @@
 	// RouteHistory is how long the sender has known every desired state in force, or 0 if
 	// the update is from the source.
 	RouteHistory time.Duration
+	// Introduced are the addresses of agents that report to the sender, and whose endpoints no
+	// balancer knows otherwise. They may hold open flows. Only balancers send them to each
+	// other.
+	Introduced []netip.AddrPort
 	// Complete is true if the sender knows every endpoint that may hold open
 	// flows.
 	Complete bool
--- a/directory/exchange/codec.go
+++ b/directory/exchange/codec.go
@@ -29,6 +29,9 @@
 	for _, f := range c.Former {
 		r.Former = append(r.Former, &directorypb.FormerService{Address: f.Address.String(), Service: f.Service, AgeUs: uint64(max(f.Age, 0).Microseconds())})
 	}
+	for _, agent := range c.Introduced {
+		r.Introduced = append(r.Introduced, agent.String())
+	}
 	for _, e := range c.Endpoints {
 		r.Endpoints = append(r.Endpoints, encodeEndpoint(e))
 	}
@@ -66,7 +69,7 @@
 	return encoded
 }
 
-// decode skips endpoints and routes with an unparsable address, which a newer
+// decode skips endpoints, agents and routes with an unparsable address, which a newer
 // version of the sender may send. sentAt is when the request was sent.
 func decode(r *directorypb.FetchResponse, sentAt time.Duration) directory.Change {
 	c := directory.Change{
@@ -92,6 +95,11 @@
 			c.Former = append(c.Former, directory.FormerService{Address: address, Service: f.GetService(), Age: microseconds(f.GetAgeUs())})
 		}
 	}
+	for _, text := range r.GetIntroduced() {
+		if agent, err := netip.ParseAddrPort(text); err == nil {
+			c.Introduced = append(c.Introduced, agent)
+		}
+	}
 	for _, e := range r.GetEndpoints() {
 		if endpoint, ok := decodeEndpoint(e); ok {
 			c.Endpoints = append(c.Endpoints, endpoint)
--- a/directory/exchange/codec_test.go
+++ b/directory/exchange/codec_test.go
@@ -20,9 +20,10 @@
 	route := directory.Route{Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:80"), Shares: []directory.Share{{Service: "orders", Weight: 3}}}
 	snapshot := directory.Change{
 		Revision: 12, Snapshot: true, AsOf: time.Minute, Complete: true,
-		Desired:   &directory.Desired{Version: 3, ModRevision: 8, IdleTime: time.Hour, Routes: []directory.Route{route}},
-		Endpoints: []directory.Endpoint{endpoint},
-		Departed:  []directory.Departed{{Endpoint: departed, Age: 2 * time.Second}},
+		Desired:    &directory.Desired{Version: 3, ModRevision: 8, IdleTime: time.Hour, Routes: []directory.Route{route}},
+		Endpoints:  []directory.Endpoint{endpoint},
+		Departed:   []directory.Departed{{Endpoint: departed, Age: 2 * time.Second}},
+		Introduced: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.9:7720")},
 	}
 	must.Eq(t, snapshot, decode(encode(snapshot, time.Minute), time.Minute))
 }
@@ -30,13 +31,15 @@
 // Entries with an unusable address are skipped; the others are decoded.
 func TestUnusableAddressesAreSkipped(t *testing.T) {
 	message := encode(directory.Change{
-		Desired:   &directory.Desired{Routes: []directory.Route{{Name: "r"}}},
-		Endpoints: []directory.Endpoint{{ID: "i-1"}},
-		Departed:  []directory.Departed{{Endpoint: directory.Endpoint{ID: "i-2"}}},
+		Desired:    &directory.Desired{Routes: []directory.Route{{Name: "r"}}},
+		Endpoints:  []directory.Endpoint{{ID: "i-1"}},
+		Departed:   []directory.Departed{{Endpoint: directory.Endpoint{ID: "i-2"}}},
+		Introduced: make([]netip.AddrPort, 1),
 	}, 0)
 	decoded := decode(message, 0)
 	must.SliceEmpty(t, decoded.Endpoints)
 	must.SliceEmpty(t, decoded.Departed)
+	must.SliceEmpty(t, decoded.Introduced)
 	must.SliceEmpty(t, decoded.Desired.Routes)
 }
 
--- a/flow/assumed_test.go
+++ b/flow/assumed_test.go
@@ -81,6 +81,9 @@
 			e.AgentLoad.Report(now, placement.Usage{Interval: searchTimeout})
 			e.ConfirmedFrom = now
 		},
+		"agent has introduced itself to another balancer": func(e *Endpoint) {
+			e.Introduced, e.Unregistered = true, true
+		},
 		"agent is silent, and the registry confirms the endpoint": func(e *Endpoint) { e.ConfirmedFrom = now },
 	}
 	for name, prepare := range lives {
@@ -145,6 +148,10 @@
 			e.AgentLoad.Report(now, placement.Usage{Interval: searchTimeout})
 			e.ConfirmedFrom = now + time.Second
 		},
+		"agent introduced itself, but does not know its flows": func(e *Endpoint) {
+			e.AgentLoad.Report(now, placement.Usage{Interval: searchTimeout})
+			e.Introduced, e.Unregistered = true, true
+		},
 		"endpoint has left, and its agent runs": func(e *Endpoint) {
 			e.AgentLoad.Report(now, placement.Usage{Interval: searchTimeout})
 			e.Unregistered = true
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -22,6 +22,9 @@
 	// ConfirmedFrom is when the registry has shown that the endpoint lives, if it still lists
 	// it then: an entry that is not renewed expires sooner.
 	ConfirmedFrom Timestamp
+	// Introduced is true if only the reports of its agent show that the endpoint exists; its
+	// service and its slots are not known.
+	Introduced bool
 	// hash is the hash of the agent's address, for the order in which a flow prefers
 	// endpoints.
 	hash uint64
--- a/flow/search.go
+++ b/flow/search.go
@@ -284,7 +284,7 @@
 // like any other.
 //
 // Invariant: an agent is awaited if it can deny the flow, if the registry shows that its
-// endpoint lives, if it has reported to this balancer and may be restarting, or if other agents
+// endpoint lives, if it has reported to a balancer and may be restarting, or if other agents
 // outlived all balancers, so that its machine did not lose power with theirs. Any other is
 // awaited while it may be starting, and for assumedTimeout.
 func (s *search) awaitsAssumed(now Timestamp, endpoint *Endpoint, routing *RoutingTable) bool {
@@ -293,6 +293,8 @@
 	switch {
 	case alive && load.FlowsKnown():
 		return true
+	case endpoint.Introduced && !alive:
+		return true // another balancer knows it, or it is restarting
 	case endpoint.Unregistered:
 		return inTime
 	case endpoint.ConfirmedFrom != 0 && routing.CurrentAt() >= endpoint.ConfirmedFrom:
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	state := newState(log, traffic)
+	state := newState(log, traffic, seedsOf(s.Packets))
 	healthy := new(atomic.Bool)
 	healthy.Store(true)
 	log.Emit(EventStarted, event.Fields{"service": s.Packets.Service, "endpoint": s.Packets.Endpoint, "zone": s.Zone})
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -45,9 +45,10 @@
 
 // state is the control state. The control goroutine owns it.
 type state struct {
-	log       *event.Log
-	traffic   *forwarder
-	balancers map[flow.Address]time.Duration
+	log           *event.Log
+	traffic       *forwarder
+	balancers     map[flow.Address]time.Duration
+	introductions introductions
 	// firstHello is when the first hello message of any balancer arrived, or 0.
 	firstHello time.Duration
 	leaving    bool
@@ -63,11 +64,18 @@
 	lastBalancerList time.Duration
 }
 
-func newState(log *event.Log, f *forwarder) *state {
+// newState returns the control state of an agent that starts. seeds are the addresses of
+// balancers that may run.
+func newState(log *event.Log, f *forwarder, seeds []flow.Address) *state {
 	now := clock.Now()
-	return &state{
-		log: log, traffic: f, balancers: make(map[flow.Address]time.Duration), lastTick: now, lastSweep: now, lastUsageAt: now,
+	s := &state{
+		log: log, traffic: f, balancers: make(map[flow.Address]time.Duration), introductions: make(introductions),
+		lastTick: now, lastSweep: now, lastUsageAt: now,
 	}
+	for _, seed := range seeds {
+		s.introductions.begin(now, seed)
+	}
+	return s
 }
 
 // Handle applies one message.
@@ -95,6 +103,7 @@
 		s.log.Emit(EventFlowsKnown, event.Fields{"balancer": m.balancer.String(), "endpoint_start_ms": m.EndpointStart})
 		defer s.report(now)
 	}
+	delete(s.introductions, m.balancer)
 	_, known := s.balancers[m.balancer]
 	switch {
 	case m.Leaving && known:
@@ -130,12 +139,7 @@
 	}
 	s.lastTick = now
 	s.traffic.admitWaiting()
-	for balancer, at := range s.balancers {
-		if now-at > helloLifetime {
-			delete(s.balancers, balancer)
-			s.log.Emit(EventBalancerLost, event.Fields{"balancer": balancer.String()})
-		}
-	}
+	s.removeSilentBalancers(now)
 	if now-s.lastReport >= s.reportInterval()-placement.ReportInterval/2 {
 		s.report(now)
 	}
@@ -145,6 +149,17 @@
 	}
 }
 
+// removeSilentBalancers removes balancers that stopped sending hello messages.
+func (s *state) removeSilentBalancers(now time.Duration) {
+	for balancer, at := range s.balancers {
+		if now-at > helloLifetime {
+			delete(s.balancers, balancer)
+			s.introductions.begin(now, balancer)
+			s.log.Emit(EventBalancerLost, event.Fields{"balancer": balancer.String()})
+		}
+	}
+}
+
 // reportInterval returns the interval between two reports.
 func (s *state) reportInterval() time.Duration {
 	slower := placement.ReportInterval * time.Duration(len(s.balancers)) / reportFanout
@@ -174,6 +189,9 @@
 	for balancer := range s.balancers {
 		s.traffic.counters.Send(s.traffic.peers, datagram, balancer.AddrPort())
 	}
+	for _, balancer := range s.introductions.take(now) {
+		s.traffic.counters.Send(s.traffic.peers, datagram, balancer.AddrPort())
+	}
 }
 
 // minMeanSpan is the shortest time over which a mean is computed.
--- a/packetbalancer/agents.go
+++ b/packetbalancer/agents.go
@@ -28,7 +28,11 @@
 	}
 }
 
+// sendHello sends a hello message to an agent, if the slots of its endpoint are known.
 func (s *state) sendHello(endpoint *flow.Endpoint) {
+	if endpoint.Introduced {
+		return
+	}
 	hello := wire.Hello{Slots: endpoint.Slots, Leaving: s.leaving, EndpointStart: endpoint.StartedAt, Clock: time.Now().UnixMilli()}
 	s.traffic.counters.Send(s.traffic.peers, wire.Encode(hello), endpoint.Agent.AddrPort())
 }
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -69,6 +69,8 @@
 	// survivorsLogged is true once it was logged that agents outlived all balancers.
 	survivorsLogged bool
 	loads           map[flow.Address]*placement.AgentLoad
+	// introduced has the agents that introduced themselves, and when they first did.
+	introduced map[flow.Address]time.Duration
 
 	started     time.Duration
 	lastTick    time.Duration
@@ -119,7 +121,7 @@
 		settings: s, log: log, traffic: f, reader: r, healthy: healthy,
 		directory: known, schedule: directory.NewReaderSchedule(s.Packets.AdvertisedPeer()),
 		history: directory.NewHistorySchedule(s.Packets.AdvertisedPeer()),
-		loads:   make(map[flow.Address]*placement.AgentLoad),
+		loads:   make(map[flow.Address]*placement.AgentLoad), introduced: make(map[flow.Address]time.Duration),
 		started: now, lastTick: now, fullRead: true, seeds: s.Packets.SeedAddresses(), drainLimit: s.Packets.DrainLimit(),
 		survey: survey{queried: make(map[netip.AddrPort]bool), complete: s.Packets.FirstStart},
 	}
@@ -158,6 +160,8 @@
 			s.survey.agentReportedAt = now
 		}
 		s.surveyPeers(now)
+	case agentIntroduced:
+		s.agentIntroduced(now, m)
 	case exchange.SnapshotRequested:
 		m.Reply <- exchange.SnapshotReply{Change: s.directorySnapshot(now, m.Request), Known: s.directory.Known()}
 	case *settings.Settings:
@@ -203,6 +207,7 @@
 	s.lastPublish = now
 	s.directory.RemoveExpired(now, s.settings.Packets.FlowLifetime())
 	s.recordPosition()
+	s.removeSilentIntroduced(now)
 	s.updateMetrics()
 	s.recordRouteHistory(now)
 	builder := newTableBuilder(now, s)
--- a/packetbalancer/departed.go
+++ b/packetbalancer/departed.go
@@ -153,6 +153,7 @@
 func (s *state) directorySnapshot(now time.Duration, r directory.Request) directory.Change {
 	change := s.directory.ChangesFor(now, r)
 	change.Complete = s.survey.complete
+	change.Introduced = s.reportingIntroduced(now)
 	change.Departed = slices.DeleteFunc(change.Departed, func(d directory.Departed) bool {
 		load := s.loads[s.agentAddress(d.Address)]
 		return load != nil && load.Stopped(now)
--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -125,6 +125,7 @@
 	if m.change.Snapshot {
 		s.contentDiffers = false
 	}
+	s.takeOverIntroduced(now, m.change.Introduced)
 	s.fullRead = false
 	s.updateTraffic(now, changed || s.knowsRouteHistory(now) != s.historyKnown, m.from.String())
 	if changed {
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -31,6 +31,7 @@
 	EventHistoryKnown       = event.Define(3114, logrus.InfoLevel, "route history is known")
 	EventHistoryLost        = event.Define(3115, logrus.WarnLevel, "route history was lost")
 	EventOutlived           = event.Define(3116, logrus.WarnLevel, "agents outlived all balancers")
+	EventIntroduced         = event.Define(3117, logrus.InfoLevel, "agent of an unknown endpoint reported")
 	EventPaused             = event.Define(3107, logrus.WarnLevel, "packet balancer was paused")
 	EventFlowPlaced         = event.Define(3201, logrus.InfoLevel, "flow placed")
 	EventFlowSearched       = event.Define(3203, logrus.InfoLevel, "flow search sent to agents")
--- /dev/null
+++ b/packetbalancer/introduced_test.go
@@ -0,0 +1,95 @@
+package packetbalancer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"cactustray/control/clock"
+	"cactustray/directory"
+	"cactustray/flow"
+	"cactustray/placement"
+
+	"github.com/shoenig/test/must"
+)
+
+// startingState returns the control state of a balancer that has just read the directory, and
+// knows no other balancer.
+func startingState(now time.Duration) *state {
+	s := stateWith(directory.Change{})
+	s.directory = directory.NewState()
+	s.directory.Apply(now, beforeMove())
+	s.traffic.assignments = flow.NewAssignments(time.Minute, newRandom())
+	s.traffic.table.Store(flow.NewRoutingTable())
+	return s
+}
+
+// After all balancers were killed while the entry of an endpoint had expired, none knew of the
+// endpoint, and its flows were reset. Now its agent introduces itself.
+func TestAgentOfUnknownEndpointIsSearched(t *testing.T) {
+	now := clock.Now()
+	s, unknown := startingState(now), flow.Address{IP: [4]byte{10, 0, 0, 9}, Port: 7720}
+	queried := queriedAgents(s, now)
+	s.agentIntroduced(now, agentIntroduced{agent: unknown, usage: placement.Usage{FlowsKnown: true}})
+	endpoint := s.traffic.table.Load().Agents[unknown]
+	must.NotNil(t, endpoint)
+	must.True(t, endpoint.Introduced)
+	must.SliceEmpty(t, endpoint.Service.Accepting)
+	must.EqOp(t, queried+1, queriedAgents(s, now))
+
+	// Without reports it is forgotten.
+	s.agentLoad(unknown).Report(now, placement.Usage{})
+	s.publish(now + introductionLifetime)
+	must.MapNotContainsKey(t, s.traffic.table.Load().Agents, unknown)
+}
+
+// A balancer that is restarted learns of such agents from the one that it takes the directory
+// from, and waits for their answers although they have not reported to it yet.
+func TestIntroducedAgentsAreHandedOver(t *testing.T) {
+	now := clock.Now()
+	s, unknown := startingState(now), flow.Address{IP: [4]byte{10, 0, 0, 9}, Port: 7720}
+	s.agentIntroduced(now, agentIntroduced{agent: unknown, usage: placement.Usage{FlowsKnown: true}})
+	change := s.directorySnapshot(now, directory.Request{})
+	must.Eq(t, []netip.AddrPort{unknown.AddrPort()}, change.Introduced)
+	silent := s.directorySnapshot(now+introductionLifetime, directory.Request{})
+	must.SliceEmpty(t, silent.Introduced)
+
+	restarted := startingState(now)
+	restarted.takeOverIntroduced(now, change.Introduced)
+	must.MapContainsKey(t, restarted.traffic.table.Load().Agents, unknown)
+	restarted.publish(now + introductionLifetime)
+	must.MapNotContainsKey(t, restarted.traffic.table.Load().Agents, unknown)
+}
+
+// A registered endpoint is used by its entry, also if its agent introduced itself first.
+func TestEntryGoesBeforeIntroduction(t *testing.T) {
+	now := clock.Now()
+	s := startingState(now)
+	agent := s.agentAddress(endpointOf(1, "orders", 2).Address)
+	s.agentIntroduced(now, agentIntroduced{agent: agent})
+	endpoint := s.traffic.table.Load().Agents[agent]
+	must.False(t, endpoint.Introduced)
+	must.EqOp(t, "orders", endpoint.Service.Name)
+}
+
+// Balancers that have run for a while removed unknown agents on purpose.
+func TestOnlyYoungBalancersTakeUpUnknownAgents(t *testing.T) {
+	now := clock.Now()
+	unknown := agentIntroduced{agent: flow.Address{IP: [4]byte{10, 0, 0, 9}, Port: 7720}}
+	s := startingState(now - introductionPeriod)
+	s.agentIntroduced(now, unknown)
+	must.MapEmpty(t, s.introduced)
+
+	first := stateAtFirstStart(beforeMove())
+	first.agentIntroduced(now, unknown)
+	must.MapEmpty(t, first.introduced)
+
+	for i := range 2 * maxAssumedHolders {
+		s := unknown
+		s.agent.Port = uint16(i + 1)
+		first.directory = startingState(now).directory
+		first.traffic.assignments = flow.NewAssignments(time.Minute, newRandom())
+		first.agentIntroduced(now, s)
+	}
+	must.MapLen(t, maxAssumedHolders, first.introduced)
+}
--- a/packetbalancer/peers.go
+++ b/packetbalancer/peers.go
@@ -138,6 +138,7 @@
 	table := f.table.Load()
 	endpoint := table.Agents[agent]
 	if endpoint == nil {
+		f.loop.Offer(agentIntroduced{agent: agent, usage: usage})
 		return
 	}
 	wasAlive := endpoint.AgentLoad.Alive(now)
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -43,6 +43,7 @@
 	for _, route := range b.state.directory.Desired().Routes {
 		b.addRoute(route)
 	}
+	b.addIntroduced(latestEntries)
 	b.addFormerServices()
 	for _, service := range b.services {
 		b.table.Services = append(b.table.Services, service)
@@ -128,11 +129,7 @@
 
 func (b *tableBuilder) addEndpoint(e *directory.Entry) {
 	agent := b.state.agentAddress(e.Address)
-	load := b.state.loads[agent]
-	if load == nil {
-		load = new(placement.AgentLoad)
-		b.state.loads[agent] = load
-	}
+	load := b.state.agentLoad(agent)
 	alive := load.Alive(b.now)
 	b.hasDeparted = b.hasDeparted || e.Doubtful(b.now)
 	if !e.MayHoldFlows(b.now, b.state.directory.AsOf(), load.ReportedAt(), load.Stopped(b.now)) {
--- a/packetbalancer/routing_table_test.go
+++ b/packetbalancer/routing_table_test.go
@@ -25,7 +25,7 @@
 	s := &state{
 		settings: &settings.Settings{Zone: "a", Packets: &settings.PacketSettings{Peer: netip.MustParseAddrPort("10.0.0.1:7720"), FlowSeconds: 60}},
 		log:      event.NewLog(logger, "test"), directory: directory.NewState(),
-		loads: make(map[flow.Address]*placement.AgentLoad), traffic: new(forwarder),
+		loads: make(map[flow.Address]*placement.AgentLoad), introduced: make(map[flow.Address]time.Duration), traffic: new(forwarder),
 	}
 	s.directory.Apply(clock.Now(), change)
 	return s
--- a/settings/packets.go
+++ b/settings/packets.go
@@ -42,9 +42,9 @@
 	// milliseconds; it gets some if its service has no other. 0 means never. Only a
 	// balancer has it.
 	DrainMillis float64 `json:"drain_ms,omitempty"`
-	// Seeds are control addresses of balancers to fetch the directory from if the
-	// registry does not answer at the start. Only a balancer has them. They may be
-	// wrong.
+	// Seeds are control addresses of balancers. A balancer fetches the directory from them if
+	// the registry does not answer at the start; an agent that starts reports to them. They
+	// may be wrong.
 	Seeds []string `json:"seeds,omitempty"`
 
 	// Service is the service of the agent's endpoint.
--- a/standin/packets/deployment.go
+++ b/standin/packets/deployment.go
@@ -103,6 +103,10 @@
 		Edge: d.Bound(host, "edge"), Peer: d.Bound(host, "peer"), Health: d.Bound(host, "health"),
 		FlowSeconds: flowSeconds, StopMillis: stopMillis, LinkMbps: linkMbps,
 	}
+	const seeds = 3
+	for i := range seeds {
+		p.Seeds = append(p.Seeds, d.Address(BalancerHost+i, "control").String())
+	}
 	s := &settings.Settings{Node: d.IP(host), Zone: zone, Packets: p, Metrics: d.Bound(host, "metrics")}
 	if host >= EndpointHost {
 		s.Role, p.Service = settings.PacketAgent, ServiceOf(host)
@@ -114,10 +118,6 @@
 	if d.bound != d.net {
 		p.Advertised = netip.MustParseAddr(d.IP(host))
 	}
-	const seeds = 3
-	for i := range seeds {
-		p.Seeds = append(p.Seeds, d.Address(BalancerHost+i, "control").String())
-	}
 	return s
 }
 
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -38,6 +38,11 @@
 		cause: "the retransmitted packet was taken as one for the agent's new service, and opened the flow there",
 		seed:  258, size: Size{Balancers: 3, Endpoints: 7, Length: 12 * time.Second},
 	},
+	{
+		name:  "all balancers are killed while the entry of an endpoint has expired",
+		cause: "no balancer knew of the endpoint, and its flows were reset after all other endpoints denied holding them",
+		seed:  643, size: Size{Balancers: 3, Endpoints: 7, Length: 12 * time.Second},
+	},
 }
 
 func runPlan(t *testing.T, plan Plan) Result {
@@ -88,10 +93,11 @@
 
 // Plans that once reset flows of a moved route, which their endpoints held: after all balancers
 // were killed, searches waited 0.3 s at most for the services that a route had left, and later
-// 1 s for an agent that was cut off or suspended (2012, 2048).
+// 1 s for an agent that was cut off or suspended (2012, 2048), or knew nothing of the endpoint
+// (2018).
 func TestFlowsOfMovedRouteOutliveRestarts(t *testing.T) {
 	size := Size{Balancers: 3, Endpoints: 7, Length: 12 * time.Second, Moves: true}
-	for _, seed := range []uint64{2006, 2008, 2009, 2010, 2011, 2012, 2013, 2048} {
+	for _, seed := range []uint64{2006, 2008, 2009, 2010, 2011, 2012, 2013, 2018, 2048} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			must.SliceEmpty(t, runPlan(t, Draw(seed, size)).Violations)
