Balancers that lose the route history while they run take no agents for survivors

Cause: since when balancers run was taken from the begin of the route history, which a running balancer can lose (3115). Then its agents have known balancers for longer: it would hold back all lost flows for 2.5 s, log 3116 wrongly and take up agents that were removed on purpose.

Change: the earliest begin of the history that a balancer has known counts (state.runningSince).

Evidence: TestLostHistoryIsNoLossOfBalancers fails with the begin of the present history and passes now.

--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -66,6 +66,9 @@
 	// routing table was built with it.
 	history      *directory.HistorySchedule
 	historyKnown bool
+	// runningSince is since when balancers have run without interruption, as far as this one
+	// knows, or 0 while it has no directory.
+	runningSince time.Duration
 	// survivorsLogged is true once it was logged that agents outlived all balancers.
 	survivorsLogged bool
 	loads           map[flow.Address]*placement.AgentLoad
@@ -206,7 +209,7 @@
 func (s *state) publish(now time.Duration) {
 	s.lastPublish = now
 	s.directory.RemoveExpired(now, s.settings.Packets.FlowLifetime())
-	s.recordPosition()
+	s.recordRunningSince()
 	s.removeSilentIntroduced(now)
 	s.updateMetrics()
 	s.recordRouteHistory(now)
--- a/packetbalancer/departed.go
+++ b/packetbalancer/departed.go
@@ -15,7 +15,7 @@
 	// complete at the latest: entries that expired during an outage of the registry are
 	// registered again within two seconds.
 	completeTimeout = 3 * time.Second
-	// reregisterTimeout is how long after the begin of the route history lost flows may wait, if
+	// reregisterTimeout is how long after the first balancer's start lost flows may wait, if
 	// agents outlived all balancers, for entries that have expired to be registered again.
 	reregisterTimeout = 2500 * time.Millisecond
 	// surveyTimeout limits one query. Balancers are milliseconds apart, and while all
--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -160,11 +160,10 @@
 	s.recordPosition()
 }
 
-// recordPosition stores what traffic goroutines and metrics read of the directory's position
-// and of the begin of its route history.
+// recordPosition stores what traffic goroutines and metrics read of the directory's position.
 func (s *state) recordPosition() {
 	s.asOf.Store(int64(s.directory.AsOf()))
-	s.traffic.survivors.historySince.Store(int64(s.directory.RouteHistorySince()))
+	s.recordRunningSince()
 	s.metricValues.era.Store(int64(s.directory.Position().Era))
 	s.metricValues.revision.Store(int64(s.directory.Position().Revision))
 }
--- a/packetbalancer/introduced.go
+++ b/packetbalancer/introduced.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// introductionPeriod is how long after the begin of the route history an agent may be
-	// unknown although its endpoint holds flows. Later on, balancers have removed it on purpose.
+	// introductionPeriod is how long after the first balancer's start an agent may be unknown
+	// although its endpoint holds flows. Later on, balancers have removed it on purpose.
 	introductionPeriod = 10 * time.Second
 	// introductionLifetime is how long an agent that has introduced itself is considered after
 	// its last report: it may be restarting.
@@ -51,10 +51,10 @@
 
 // takeUp takes up an agent, and reports whether it is new.
 //
-// Invariant: agents are taken up only while the route history is short, and at most
+// Invariant: agents are taken up only while all balancers are young, and at most
 // maxAssumedHolders.
 func (s *state) takeUp(now time.Duration, agent flow.Address) bool {
-	isYoung := !s.directory.Known() || now-s.directory.RouteHistorySince() < introductionPeriod
+	isYoung := !s.directory.Known() || now-s.runningSince < introductionPeriod
 	if _, known := s.introduced[agent]; known || !isYoung || len(s.introduced) >= maxAssumedHolders {
 		return false
 	}
--- a/packetbalancer/introduced_test.go
+++ b/packetbalancer/introduced_test.go
@@ -21,6 +21,7 @@
 	s.directory.Apply(now, beforeMove())
 	s.traffic.assignments = flow.NewAssignments(time.Minute, newRandom())
 	s.traffic.table.Store(flow.NewRoutingTable())
+	s.recordPosition()
 	return s
 }
 
@@ -81,15 +82,13 @@
 	must.MapEmpty(t, s.introduced)
 
 	first := stateAtFirstStart(beforeMove())
+	first.recordPosition()
 	first.agentIntroduced(now, unknown)
 	must.MapEmpty(t, first.introduced)
 
+	young := startingState(now)
 	for i := range 2 * maxAssumedHolders {
-		s := unknown
-		s.agent.Port = uint16(i + 1)
-		first.directory = startingState(now).directory
-		first.traffic.assignments = flow.NewAssignments(time.Minute, newRandom())
-		first.agentIntroduced(now, s)
+		young.takeUp(now, flow.Address{Port: uint16(i + 1)})
 	}
-	must.MapLen(t, maxAssumedHolders, first.introduced)
+	must.MapLen(t, maxAssumedHolders, young.introduced)
 }
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -33,7 +33,7 @@
 func (b *tableBuilder) build() *flow.RoutingTable {
 	b.table.Complete = b.state.survey.complete
 	b.table.Outlived = b.state.traffic.survivors.outlived
-	b.table.SettledAt = b.state.directory.RouteHistorySince() + reregisterTimeout
+	b.table.SettledAt = b.state.runningSince + reregisterTimeout
 	b.table.CurrentAt = func() flow.Timestamp { return time.Duration(b.state.asOf.Load()) }
 	latestEntries := b.latestEntries()
 	for _, e := range latestEntries {
--- a/packetbalancer/survivors.go
+++ b/packetbalancer/survivors.go
@@ -12,7 +12,7 @@
 const transferMargin = time.Second
 
 // survivors shows whether agents outlived all balancers: whether one has known balancers for
-// longer than those that run now have known the routes. After a loss of power on all machines
+// longer than any balancer has run without interruption. After a loss of power on all machines
 // no agent has, since the first balancer to start knew the routes before any agent knew it.
 //
 // The goroutine that receives reports records them, so that a flow which an agent denies is
@@ -21,8 +21,8 @@
 	// firstHello is when the first hello message of any balancer reached an agent, or 0 if no
 	// agent has reported that.
 	firstHello atomic.Int64
-	// historySince is when the route history begins. The control goroutine writes it.
-	historySince atomic.Int64
+	// runningSince is that of the control state, which writes it.
+	runningSince atomic.Int64
 }
 
 // record stores that an agent has known balancers for the given time; 0 if it does not report
@@ -43,7 +43,16 @@
 // outlived reports whether agents outlived all balancers.
 func (s *survivors) outlived() bool {
 	firstHello := s.firstHello.Load()
-	return firstHello != 0 && time.Duration(firstHello) < time.Duration(s.historySince.Load())-transferMargin
+	return firstHello != 0 && time.Duration(firstHello) < time.Duration(s.runningSince.Load())-transferMargin
+}
+
+// recordRunningSince takes over the begin of the route history, unless it begins later than
+// known: then balancers lost it while they ran.
+func (s *state) recordRunningSince() {
+	if since := s.directory.RouteHistorySince(); s.directory.Known() && (s.runningSince == 0 || since < s.runningSince) {
+		s.runningSince = since
+		s.traffic.survivors.runningSince.Store(int64(since))
+	}
 }
 
 // recordSurvivors logs once that agents outlived all balancers, after the other balancers have
@@ -54,6 +63,6 @@
 	}
 	s.survivorsLogged = true
 	s.log.Emit(EventOutlived, event.Fields{
-		"history_ms": (now - s.directory.RouteHistorySince()).Milliseconds(), "agents": len(s.traffic.table.Load().Agents),
+		"running_ms": (now - s.runningSince).Milliseconds(), "agents": len(s.traffic.table.Load().Agents),
 	})
 }
--- a/packetbalancer/survivors_test.go
+++ b/packetbalancer/survivors_test.go
@@ -6,11 +6,12 @@
 
 	"cactustray/control/clock"
 	"cactustray/directory"
+	"cactustray/flow"
 
 	"github.com/shoenig/test/must"
 )
 
-// Agents that knew balancers before the route history begins outlived all balancers of that
+// Agents that knew balancers before those that run now outlived all balancers of that
 // time. Agents that learned of balancers since have not, as after a loss of power.
 func TestAgentsThatKnewEarlierBalancersOutlivedThem(t *testing.T) {
 	start := clock.Now()
@@ -49,3 +50,21 @@
 	restarted.recordPosition()
 	must.False(t, table.Outlived())
 }
+
+// A balancer that loses the route history while it runs does not take its agents for survivors:
+// it knows all endpoints, and lost flows end at once.
+func TestLostHistoryIsNoLossOfBalancers(t *testing.T) {
+	start := clock.Now()
+	s := stateWith(beforeMove())
+	s.recordPosition()
+	s.traffic.survivors.record(start+time.Second, time.Second)
+	s.directory.Apply(start+time.Hour, directory.Change{
+		Revision: 12, Snapshot: true, Desired: afterMove().Desired, Endpoints: beforeMove().Endpoints,
+	})
+	s.recordPosition()
+	must.Greater(t, start, s.directory.RouteHistorySince())
+	table := newTableBuilder(start+time.Hour, s).build()
+	must.False(t, table.Outlived())
+	must.Less(t, start+time.Hour, table.SettledAt)
+	must.False(t, s.takeUp(start+time.Hour, flow.Address{Port: 1}))
+}
