Agents that introduce themselves cost one routing table a tick

Found by reading. Cause: each agent that was taken up had the routing table rebuilt, up to 512 times after a loss of power, 30 to 49 ms each at 24,000 endpoints; and a deployment of more than 512 endpoints searches no such agent.

Change: they are published at the next tick (50 ms), and not taken up in such a deployment.

Evidence: TestOnlyYoungBalancersTakeUpUnknownAgents has the large deployment.

--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -74,6 +74,8 @@
 	loads           map[flow.Address]*placement.AgentLoad
 	// introduced has the agents that introduced themselves, and when they first did.
 	introduced map[flow.Address]time.Duration
+	// introducedChanged is true if the routing table lacks some of them.
+	introducedChanged bool
 
 	started     time.Duration
 	lastTick    time.Duration
@@ -192,6 +194,7 @@
 		s.sendHellosToUnresponsive(now)
 	}
 	s.recordSurvivors(now)
+	s.publishIntroduced(now)
 	switch {
 	case s.tableExpires && now-s.lastPublish >= rebuildInterval,
 		s.hasFormer && now-s.lastPublish >= formerInterval,
@@ -207,7 +210,7 @@
 // publish builds a routing table from the directory and makes the traffic
 // goroutines use it.
 func (s *state) publish(now time.Duration) {
-	s.lastPublish = now
+	s.lastPublish, s.introducedChanged = now, false
 	s.directory.RemoveExpired(now, s.settings.Packets.FlowLifetime())
 	s.recordRunningSince()
 	s.removeSilentIntroduced(now)
--- a/packetbalancer/introduced.go
+++ b/packetbalancer/introduced.go
@@ -34,37 +34,35 @@
 func (s *state) agentIntroduced(now time.Duration, m agentIntroduced) {
 	if s.takeUp(now, m.agent) {
 		s.agentLoad(m.agent).Report(now, m.usage)
-		s.publishIfKnown(now)
 	}
 }
 
 // takeOverIntroduced takes up the agents that have introduced themselves to another balancer.
 func (s *state) takeOverIntroduced(now time.Duration, agents []netip.AddrPort) {
-	added := false
 	for _, agent := range agents {
-		added = s.takeUp(now, flow.AddressOf(agent)) || added
-	}
-	if added {
-		s.publishIfKnown(now)
+		s.takeUp(now, flow.AddressOf(agent))
 	}
 }
 
 // takeUp takes up an agent, and reports whether it is new.
 //
 // Invariant: agents are taken up only while all balancers are young, and at most
-// maxAssumedHolders.
+// maxAssumedHolders. In a deployment with more endpoints no route is assumed to use them.
 func (s *state) takeUp(now time.Duration, agent flow.Address) bool {
 	isYoung := !s.directory.Known() || now-s.runningSince < introductionPeriod
-	if _, known := s.introduced[agent]; known || !isYoung || len(s.introduced) >= maxAssumedHolders {
+	isLarge := len(s.traffic.table.Load().Agents) > maxAssumedHolders
+	if _, known := s.introduced[agent]; known || !isYoung || isLarge || len(s.introduced) >= maxAssumedHolders {
 		return false
 	}
-	s.introduced[agent] = now
+	s.introduced[agent], s.introducedChanged = now, true
 	s.log.Emit(EventIntroduced, event.Fields{"agent": agent.String()})
 	return true
 }
 
-func (s *state) publishIfKnown(now time.Duration) {
-	if s.directory.Known() {
+// publishIntroduced publishes a routing table with the agents that were taken up since the
+// last. Many can introduce themselves at once.
+func (s *state) publishIntroduced(now time.Duration) {
+	if s.introducedChanged && s.directory.Known() {
 		s.publish(now)
 	}
 }
--- a/packetbalancer/introduced_test.go
+++ b/packetbalancer/introduced_test.go
@@ -20,7 +20,6 @@
 	s.directory = directory.NewState()
 	s.directory.Apply(now, beforeMove())
 	s.traffic.assignments = flow.NewAssignments(time.Minute, newRandom())
-	s.traffic.table.Store(flow.NewRoutingTable())
 	s.recordPosition()
 	return s
 }
@@ -32,6 +31,7 @@
 	s, unknown := startingState(now), flow.Address{IP: [4]byte{10, 0, 0, 9}, Port: 7720}
 	queried := queriedAgents(s, now)
 	s.agentIntroduced(now, agentIntroduced{agent: unknown, usage: placement.Usage{FlowsKnown: true}})
+	s.publishIntroduced(now)
 	endpoint := s.traffic.table.Load().Agents[unknown]
 	must.NotNil(t, endpoint)
 	must.True(t, endpoint.Introduced)
@@ -57,6 +57,7 @@
 
 	restarted := startingState(now)
 	restarted.takeOverIntroduced(now, change.Introduced)
+	restarted.publishIntroduced(now)
 	must.MapContainsKey(t, restarted.traffic.table.Load().Agents, unknown)
 	restarted.publish(now + introductionLifetime)
 	must.MapNotContainsKey(t, restarted.traffic.table.Load().Agents, unknown)
@@ -68,12 +69,14 @@
 	s := startingState(now)
 	agent := s.agentAddress(endpointOf(1, "orders", 2).Address)
 	s.agentIntroduced(now, agentIntroduced{agent: agent})
+	s.publishIntroduced(now)
 	endpoint := s.traffic.table.Load().Agents[agent]
 	must.False(t, endpoint.Introduced)
 	must.EqOp(t, "orders", endpoint.Service.Name)
 }
 
-// Balancers that have run for a while removed unknown agents on purpose.
+// Balancers that have run for a while removed unknown agents on purpose, and in a large
+// deployment they would not be searched.
 func TestOnlyYoungBalancersTakeUpUnknownAgents(t *testing.T) {
 	now := clock.Now()
 	unknown := agentIntroduced{agent: flow.Address{IP: [4]byte{10, 0, 0, 9}, Port: 7720}}
@@ -91,4 +94,12 @@
 		young.takeUp(now, flow.Address{Port: uint16(i + 1)})
 	}
 	must.MapLen(t, maxAssumedHolders, young.introduced)
+
+	large := startingState(now)
+	table := flow.NewRoutingTable()
+	for i := range maxAssumedHolders + 1 {
+		table.Agents[flow.Address{Port: uint16(i + 1)}] = new(flow.Endpoint)
+	}
+	large.traffic.table.Store(table)
+	must.False(t, large.takeUp(now, unknown.agent))
 }
--- a/packetbalancer/routing_table_test.go
+++ b/packetbalancer/routing_table_test.go
@@ -27,6 +27,7 @@
 		log:      event.NewLog(logger, "test"), directory: directory.NewState(),
 		loads: make(map[flow.Address]*placement.AgentLoad), introduced: make(map[flow.Address]time.Duration), traffic: new(forwarder),
 	}
+	s.traffic.table.Store(flow.NewRoutingTable())
 	s.directory.Apply(clock.Now(), change)
 	return s
 }
