Agents taken up before the directory is known stay known

Found by reading. Cause: only the first report of an agent that introduced itself was stored until the routing table had it. While the registry did not answer for 3 s, the agent was removed as silent, until its next report, up to 0.8 s later.

Change: each report is stored. One goroutine records survivors, so no compare-and-swap is needed.

Evidence: TestIntroducedAgentsAreKeptUntilDirectoryIsKnown, which fails if only the first is stored.

--- a/packetbalancer/introduced.go
+++ b/packetbalancer/introduced.go
@@ -32,7 +32,8 @@
 // agentIntroduced takes up an agent of which no balancer knows. If the entry of an endpoint
 // expires while all balancers are lost, those that start do not know the endpoint.
 func (s *state) agentIntroduced(now time.Duration, m agentIntroduced) {
-	if s.takeUp(now, m.agent) {
+	s.takeUp(now, m.agent)
+	if _, ok := s.introduced[m.agent]; ok {
 		s.agentLoad(m.agent).Report(now, m.usage)
 	}
 }
@@ -44,19 +45,18 @@
 	}
 }
 
-// takeUp takes up an agent, and reports whether it is new.
+// takeUp takes up an agent, unless it has.
 //
 // Invariant: agents are taken up only while all balancers are young, and at most
 // maxAssumedHolders. In a deployment with more endpoints no route is assumed to use them.
-func (s *state) takeUp(now time.Duration, agent flow.Address) bool {
+func (s *state) takeUp(now time.Duration, agent flow.Address) {
 	isYoung := !s.directory.Known() || now-s.runningSince < introductionPeriod
 	isLarge := len(s.traffic.table.Load().Agents) > maxAssumedHolders
 	if _, known := s.introduced[agent]; known || !isYoung || isLarge || len(s.introduced) >= maxAssumedHolders {
-		return false
+		return
 	}
 	s.introduced[agent], s.introducedChanged = now, true
 	s.log.Emit(EventIntroduced, event.Fields{"agent": agent.String()})
-	return true
 }
 
 // publishIntroduced publishes a routing table with the agents that were taken up since the
--- a/packetbalancer/introduced_test.go
+++ b/packetbalancer/introduced_test.go
@@ -63,6 +63,21 @@
 	must.MapNotContainsKey(t, restarted.traffic.table.Load().Agents, unknown)
 }
 
+// Agents that report while the registry does not answer are still known when it does.
+func TestIntroducedAgentsAreKeptUntilDirectoryIsKnown(t *testing.T) {
+	now, unknown := clock.Now(), flow.Address{IP: [4]byte{10, 0, 0, 9}, Port: 7720}
+	s := startingState(now)
+	s.directory = directory.NewState()
+	s.agentIntroduced(now, agentIntroduced{agent: unknown})
+	s.publishIntroduced(now)
+	must.MapEmpty(t, s.traffic.table.Load().Agents)
+	later := now + 2*introductionLifetime
+	s.agentIntroduced(later, agentIntroduced{agent: unknown})
+	s.directory.Apply(later, beforeMove())
+	s.publishIntroduced(later)
+	must.MapContainsKey(t, s.traffic.table.Load().Agents, unknown)
+}
+
 // A registered endpoint is used by its entry, also if its agent introduced itself first.
 func TestEntryGoesBeforeIntroduction(t *testing.T) {
 	now := clock.Now()
@@ -101,5 +116,6 @@
 		table.Agents[flow.Address{Port: uint16(i + 1)}] = new(flow.Endpoint)
 	}
 	large.traffic.table.Store(table)
-	must.False(t, large.takeUp(now, unknown.agent))
+	large.takeUp(now, unknown.agent)
+	must.MapEmpty(t, large.introduced)
 }
--- a/packetbalancer/survivors.go
+++ b/packetbalancer/survivors.go
@@ -15,8 +15,8 @@
 // longer than any balancer has run without interruption. After a loss of power on all machines
 // no agent has, since the first balancer to start knew the routes before any agent knew it.
 //
-// The goroutine that receives reports records them, so that a flow which an agent denies is
-// decided with what that agent has reported before.
+// Only the goroutine that receives reports records them, so that a flow which an agent denies
+// is decided with what that agent has reported before.
 type survivors struct {
 	// firstHello is when the first hello message of any balancer reached an agent, or 0 if no
 	// agent has reported that.
@@ -31,12 +31,9 @@
 	if known == 0 {
 		return
 	}
-	at := int64(now - known)
-	for {
-		earliest := s.firstHello.Load()
-		if earliest != 0 && earliest <= at || s.firstHello.CompareAndSwap(earliest, at) {
-			return
-		}
+	at, earliest := int64(now-known), s.firstHello.Load()
+	if earliest == 0 || at < earliest {
+		s.firstHello.Store(at)
 	}
 }
 
--- a/packetbalancer/survivors_test.go
+++ b/packetbalancer/survivors_test.go
@@ -66,5 +66,6 @@
 	table := newTableBuilder(start+time.Hour, s).build()
 	must.False(t, table.Outlived())
 	must.Less(t, start+time.Hour, table.SettledAt)
-	must.False(t, s.takeUp(start+time.Hour, flow.Address{Port: 1}))
+	s.takeUp(start+time.Hour, flow.Address{Port: 1})
+	must.MapEmpty(t, s.introduced)
 }
