A failing soak test prints the events that explain it

Change: after a violation the test logs the starts, stops, directory changes and ended flows of all daemons.

--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -4,6 +4,10 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,13 +56,37 @@
 	t.Helper()
 	binary, err := process.BuildDaemon(t.TempDir())
 	must.NoError(t, err)
-	result, err := Run(t.Context(), plan, t.TempDir(), binary)
+	dir := t.TempDir()
+	result, err := Run(t.Context(), plan, dir, binary)
 	must.NoError(t, err)
 	t.Log(result)
+	if len(result.Violations) > 0 {
+		logTrace(t, dir)
+	}
 	must.Positive(t, result.Attempts[Answered])
 	return result
 }
 
+// traced matches the events that explain a reset or a refusal: starts and stops, changes of
+// the directory and ended flows.
+var traced = regexp.MustCompile(`"event":(300[1-5]|310[1-6]|311[1-7]|3204|330[1-8]|3312|340[1235])\b`)
+
+// logTrace logs what explains a violation: CI keeps no files.
+func logTrace(t *testing.T, dir string) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	must.NoError(t, err)
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		must.NoError(t, err)
+		for line := range strings.Lines(string(raw)) {
+			if traced.MatchString(line) && !strings.Contains(line, "unknown-address") {
+				t.Log(strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 func TestPropertiesHoldUnderFaults(t *testing.T) {
 	t.Parallel()
 	must.SliceEmpty(t, runPlan(t, Draw(1, short)).Violations)
