Classes of requests, cold limits and evacuations in the messages between nodes

Cause: balancers decode of a desired state only routes, shares and the idle time, so nothing can be decided by the kind of a request, its goal, its time limit and its priority, by what a cold endpoint bears, or by an order to evacuate a failure domain. No decision uses them yet.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -45,6 +45,31 @@
 	Name    string         `json:"name"`
 	Address netip.AddrPort `json:"address"`
 	Shares  []Share        `json:"shares"`
+	// Class describes the route's requests; it is nil if that is not known.
+	Class *Class `json:"class,omitempty"`
+}
+
+// Class describes the requests of a route.
+type Class struct {
+	// Priority is 0 for the most urgent requests.
+	Priority uint8 `json:"priority"`
+	// Repeatable is true if a request may run more than once.
+	Repeatable bool `json:"repeatable"`
+	// Goal is the time within which an answer is on time, and Limit that after which the
+	// caller gives up.
+	Goal  time.Duration `json:"goal"`
+	Limit time.Duration `json:"limit"`
+}
+
+// Service holds the properties that the endpoints of a service have in common.
+type Service struct {
+	Name string `json:"name"`
+	// ColdTime is how long an endpoint is cold after its start, and ColdRate how many new flows
+	// a second it can take meanwhile; 0 if that is not limited.
+	ColdTime time.Duration `json:"cold_time"`
+	ColdRate float64       `json:"cold_rate"`
+	// Connections is how many flows an endpoint can hold, or 0 if that is not limited.
+	Connections int `json:"connections"`
 }
 
 // Desired is the desired state. All of it comes into force at once.
@@ -56,6 +81,8 @@
 	Era         Era      `json:"era"`
 	ModRevision Revision `json:"changed"`
 	Routes      []Route  `json:"routes"`
+	// Services has the services whose properties are known.
+	Services []Service `json:"services,omitempty"`
 	// IdleTime is how long an idle flow is retained.
 	IdleTime time.Duration `json:"idle_time"`
 }
@@ -125,6 +152,9 @@
 	Superseded []*Desired
 	Endpoints  []Endpoint
 	Deleted    []Deleted
+	// Evacuations are orders to evacuate failure domains, and orders that have ended. A full
+	// snapshot of the source lists every order.
+	Evacuations []Evacuation
 	// Departed are endpoints that are no longer registered and may hold open
 	// flows. Only balancers send them to each other: the source no longer has
 	// them.
--- a/directory/exchange/codec.go
+++ b/directory/exchange/codec.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -26,6 +27,9 @@
 	for _, d := range c.Deleted {
 		r.Deleted = append(r.Deleted, &directorypb.Deleted{Id: d.ID, Changed: uint64(d.ModRevision)})
 	}
+	for _, e := range c.Evacuations {
+		r.Evacuations = append(r.Evacuations, &directorypb.Evacuation{Zone: e.Zone, Changed: uint64(e.ModRevision), Ended: e.Ended})
+	}
 	for _, f := range c.Former {
 		r.Former = append(r.Former, &directorypb.FormerService{Address: f.Address.String(), Service: f.Service, AgeUs: uint64(max(f.Age, 0).Microseconds())})
 	}
@@ -64,8 +68,19 @@
 		for _, share := range route.Shares {
 			r.Shares = append(r.Shares, &directorypb.Share{Service: share.Service, Weight: share.Weight})
 		}
+		if c := route.Class; c != nil {
+			r.Class = &directorypb.Class{
+				Priority: uint32(c.Priority), Repeatable: c.Repeatable,
+				GoalMs: uint32(c.Goal.Milliseconds()), LimitMs: uint32(c.Limit.Milliseconds()),
+			}
+		}
 		encoded.Routes = append(encoded.Routes, r)
 	}
+	for _, s := range d.Services {
+		encoded.Services = append(encoded.Services, &directorypb.Service{
+			Name: s.Name, ColdUs: uint64(s.ColdTime.Microseconds()), ColdRateMilli: uint32(s.ColdRate * 1000), Connections: uint32(s.Connections),
+		})
+	}
 	return encoded
 }
 
@@ -90,6 +105,9 @@
 	for _, d := range r.GetDeleted() {
 		c.Deleted = append(c.Deleted, directory.Deleted{ID: d.GetId(), ModRevision: directory.Revision(d.GetChanged())})
 	}
+	for _, e := range r.GetEvacuations() {
+		c.Evacuations = append(c.Evacuations, directory.Evacuation{Zone: e.GetZone(), ModRevision: directory.Revision(e.GetChanged()), Ended: e.GetEnded()})
+	}
 	for _, f := range r.GetFormer() {
 		if address, err := netip.ParseAddrPort(f.GetAddress()); err == nil {
 			c.Former = append(c.Former, directory.FormerService{Address: address, Service: f.GetService(), Age: microseconds(f.GetAgeUs())})
@@ -136,9 +154,22 @@
 		for _, share := range route.GetShares() {
 			r.Shares = append(r.Shares, directory.Share{Service: share.GetService(), Weight: share.GetWeight()})
 		}
+		if c := route.GetClass(); c != nil {
+			r.Class = &directory.Class{
+				Priority: uint8(min(c.GetPriority(), math.MaxUint8)), Repeatable: c.GetRepeatable(),
+				Goal: milliseconds(c.GetGoalMs()), Limit: milliseconds(c.GetLimitMs()),
+			}
+		}
 		decoded.Routes = append(decoded.Routes, r)
 	}
+	for _, s := range d.GetServices() {
+		decoded.Services = append(decoded.Services, directory.Service{
+			Name: s.GetName(), ColdTime: microseconds(s.GetColdUs()), ColdRate: float64(s.GetColdRateMilli()) / 1000, Connections: int(s.GetConnections()),
+		})
+	}
 	return decoded
 }
 
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
 func microseconds(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -26,6 +26,9 @@
 	Return Kind = 2
 	// Notice carries a message.
 	Notice Kind = 3
+	// ForwardClass carries a caller's opening packet to an agent, followed by the class of
+	// the request. Only agents that report ReadsClass get it.
+	ForwardClass Kind = 4
 )
 
 const (
@@ -130,6 +133,19 @@
 	// the balancer's time of day when it sent this: in milliseconds since the Unix epoch.
 	EndpointStart int64
 	Clock         int64
+	// Evacuated is true if the failure domain of the endpoint is evacuated. This, ColdLeft and
+	// ColdRate are from the directory at Position.
+	Evacuated bool
+	Position  directory.Position
+	// ColdLeft is the endpoint's remaining warm-up time, sent in whole milliseconds, and
+	// ColdRate how many new flows a second it can take meanwhile; 0 if that is not limited.
+	ColdLeft time.Duration
+	ColdRate float64
+	// Remote is true if the balancer is in another failure domain than the agent.
+	Remote bool
+	// ReportInterval is the interval between two reports that the balancer requests; 0 if the
+	// agent decides.
+	ReportInterval time.Duration
 }
 
 // Report informs a balancer of the load of the sender's endpoint and, in some reports,
@@ -140,6 +156,8 @@
 	// BalancersKnown is how long ago the sender received its first Hello message from any
 	// balancer, or 0 if not stated. It is sent in whole milliseconds.
 	BalancersKnown time.Duration
+	// ReadsClass is true if the sender reads datagrams of the kind ForwardClass.
+	ReadsClass bool
 }
 
 // Owner informs a balancer which agent holds a flow; a zero Agent is the sender.
@@ -166,6 +184,8 @@
 	Age time.Duration
 	// Control is the address from which the sender's directory can be fetched.
 	Control flow.Address
+	// Zone is the sender's failure domain, or empty if it does not state it.
+	Zone string
 }
 
 // Encode returns the datagram of a message.
@@ -181,8 +201,7 @@
 func encodeNotice(m Message) *flowpb.Notice {
 	switch m := m.(type) {
 	case Hello:
-		hello := &flowpb.Hello{Slots: uint32(m.Slots), Leaving: m.Leaving, EndpointStartMs: m.EndpointStart, ClockMs: m.Clock}
-		return &flowpb.Notice{Kind: &flowpb.Notice_Hello{Hello: hello}}
+		return &flowpb.Notice{Kind: &flowpb.Notice_Hello{Hello: encodeHello(m)}}
 	case Report:
 		return &flowpb.Notice{Kind: &flowpb.Notice_Report{Report: encodeReport(m)}}
 	case Owner:
@@ -201,7 +220,7 @@
 	case DirectoryAnnouncement:
 		news := &flowpb.News{
 			Era: uint64(m.Era), Revision: uint64(m.Revision), Digest: m.Digest,
-			AgeUs: uint64(max(m.Age, 0).Microseconds()), Control: appendAddress(nil, m.Control),
+			AgeUs: uint64(max(m.Age, 0).Microseconds()), Control: appendAddress(nil, m.Control), Zone: m.Zone,
 		}
 		return &flowpb.Notice{Kind: &flowpb.Notice_News{News: news}}
 	default:
@@ -209,6 +228,25 @@
 	}
 }
 
+func encodeHello(m Hello) *flowpb.Hello {
+	return &flowpb.Hello{
+		Slots: uint32(m.Slots), Leaving: m.Leaving, EndpointStartMs: m.EndpointStart, ClockMs: m.Clock,
+		Evacuated: m.Evacuated, Era: uint64(m.Position.Era), Revision: uint64(m.Position.Revision),
+		ColdLeftMs: uint32(max(m.ColdLeft, 0).Milliseconds()), ColdRateMilli: uint32(max(m.ColdRate, 0) * 1000),
+		Remote: m.Remote, ReportIntervalMs: uint32(max(m.ReportInterval, 0).Milliseconds()),
+	}
+}
+
+func decodeHello(h *flowpb.Hello) Hello {
+	return Hello{
+		Slots: int(h.GetSlots()), Leaving: h.GetLeaving(), EndpointStart: h.GetEndpointStartMs(), Clock: h.GetClockMs(),
+		Evacuated: h.GetEvacuated(),
+		Position:  directory.Position{Era: directory.Era(h.GetEra()), Revision: directory.Revision(h.GetRevision())},
+		ColdLeft:  time.Duration(h.GetColdLeftMs()) * time.Millisecond, ColdRate: float64(h.GetColdRateMilli()) / 1000,
+		Remote: h.GetRemote(), ReportInterval: time.Duration(h.GetReportIntervalMs()) * time.Millisecond,
+	}
+}
+
 func appendAddress(b []byte, a flow.Address) []byte {
 	b = append(b, a.IP[:]...)
 	return binary.BigEndian.AppendUint16(b, a.Port)
@@ -220,7 +258,7 @@
 		Silent: m.Silent, Leaving: m.Leaving, FailingMilli: uint32(m.Failing * 1000),
 		AnswerUs:   uint32(min(m.ProcessingTime.Microseconds(), math.MaxUint32)),
 		IntervalMs: uint32(m.Interval.Milliseconds()), FlowsKnown: m.FlowsKnown,
-		BalancersKnownMs: uint32(min(m.BalancersKnown.Milliseconds(), math.MaxUint32)),
+		BalancersKnownMs: uint32(min(m.BalancersKnown.Milliseconds(), math.MaxUint32)), ReadsClass: m.ReadsClass,
 	}
 	for _, b := range m.Balancers[:min(len(m.Balancers), maxBalancers)] {
 		r.Balancers = appendAddress(r.Balancers, b)
@@ -255,8 +293,7 @@
 	}
 	switch kind := n.GetKind().(type) {
 	case *flowpb.Notice_Hello:
-		h := kind.Hello
-		return Hello{Slots: int(h.GetSlots()), Leaving: h.GetLeaving(), EndpointStart: h.GetEndpointStartMs(), Clock: h.GetClockMs()}, nil
+		return decodeHello(kind.Hello), nil
 	case *flowpb.Notice_Report:
 		return decodeReport(kind.Report), nil
 	case *flowpb.Notice_Owner:
@@ -290,7 +327,7 @@
 	age := time.Duration(n.GetAgeUs()) * time.Microsecond
 	return DirectoryAnnouncement{
 		Position: directory.Position{Era: directory.Era(n.GetEra()), Revision: directory.Revision(n.GetRevision())},
-		Digest:   n.GetDigest(), Age: age, Control: decodeAddress(n.GetControl()),
+		Digest:   n.GetDigest(), Age: age, Control: decodeAddress(n.GetControl()), Zone: n.GetZone(),
 	}, nil
 }
 
@@ -301,7 +338,7 @@
 		ProcessingTime: time.Duration(r.GetAnswerUs()) * time.Microsecond,
 		Interval:       time.Duration(r.GetIntervalMs()) * time.Millisecond,
 		FlowsKnown:     r.GetFlowsKnown(),
-	}, BalancersKnown: time.Duration(r.GetBalancersKnownMs()) * time.Millisecond}
+	}, BalancersKnown: time.Duration(r.GetBalancersKnownMs()) * time.Millisecond, ReadsClass: r.GetReadsClass()}
 	for b := r.GetBalancers(); len(b) >= addressSize; b = b[addressSize:] {
 		m.Balancers = append(m.Balancers, decodeAddress(b))
 	}
