Evacuation of a failure domain in the packet roles

Cause: operators could not take a failure domain out of service. Endpoints had to be drained one by one, and a service whose endpoints all drain still got flows.

Change: orders (op/evacuate/ZONE) are part of the directory: they are exchanged with it, ordered by era and revision, and covered by its digest. Balancers place nothing in evacuated domains, refuse callers of services without an endpoint elsewhere at once, and state the order with the directory's position in hello messages. Agents keep the latest statement and give opening packets back, also waiting ones; a balancer that lags learns from the first of them to use other domains. The message Evacuation has a new field era, since orders of an earlier era stay in force after a restore. The settings of limits for cold endpoints are read and not used yet.

--- a/cmd/cactustray/nodes.go
+++ b/cmd/cactustray/nodes.go
@@ -26,7 +26,7 @@
 of the desired state in force, AGE the age of the directory. ENDPOINTS counts endpoints as
 the balancer sees them: ready+draining+departed, slow. FLOWS counts the flows in the
 balancer's or the agent's flow table, RESETS the flows ended by a reset to the caller, and
-UNPLACED the packets for which no endpoint was found.`
+UNPLACED the packets for which no endpoint was found. NOTE shows evacuated failure domains.`
 }
 
 // Run prints one line for each node.
@@ -63,10 +63,16 @@
 	if n.Role == packetnode.Balancer {
 		version, age = fmt.Sprint(n.Version), n.Age.String()
 		endpoints = fmt.Sprintf("%d+%d+%d, %d slow", n.Ready, n.Draining, n.Gone, n.Slow)
+		if n.Evacuations > 0 {
+			note = fmt.Sprintf("%d domains evacuated: %d endpoints, %d flows left", n.Evacuations, n.EvacuatedEndpoints, n.EvacuatedFlows)
+		}
 		if n.Age < 0 {
 			version, age, note = absent, absent, "no directory yet"
 		}
 	}
+	if n.Evacuated {
+		note = "evacuated"
+	}
 	return []string{
 		n.Address, string(n.Role), version, age, endpoints,
 		fmt.Sprint(n.Flows), fmt.Sprint(n.Requests), fmt.Sprint(n.Resets), fmt.Sprint(n.Unplaced), note,
--- a/directory/digest.go
+++ b/directory/digest.go
@@ -13,7 +13,7 @@
 	h := xxhash.New()
 	hashNumber(h, uint64(s.desired.Version))
 	hashNumber(h, uint64(s.desired.ModRevision))
-	return h.Sum64() ^ s.digest
+	return h.Sum64() ^ s.digest ^ s.evacuations.digest()
 }
 
 // digest returns the contribution of a registered endpoint to the state's
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -153,7 +153,8 @@
 	Endpoints  []Endpoint
 	Deleted    []Deleted
 	// Evacuations are orders to evacuate failure domains, and orders that have ended. A full
-	// snapshot of the source lists every order.
+	// snapshot of the source lists every order, and every update from a balancer all that it
+	// knows.
 	Evacuations []Evacuation
 	// Departed are endpoints that are no longer registered and may hold open
 	// flows. Only balancers send them to each other: the source no longer has
--- a/directory/entry.go
+++ b/directory/entry.go
@@ -119,7 +119,7 @@
 // message returns the endpoint as it is sent to other balancers.
 func (e *Entry) message(now time.Duration) Endpoint {
 	endpoint := e.Endpoint
-	endpoint.Relisted = e.relisted(now)
+	endpoint.Relisted, endpoint.WarmUpTime = e.relisted(now), max(e.WarmAt-now, 0)
 	return endpoint
 }
 
--- a/directory/exchange/codec.go
+++ b/directory/exchange/codec.go
@@ -28,7 +28,9 @@
 		r.Deleted = append(r.Deleted, &directorypb.Deleted{Id: d.ID, Changed: uint64(d.ModRevision)})
 	}
 	for _, e := range c.Evacuations {
-		r.Evacuations = append(r.Evacuations, &directorypb.Evacuation{Zone: e.Zone, Changed: uint64(e.ModRevision), Ended: e.Ended})
+		r.Evacuations = append(r.Evacuations, &directorypb.Evacuation{
+			Zone: e.Zone, Era: uint64(e.Era), Changed: uint64(e.ModRevision), Ended: e.Ended,
+		})
 	}
 	for _, f := range c.Former {
 		r.Former = append(r.Former, &directorypb.FormerService{Address: f.Address.String(), Service: f.Service, AgeUs: uint64(max(f.Age, 0).Microseconds())})
@@ -106,7 +108,9 @@
 		c.Deleted = append(c.Deleted, directory.Deleted{ID: d.GetId(), ModRevision: directory.Revision(d.GetChanged())})
 	}
 	for _, e := range r.GetEvacuations() {
-		c.Evacuations = append(c.Evacuations, directory.Evacuation{Zone: e.GetZone(), ModRevision: directory.Revision(e.GetChanged()), Ended: e.GetEnded()})
+		c.Evacuations = append(c.Evacuations, directory.Evacuation{
+			Zone: e.GetZone(), Era: directory.Era(e.GetEra()), ModRevision: directory.Revision(e.GetChanged()), Ended: e.GetEnded(),
+		})
 	}
 	for _, f := range r.GetFormer() {
 		if address, err := netip.ParseAddrPort(f.GetAddress()); err == nil {
--- a/directory/exchange/codec_test.go
+++ b/directory/exchange/codec_test.go
@@ -20,10 +20,11 @@
 	route := directory.Route{Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:80"), Shares: []directory.Share{{Service: "orders", Weight: 3}}}
 	snapshot := directory.Change{
 		Revision: 12, Snapshot: true, AsOf: time.Minute, Complete: true,
-		Desired:    &directory.Desired{Version: 3, ModRevision: 8, IdleTime: time.Hour, Routes: []directory.Route{route}},
-		Endpoints:  []directory.Endpoint{endpoint},
-		Departed:   []directory.Departed{{Endpoint: departed, Age: 2 * time.Second}},
-		Introduced: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.9:7720")},
+		Desired:     &directory.Desired{Version: 3, ModRevision: 8, IdleTime: time.Hour, Routes: []directory.Route{route}},
+		Endpoints:   []directory.Endpoint{endpoint},
+		Departed:    []directory.Departed{{Endpoint: departed, Age: 2 * time.Second}},
+		Introduced:  []netip.AddrPort{netip.MustParseAddrPort("10.0.0.9:7720")},
+		Evacuations: []directory.Evacuation{{Zone: "b", Era: 2, ModRevision: 9}, {Zone: "c", Era: 1, ModRevision: 4, Ended: true}},
 	}
 	must.Eq(t, snapshot, decode(encode(snapshot, time.Minute), time.Minute))
 }
--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -13,6 +13,7 @@
 	c := Change{
 		Era: s.era, Revision: s.revision, Snapshot: true, AsOf: s.asOf, Desired: &desired, Digest: s.Digest(),
 		Former: s.routes.snapshot(now), RouteHistory: max(now-s.routes.since, 1),
+		Evacuations: s.evacuations.messages(),
 	}
 	for _, e := range s.entries {
 		if e.DepartedAt == 0 {
@@ -54,6 +55,7 @@
 	c := Change{
 		Era: s.era, Revision: s.revision, After: r.Revision, AsOf: s.asOf, Desired: &desired, Digest: s.Digest(),
 		Former: s.routes.snapshot(now), RouteHistory: max(now-s.routes.since, 1),
+		Evacuations: s.evacuations.messages(),
 	}
 	for id, e := range s.entries {
 		changed := e.ChangedAt > r.Revision
--- a/directory/state.go
+++ b/directory/state.go
@@ -24,6 +24,8 @@
 	desired   Desired
 	routes    routeHistory
 	entries   map[string]*Entry
+	// evacuations are the orders to evacuate failure domains.
+	evacuations evacuations
 	// changesFrom is the revision from which on all deletions are known.
 	changesFrom Revision
 	// digest combines the digests of all registered endpoints, independently of
@@ -33,7 +35,7 @@
 
 // NewState returns a state without a directory.
 func NewState() *State {
-	return &State{entries: make(map[string]*Entry), routes: newRouteHistory()}
+	return &State{entries: make(map[string]*Entry), routes: newRouteHistory(), evacuations: make(evacuations)}
 }
 
 // FirstStart records that no node of the system has run before, so that no desired state
@@ -116,6 +118,7 @@
 	}
 	added := s.addDeparted(now, c)
 	s.applyDesired(now, c)
+	s.evacuations.merge(c)
 	if isOlder {
 		s.mergeEntries(now, c)
 		return s.mergeRouteHistory(now, c) || added || s.Digest() != before, true
@@ -128,6 +131,7 @@
 	}
 	if c.Snapshot {
 		s.markMissing(now, c)
+		s.evacuations.endMissing(c)
 	}
 	for _, d := range c.Deleted {
 		s.markDeparted(now, d.ID, d.ModRevision)
@@ -246,6 +250,7 @@
 		if existing.sameContent(e) {
 			isRepeated := existing.ModRevision == e.ModRevision
 			existing.ModRevision, existing.Sequence = e.ModRevision, e.Sequence // a heartbeat
+			existing.WarmAt = min(existing.WarmAt, now+e.WarmUpTime)            // each update is late by some time
 			if isRepeated && !relisted {
 				return false
 			}
--- a/flow/agent_table.go
+++ b/flow/agent_table.go
@@ -91,6 +91,9 @@
 	// Silent is true for a returned packet that the endpoint left unanswered: it may
 	// still answer, whereas an endpoint that gave the packet back will not.
 	Silent bool
+	// Evacuated is true for an opening packet that is returned because the agent's failure
+	// domain is evacuated.
+	Evacuated bool
 }
 
 // maxHops bounds how often a packet is sent between nodes: to three endpoints that
@@ -161,6 +164,8 @@
 	runningTime time.Duration
 	accountedAt Timestamp
 
+	// evacuated is true if the endpoint's failure domain is evacuated.
+	evacuated        bool
 	pending          []pendingOpen
 	waiting          waitingOpenings
 	silence          silence
@@ -234,6 +239,9 @@
 			return Verdict{Action: Deliver, Reason: Repeated}
 		}
 	}
+	if t.evacuated {
+		return Verdict{Action: Return, To: d.Balancer, Reason: Evacuated}
+	}
 	if reason, away := t.shouldForward(now, d); away && !d.Alternate.IsZero() {
 		return t.forward(now, p.Flow, d.Balancer, d.Alternate, reason)
 	}
--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -48,14 +48,16 @@
 	flows    map[Key]assignment
 	searches searches
 	openings openings
-	lifetime time.Duration
-	random   *rand.Rand
+	// evacuated has the failure domains whose agents give opening packets back.
+	evacuated evacuatedZones
+	lifetime  time.Duration
+	random    *rand.Rand
 }
 
 // NewAssignments returns an empty table; lifetime is the maximum lifetime of a flow.
 func NewAssignments(lifetime time.Duration, random *rand.Rand) *Assignments {
 	return &Assignments{
-		flows: make(map[Key]assignment), searches: newSearches(), lifetime: lifetime, random: random,
+		flows: make(map[Key]assignment), searches: newSearches(), evacuated: make(evacuatedZones), lifetime: lifetime, random: random,
 	}
 }
 
@@ -144,13 +146,13 @@
 // keepsAgent reports whether a repeated opening packet goes to the agent that already
 // has the flow. The caller's second and third copies do not if that agent has not
 // reported since the flow was placed; no copy does if the agent's address now belongs to
-// another service.
+// another service, or its failure domain is evacuated.
 func (a assignment) keepsAgent(packet Packet, routing *RoutingTable) bool {
 	endpoint := routing.Agents[a.agent]
 	if endpoint == nil {
 		return true
 	}
-	return a.matchesService(endpoint) && (packet.Copy == 0 || endpoint.AgentLoad.ReportedAt() > a.placedAt)
+	return a.matchesService(endpoint) && !endpoint.Evacuated && (packet.Copy == 0 || endpoint.AgentLoad.ReportedAt() > a.placedAt)
 }
 
 // matchesService reports whether an endpoint still belongs to the flow's service.
@@ -170,11 +172,11 @@
 // place offers the flow to the best endpoint to which it has not been offered yet.
 func (a *Assignments) place(now Timestamp, packet Packet, service *Service, known assignment) Decision {
 	if service == nil || int(known.triedCount) >= maxTried || len(a.flows) >= maxAssignments {
-		return a.unplaced(packet, known)
+		return a.unplaced(now, packet, service, known)
 	}
 	first, second := a.choose(now, service, packet.Flow, known)
 	if first < 0 {
-		return a.unplaced(packet, known)
+		return a.unplaced(now, packet, service, known)
 	}
 	endpoint := service.Accepting[first]
 	known.agent, known.tag, known.placedAt, known.lastSeen, known.ended = endpoint.Agent, service.Tag, now, now, false
@@ -191,11 +193,12 @@
 }
 
 // unplaced decides on an opening packet that no endpoint takes. It is dropped, since
-// the caller sends another copy. If an endpoint has refused the flow, or no further
-// copy follows, the caller gets a reset at once. A copy that took another path may have
-// opened the flow meanwhile, so this reset acknowledges nothing.
-func (a *Assignments) unplaced(packet Packet, known assignment) Decision {
-	end := packet.Copy >= lastCopy || known.refused
+// the caller sends another copy. If an endpoint has refused the flow, no further copy
+// follows, or every endpoint of the service is in an evacuated failure domain, the caller
+// gets a reset at once. A copy that took another path may have opened the flow meanwhile, so
+// this reset acknowledges nothing.
+func (a *Assignments) unplaced(now Timestamp, packet Packet, service *Service, known assignment) Decision {
+	end := packet.Copy >= lastCopy || known.refused || a.evacuated.hasAll(now, service)
 	return Decision{SendReset: end, Reset: resetOf(packet), Reason: NoEndpoint}
 }
 
@@ -240,6 +243,7 @@
 		return Decision{Reason: UnknownAddress}
 	}
 	known.recordFailure(agent, d.Silent)
+	a.evacuated.record(now, agent, d, routing)
 	return a.place(now, packet, route.Service(packet.Flow), known)
 }
 
--- a/flow/preferences.go
+++ b/flow/preferences.go
@@ -91,7 +91,9 @@
 // -1 where there is none: among the endpoints that the flow prefers if one of them is
 // free, else among all.
 func (a *Assignments) choose(now Timestamp, service *Service, key Key, known assignment) (first, second int) {
-	excluded := func(i int) bool { return known.wasTried(service.Accepting[i].Agent) }
+	excluded := func(i int) bool {
+		return known.wasTried(service.Accepting[i].Agent) || a.evacuated.has(now, service.Accepting[i])
+	}
 	if len(service.Accepting) <= preferenceThreshold {
 		return placement.Choose(now, a.random, service.Candidates, excluded)
 	}
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -26,6 +26,8 @@
 	EndpointReset
 	SearchWaits
 	OpeningWaits
+	Evacuated
+	EndpointCold
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
@@ -36,6 +38,7 @@
 	EndpointLost: "endpoint-lost", NotHeld: "not-held", Closed: "closed", TableFull: "table-full",
 	UnknownAddress: "unknown-address", NoEndpoint: "no-endpoint", Searched: "searched", NobodyHolds: "nobody-holds",
 	ForeignService: "foreign-service", TooManyHops: "too-many-hops", EndpointReset: "endpoint-reset", SearchWaits: "search-waits", OpeningWaits: "opening-waits",
+	Evacuated: "evacuated", EndpointCold: "endpoint-cold",
 }
 
 func (r Reason) String() string {
--- a/flow/resend.go
+++ b/flow/resend.go
@@ -106,7 +106,7 @@
 			return false
 		}
 		d := Decision{To: stored.agent, Tag: endpoint.Service.Tag, Reason: Repeated}
-		if stored.agent != endpoint.Agent {
+		if stored.agent != endpoint.Agent || endpoint.Evacuated {
 			d = a.place(now, stored.packet, endpoint.Service, known)
 		}
 		if !d.To.IsZero() {
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -25,6 +25,10 @@
 	// Introduced is true if only the reports of its agent show that the endpoint exists; its
 	// service and its slots are not known.
 	Introduced bool
+	// Zone is the endpoint's failure domain.
+	Zone string
+	// Evacuated is true if an order to evacuate the failure domain is in force.
+	Evacuated bool
 	// hash is the hash of the agent's address, for the order in which a flow prefers
 	// endpoints.
 	hash uint64
@@ -54,6 +58,9 @@
 	// Holders may hold open flows: endpoints that accept new flows, drain or have
 	// departed.
 	Holders []*Endpoint
+	// Evacuated is true if the service has no endpoint that accepts new flows, and would have
+	// one without the orders to evacuate failure domains.
+	Evacuated bool
 }
 
 // Share is the part of a route's new flows that goes to one service.
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -37,7 +37,9 @@
 	addressSize  = 6
 	searchFlag   = 1
 	silentFlag   = 2
-	hopsShift    = 4
+	// evacuatedFlag is ignored by older builds, which try the next endpoint.
+	evacuatedFlag = 4
+	hopsShift     = 4
 	// maxBalancers bounds the balancers listed in a report.
 	maxBalancers = 32
 )
@@ -81,6 +83,9 @@
 	if e.Silent {
 		b[1] |= silentFlag
 	}
+	if e.Evacuated {
+		b[1] |= evacuatedFlag
+	}
 	binary.BigEndian.PutUint16(b[2:], e.Tag)
 	putAddress(b[4:], e.Balancer)
 	putAddress(b[4+addressSize:], e.Alternate)
@@ -96,6 +101,7 @@
 	e := Envelope{Tag: binary.BigEndian.Uint16(b[2:])}
 	e.Search = b[1]&searchFlag != 0
 	e.Silent = b[1]&silentFlag != 0
+	e.Evacuated = b[1]&evacuatedFlag != 0
 	e.Hops = b[1] >> hopsShift
 	e.Balancer = decodeAddress(b[4:])
 	e.Alternate = decodeAddress(b[4+addressSize:])
--- a/flow/wire/wire_test.go
+++ b/flow/wire/wire_test.go
@@ -39,7 +39,7 @@
 }
 
 func TestEnvelopeRoundTrip(t *testing.T) {
-	e := Envelope{Tag: 513, Delivery: flow.Delivery{Balancer: caller, Alternate: service, AlternateRunning: 3, Search: true, Silent: true, Hops: 7}}
+	e := Envelope{Tag: 513, Delivery: flow.Delivery{Balancer: caller, Alternate: service, AlternateRunning: 3, Search: true, Silent: true, Evacuated: true, Hops: 7}}
 	b := append(make([]byte, EnvelopeSize), "packet"...)
 	PutEnvelope(b, Return, e)
 	must.EqOp(t, Return, KindOf(b))
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -29,6 +29,7 @@
 		return err
 	}
 	state := newState(log, traffic, seedsOf(s.Packets))
+	state.statement.apply(s.Packets)
 	healthy := new(atomic.Bool)
 	healthy.Store(true)
 	log.Emit(EventStarted, event.Fields{"service": s.Packets.Service, "endpoint": s.Packets.Endpoint, "zone": s.Zone})
@@ -56,6 +57,7 @@
 	f.counters.Register(registry)
 	registry.GaugeFunc("flows", func() int64 { return int64(f.usage().Flows) })
 	registry.GaugeFunc("requests", func() int64 { return int64(f.usage().Running) })
+	registry.GaugeFunc("evacuated", f.evacuated.Load)
 	registry.GaugeFunc("requests.unanswered", f.unanswered.Load)
 	registry.RegisterTimer("requests.answer", f.answers)
 	registry.RegisterEvents(log)
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -51,9 +51,11 @@
 	introductions introductions
 	// firstHello is when the first hello message of any balancer arrived, or 0.
 	firstHello time.Duration
-	leaving    bool
-	lastTick   time.Duration
-	lastSweep  time.Duration
+	// statement is what balancers state about the endpoint.
+	statement statement
+	leaving   bool
+	lastTick  time.Duration
+	lastSweep time.Duration
 	// lastUsage is the usage at lastUsageAt, from which the mean of the next report is
 	// computed.
 	lastUsage   flow.Usage
@@ -103,6 +105,7 @@
 		s.log.Emit(EventFlowsKnown, event.Fields{"balancer": m.balancer.String(), "endpoint_start_ms": m.EndpointStart})
 		defer s.report(now)
 	}
+	s.statementReceived(now, m)
 	delete(s.introductions, m.balancer)
 	_, known := s.balancers[m.balancer]
 	switch {
@@ -212,5 +215,7 @@
 // apply applies changed settings, except addresses, which need a restart.
 func (s *state) apply(changed *settings.Settings) {
 	s.traffic.apply(changed.Packets)
+	s.statement.apply(changed.Packets)
+	s.applyStatement(clock.Now())
 	s.log.Emit(EventSettings, event.Fields{"flow_seconds": changed.Packets.FlowSeconds, "stop_ms": changed.Packets.StopMillis})
 }
--- a/packetagent/events.go
+++ b/packetagent/events.go
@@ -21,6 +21,8 @@
 	EventEndpointSilent   = event.Define(3309, logrus.WarnLevel, "endpoint does not answer")
 	EventEndpointBack     = event.Define(3310, logrus.InfoLevel, "endpoint answers again")
 	EventFlowsKnown       = event.Define(3312, logrus.InfoLevel, "all flows of the endpoint are known")
+	EventEvacuated        = event.Define(3320, logrus.InfoLevel, "endpoint's failure domain evacuated")
+	EventEvacuationEnded  = event.Define(3321, logrus.InfoLevel, "endpoint's failure domain back in service")
 	EventFlowForwarded    = event.Define(3401, logrus.InfoLevel, "flow forwarded to another agent")
 	EventFlowReturned     = event.Define(3402, logrus.InfoLevel, "packet returned to its balancer")
 	EventFlowEnded        = event.Define(3403, logrus.InfoLevel, "reset sent for a flow that the endpoint lost")
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -46,6 +46,9 @@
 	// silent is true while the endpoint leaves packets unanswered.
 	silent atomic.Bool
 
+	// evacuated is 1 while the endpoint's failure domain is evacuated, else 0.
+	evacuated atomic.Int64
+
 	// stopNanos is how long a graceful stop may take, in nanoseconds.
 	stopNanos atomic.Int64
 
@@ -326,7 +329,7 @@
 		wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: f.tag, Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
 		f.counters.Send(f.peers, buffer, v.To.AddrPort())
 	case flow.Return:
-		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops, Silent: v.Reason == flow.EndpointSilent}})
+		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops, Silent: v.Reason == flow.EndpointSilent, Evacuated: v.Reason == flow.Evacuated}})
 		f.counters.Send(f.peers, buffer, v.To.AddrPort())
 	case flow.Deny:
 		f.counters.Send(f.peers, wire.Encode(wire.Denied{Flow: key}), v.To.AddrPort())
--- a/packetbalancer/agents.go
+++ b/packetbalancer/agents.go
@@ -34,6 +34,7 @@
 		return
 	}
 	hello := wire.Hello{Slots: endpoint.Slots, Leaving: s.leaving, EndpointStart: endpoint.StartedAt, Clock: time.Now().UnixMilli()}
+	s.addStatement(&hello, endpoint)
 	s.traffic.counters.Send(s.traffic.peers, wire.Encode(hello), endpoint.Agent.AddrPort())
 }
 
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -108,13 +108,17 @@
 	// hasFormer is true if routes may have flows at former services.
 	hasFormer bool
 	// settlesAt is the SettledAt of the routing table while that is in the future, or 0.
-	settlesAt    time.Duration
-	survey       survey
-	metricValues metricValues
+	settlesAt time.Duration
+	survey    survey
+	// loggedEvacuations are the evacuations that were logged.
+	loggedEvacuations loggedEvacuations
+	metricValues      metricValues
 }
 
 // metricValues holds the control state's values for the metrics.
-type metricValues struct{ era, revision, version, ready, draining, gone, slow atomic.Int64 }
+type metricValues struct {
+	era, revision, version, ready, draining, gone, slow, evacuations, evacuated atomic.Int64
+}
 
 func newState(s *settings.Settings, log *event.Log, f *forwarder, r *reader, healthy *atomic.Bool) *state {
 	now := clock.Now()
@@ -126,7 +130,7 @@
 		settings: s, log: log, traffic: f, reader: r, healthy: healthy,
 		directory: known, schedule: directory.NewReaderSchedule(s.Packets.AdvertisedPeer()),
 		history: directory.NewHistorySchedule(s.Packets.AdvertisedPeer()),
-		loads:   make(map[flow.Address]*placement.AgentLoad), introduced: make(map[flow.Address]time.Duration),
+		loads:   make(map[flow.Address]*placement.AgentLoad), loggedEvacuations: make(loggedEvacuations), introduced: make(map[flow.Address]time.Duration),
 		started: now, lastTick: now, fullRead: true, seeds: s.Packets.SeedAddresses(), drainLimit: s.Packets.DrainLimit(),
 		survey: survey{queried: make(map[netip.AddrPort]bool), complete: s.Packets.FirstStart},
 	}
@@ -220,6 +224,7 @@
 	table := builder.build()
 	s.traffic.table.Store(table)
 	s.traffic.endSearches(now)
+	s.recordEvacuations(table)
 	s.tableExpires, s.hasFormer = builder.hasDeparted || builder.hasDraining, builder.hasFormer
 	s.settlesAt = 0
 	if now < table.SettledAt {
@@ -229,13 +234,17 @@
 
 // apply applies changed settings, except addresses, which need a restart.
 func (s *state) apply(changed *settings.Settings) {
+	before := s.evacuatedZones()
 	s.seeds, s.drainLimit = changed.Packets.SeedAddresses(), changed.Packets.DrainLimit()
 	applied, packets := *s.settings, *s.settings.Packets
 	packets.FlowSeconds = changed.Packets.FlowSeconds
+	packets.EvacuateMillis = changed.Packets.EvacuateMillis
+	packets.ColdExcess, packets.ColdSlack = changed.Packets.ColdExcess, changed.Packets.ColdSlack
 	applied.Packets = &packets
 	s.settings = &applied
 	s.traffic.apply(changed.Packets)
 	s.log.Emit(EventSettings, event.Fields{"seeds": len(s.seeds), "flow_seconds": changed.Packets.FlowSeconds, "stop_ms": changed.Packets.StopMillis})
+	s.publishEvacuations(clock.Now(), before)
 }
 
 // updateMetrics updates the values that the metrics read.
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -40,6 +40,7 @@
 		b.addEndpoint(e)
 	}
 	b.acceptAtDraining(latestEntries)
+	b.settleEvacuations()
 	for _, route := range b.state.directory.Desired().Routes {
 		b.addRoute(route)
 	}
@@ -141,10 +142,15 @@
 		ColdUntil: e.WarmAt, AddedAt: e.FirstSeen,
 	})
 	endpoint.StartedAt = e.Incarnation
+	endpoint.Zone, endpoint.Evacuated = e.Zone, b.state.isEvacuated(e.Zone)
 	endpoint.Unregistered, endpoint.ConfirmedFrom = e.MissedReturn(b.now), e.ConfirmedFrom()
 	service.Holders = append(service.Holders, endpoint)
 	b.table.Agents[agent] = endpoint
-	if e.AcceptsNew(b.now, alive) {
+	switch {
+	case !e.AcceptsNew(b.now, alive):
+	case endpoint.Evacuated:
+		service.Evacuated = true
+	default:
 		endpoint.Accept()
 	}
 }
@@ -161,7 +167,7 @@
 	var accepting []*flow.Endpoint
 	for agent, e := range entries {
 		endpoint := b.table.Agents[agent]
-		if endpoint != nil && len(endpoint.Service.Accepting) == 0 && e.AcceptsWhileDraining(b.now, limit) {
+		if endpoint != nil && !endpoint.Evacuated && len(endpoint.Service.Accepting) == 0 && e.AcceptsWhileDraining(b.now, limit) {
 			accepting = append(accepting, endpoint)
 		}
 	}
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -114,6 +114,9 @@
 // report, and one for each flow placed since.
 func (l *AgentLoad) Running() int64 { return l.running.Load() + l.placed.Load() }
 
+// Flows returns the number of open flows of the last report.
+func (l *AgentLoad) Flows() int64 { return l.flows.Load() }
+
 // Slowness returns the endpoint's processing time divided by the median of its
 // service, or 1 if that ratio is below slowRatio or unknown.
 func (l *AgentLoad) Slowness() float64 { return max(1, float64(l.slowness.Load())/1000) }
--- a/settings/packets.go
+++ b/settings/packets.go
@@ -42,6 +42,14 @@
 	// milliseconds; it gets some if its service has no other. 0 means never. Only a
 	// balancer has it.
 	DrainMillis float64 `json:"drain_ms,omitempty"`
+	// EvacuateMillis is the time within which an evacuation of a failure domain must be in
+	// force, in milliseconds. 0 means that there are no evacuations.
+	EvacuateMillis float64 `json:"evacuate_ms,omitempty"`
+	// A cold endpoint gets at most ColdExcess times the new flows a second that its service
+	// requests, and ColdSlack more, in any one-second window. There is no limit if ColdExcess
+	// is 0.
+	ColdExcess float64 `json:"cold_excess,omitempty"`
+	ColdSlack  float64 `json:"cold_slack,omitempty"`
 	// Seeds are control addresses of balancers. A balancer fetches the directory from them if
 	// the registry does not answer at the start; an agent that starts reports to them. They
 	// may be wrong.
@@ -70,6 +78,9 @@
 	return time.Duration(p.DrainMillis * float64(time.Millisecond))
 }
 
+// HasEvacuations reports whether failure domains can be evacuated.
+func (p *PacketSettings) HasEvacuations() bool { return p.EvacuateMillis > 0 }
+
 // AdvertisedPeer returns the address under which other nodes reach Peer.
 func (p *PacketSettings) AdvertisedPeer() netip.AddrPort { return p.advertisedAddr(p.Peer) }
 
@@ -98,12 +109,15 @@
 }
 
 const (
-	maxFlowSeconds = 24 * 60 * 60
-	maxStopMillis  = 10 * 60 * 1000
-	maxDrainMillis = 10 * 60 * 1000
-	minLinkMbps    = 1
-	maxLinkMbps    = 1_000_000
-	allowedIPv4    = "IPv4:port, no wildcard"
+	maxFlowSeconds    = 24 * 60 * 60
+	maxStopMillis     = 10 * 60 * 1000
+	maxDrainMillis    = 10 * 60 * 1000
+	maxEvacuateMillis = 10 * 60 * 1000
+	maxColdFactor     = 1000
+	maxColdSlack      = 1_000_000
+	minLinkMbps       = 1
+	maxLinkMbps       = 1_000_000
+	allowedIPv4       = "IPv4:port, no wildcard"
 )
 
 func (c *checker) packets(s *Settings) {
@@ -120,6 +134,9 @@
 	c.Require(p.FlowSeconds >= 1 && p.FlowSeconds <= maxFlowSeconds, "packets.flow_seconds", p.FlowSeconds, fmt.Sprintf("1 to %d", maxFlowSeconds))
 	c.Require(p.StopMillis >= 0 && p.StopMillis <= maxStopMillis, "packets.stop_ms", p.StopMillis, fmt.Sprintf("0 to %d", maxStopMillis))
 	c.Require(p.LinkMbps >= minLinkMbps && p.LinkMbps <= maxLinkMbps, "packets.link_mbps", p.LinkMbps, fmt.Sprintf("%d to %d", minLinkMbps, maxLinkMbps))
+	c.Require(p.EvacuateMillis >= 0 && p.EvacuateMillis <= maxEvacuateMillis, "packets.evacuate_ms", p.EvacuateMillis, fmt.Sprintf("0 to %d", maxEvacuateMillis))
+	c.Require(p.ColdExcess >= 0 && p.ColdExcess <= maxColdFactor, "packets.cold_excess", p.ColdExcess, fmt.Sprintf("0 to %d", maxColdFactor))
+	c.Require(p.ColdSlack >= 0 && p.ColdSlack <= maxColdSlack, "packets.cold_slack", p.ColdSlack, fmt.Sprintf("0 to %d", maxColdSlack))
 	if s.Role == PacketBalancer {
 		c.packetBalancer(p, s.Metrics)
 	} else {
--- a/standin/e2e/packets_cluster_test.go
+++ b/standin/e2e/packets_cluster_test.go
@@ -50,6 +50,11 @@
 // newPacketCluster starts the balancers, and four endpoints of the service orders and two
 // of drawings, each with its agent.
 func newPacketCluster(t testing.TB, balancers int) *packetCluster {
+	return newZonedPacketCluster(t, balancers, nil)
+}
+
+// newZonedPacketCluster is newPacketCluster with the failure domains of some machines.
+func newZonedPacketCluster(t testing.TB, balancers int, zones map[int]string) *packetCluster {
 	pid := os.Getpid()
 	c := &packetCluster{
 		t: t, dir: t.TempDir(), daemons: make(map[string]*process.Process), store: packets.NewStore(),
@@ -61,6 +66,9 @@
 	c.Deployment, release, err = packets.NewDeployment([2]byte{128 | byte(pid)&0x7f, byte(packetClusters.Add(1))})
 	must.NoError(t, err)
 	t.Cleanup(release)
+	for host, zone := range zones {
+		c.SetZone(host, zone)
+	}
 	c.startStore()
 	var edges, health []netip.AddrPort
 	for i := range balancers {
--- a/standin/packets/deployment.go
+++ b/standin/packets/deployment.go
@@ -1,6 +1,7 @@
 package packets
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/netip"
@@ -20,13 +21,14 @@
 	CallerHost = 200
 	StoreHost  = 250
 
-	zone        = "a"
-	flowSeconds = 60
-	stopMillis  = 4000
-	drainMillis = 3000
-	linkMbps    = 1000
-	idleMillis  = 15000
-	slots       = 2
+	zone           = "a"
+	flowSeconds    = 60
+	stopMillis     = 4000
+	drainMillis    = 3000
+	evacuateMillis = 5000
+	linkMbps       = 1000
+	idleMillis     = 15000
+	slots          = 2
 )
 
 // Addresses of the services.
@@ -51,6 +53,8 @@
 	// Translate has set another.
 	bound [2]byte
 	ports map[string]uint16
+	// zones has the failure domains of machines that are not in zone.
+	zones map[int]string
 }
 
 // NewDeployment returns a deployment in the network 127.A.B.0/24, where A and B are the two
@@ -80,6 +84,17 @@
 // forward there what is sent to the machines' addresses, as the links of package soak do.
 func (d *Deployment) Translate(bound [2]byte) { d.bound = bound }
 
+// SetZone moves a machine to a failure domain; it must not have been used before.
+func (d *Deployment) SetZone(host int, name string) {
+	if d.zones == nil {
+		d.zones = make(map[int]string)
+	}
+	d.zones[host] = name
+}
+
+// Zone returns the failure domain of a machine.
+func (d *Deployment) Zone(host int) string { return cmp.Or(d.zones[host], zone) }
+
 // IP returns the address of a machine.
 func (d *Deployment) IP(host int) string { return ip(d.net, host) }
 
@@ -101,13 +116,13 @@
 func (d *Deployment) Settings(host int) *settings.Settings {
 	p := &settings.PacketSettings{
 		Edge: d.Bound(host, "edge"), Peer: d.Bound(host, "peer"), Health: d.Bound(host, "health"),
-		FlowSeconds: flowSeconds, StopMillis: stopMillis, LinkMbps: linkMbps,
+		FlowSeconds: flowSeconds, StopMillis: stopMillis, EvacuateMillis: evacuateMillis, LinkMbps: linkMbps,
 	}
 	const seeds = 3
 	for i := range seeds {
 		p.Seeds = append(p.Seeds, d.Address(BalancerHost+i, "control").String())
 	}
-	s := &settings.Settings{Node: d.IP(host), Zone: zone, Packets: p, Metrics: d.Bound(host, "metrics")}
+	s := &settings.Settings{Node: d.IP(host), Zone: d.Zone(host), Packets: p, Metrics: d.Bound(host, "metrics")}
 	if host >= EndpointHost {
 		s.Role, p.Service = settings.PacketAgent, ServiceOf(host)
 		p.Endpoint, p.Outbound = d.Bound(host, "endpoint"), d.Bound(host, "outbound")
@@ -133,7 +148,7 @@
 // RegisterAs writes the registry entry of an endpoint with a given id and service.
 func (d *Deployment) RegisterAs(store *Store, id string, host int, service, state string, incarnation int) {
 	store.Put("servers/"+id, map[string]any{
-		"service": service, "address": d.Address(host, "endpoint").String(), "zone": zone, "version": "v1",
+		"service": service, "address": d.Address(host, "endpoint").String(), "zone": d.Zone(host), "version": "v1",
 		"capacity": slots, "state": state, "cold-left-ms": 0, "seq": store.NextSequence(), "born": incarnation,
 	})
 }
@@ -153,3 +168,13 @@
 func (d *Deployment) NewEndpointOn(host int) (*Endpoint, error) {
 	return NewEndpoint(EndpointID(host), ServiceOf(host), d.Bound(host, "endpoint"), d.Bound(host, "outbound"))
 }
+
+// Evacuate writes the order to evacuate a failure domain to a store, and returns it to service if
+// begin is false.
+func Evacuate(store *Store, zone string, begin bool) {
+	if begin {
+		store.Put("op/evacuate/"+zone, map[string]any{})
+	} else {
+		store.Delete("op/evacuate/" + zone)
+	}
+}
--- a/status/packetnode/packetnode.go
+++ b/status/packetnode/packetnode.go
@@ -49,6 +49,13 @@
 	// endpoint was found.
 	Resets   int64 `json:"resets"`
 	Unplaced int64 `json:"unplaced"`
+	// Evacuations counts the failure domains that a balancer knows to be evacuated,
+	// EvacuatedEndpoints and EvacuatedFlows what is left there; Evacuated is true for an
+	// agent in such a domain.
+	Evacuations        int64 `json:"evacuations,omitempty"`
+	EvacuatedEndpoints int64 `json:"evacuated_endpoints,omitempty"`
+	EvacuatedFlows     int64 `json:"evacuated_flows,omitempty"`
+	Evacuated          bool  `json:"evacuated,omitempty"`
 	// Failure is why the node did not answer, or empty.
 	Failure string `json:"failure,omitempty"`
 }
@@ -109,13 +116,15 @@
 	value := func(name string) int64 { return int64(instruments[name].Value) }
 	n := Node{
 		Address: address, Role: Agent, Flows: value("flows"), Requests: value("requests"), Resets: value("resets"),
-		Unplaced: value("packets.no-endpoint") + value("packets.unknown-address"),
+		Unplaced:  value("packets.no-endpoint") + value("packets.unknown-address"),
+		Evacuated: value("evacuated") > 0,
 	}
 	if _, balancer := instruments["directory.age_ms"]; balancer {
 		n.Role, n.Version = Balancer, value("directory.version")
 		n.Age = time.Duration(value("directory.age_ms")) * time.Millisecond
 		n.Ready, n.Draining = value("endpoints.ready"), value("endpoints.draining")
 		n.Gone, n.Slow = value("endpoints.gone"), value("endpoints.slow")
+		n.Evacuations, n.EvacuatedEndpoints, n.EvacuatedFlows = value("evacuations"), value("endpoints.evacuated"), value("flows.evacuated")
 	}
 	return n
 }
