--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -84,8 +84,12 @@
 	// or refuses it.
 	Alternate Address
 	// AlternateRunning is how many requests the alternate's endpoint had in
-	// progress.
+	// progress, or more if the alternate is to get the packet only above that.
 	AlternateRunning uint8
+	// Crosses is true if a new flow goes to another failure domain.
+	Crosses bool
+	// Class is the class of a new flow's requests; it may be unknown.
+	Class Class
 	// SendReset is true if the caller gets the reset.
 	SendReset bool
 	Reset     Reset
@@ -133,7 +137,7 @@
 	if route == nil {
 		return Decision{SendReset: now-routing.CurrentAt() < maxRoutingTableAge, Reset: resetOf(packet), Reason: UnknownAddress}
 	}
-	d := a.place(now, packet, route.Service(packet.Flow), known)
+	d := a.place(now, packet, route, route.Service(packet.Flow), known)
 	a.openings.add(now, packet, d.To, routing, datagram)
 	if d.To.IsZero() && ok && !known.ended {
 		return a.repeat(routing, known)
@@ -167,12 +171,13 @@
 	return Decision{To: known.agent, Tag: endpoint.Service.Tag, Reason: Repeated}
 }
 
-// place offers the flow to the best endpoint to which it has not been offered yet.
-func (a *Assignments) place(now Timestamp, packet Packet, service *Service, known assignment) Decision {
+// place offers the flow to the best endpoint of the service to which it has not been offered
+// yet.
+func (a *Assignments) place(now Timestamp, packet Packet, route *Route, service *Service, known assignment) Decision {
 	if service == nil || int(known.triedCount) >= maxTried || len(a.flows) >= maxAssignments {
 		return a.unplaced(packet, known)
 	}
-	first, second := a.choose(now, service, packet.Flow, known)
+	first, second := a.chooseByClass(now, service, packet.Flow, known, route.Class)
 	if first < 0 {
 		return a.unplaced(packet, known)
 	}
@@ -181,11 +186,11 @@
 	known.tried[known.triedCount] = endpoint.Agent
 	known.triedCount++
 	a.flows[packet.Flow] = known
-	d := Decision{To: endpoint.Agent, Tag: service.Tag, Reason: Opened}
+	d := Decision{To: endpoint.Agent, Tag: service.Tag, Reason: Opened, Crosses: endpoint.Remote, Class: route.Class}
 	if second >= 0 {
 		other := service.Accepting[second]
 		d.Alternate = other.Agent
-		d.AlternateRunning = uint8(min(other.AgentLoad.Running(), math.MaxUint8))
+		d.AlternateRunning = uint8(min(forwardAbove(now, endpoint, other, route.Class), math.MaxUint8))
 	}
 	return d
 }
@@ -240,7 +245,7 @@
 		return Decision{Reason: UnknownAddress}
 	}
 	known.recordFailure(agent, d.Silent)
-	return a.place(now, packet, route.Service(packet.Flow), known)
+	return a.place(now, packet, route, route.Service(packet.Flow), known)
 }
 
 // recordFailure records that an endpoint gave the opening packet back or left it
--- a/flow/resend.go
+++ b/flow/resend.go
@@ -107,7 +107,7 @@
 		}
 		d := Decision{To: stored.agent, Tag: endpoint.Service.Tag, Reason: Repeated}
 		if stored.agent != endpoint.Agent {
-			d = a.place(now, stored.packet, endpoint.Service, known)
+			d = a.place(now, stored.packet, route, endpoint.Service, known)
 		}
 		if !d.To.IsZero() {
 			resends = append(resends, Resend{Packet: stored.packet, Decision: d, Datagram: stored.datagram})
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -66,6 +66,8 @@
 type Route struct {
 	Shares []Share
 	Weight uint32
+	// Class describes the requests on the route's flows; it may be unknown.
+	Class Class
 	// Former are the services that the route is known to have left. Their endpoints may hold
 	// flows that were opened earlier; they get no new flows.
 	Former []*Service
--- a/packetbalancer/balancer.go
+++ b/packetbalancer/balancer.go
@@ -81,6 +81,7 @@
 func newMetrics(f *forwarder, s *state, log *event.Log) *metrics.Registry {
 	registry := metrics.New()
 	f.counters.Register(registry)
+	f.placements.register(registry)
 	registry.GaugeFunc("directory.age_ms", s.ageMillis)
 	registry.GaugeFunc("directory.version", s.metricValues.version.Load)
 	registry.GaugeFunc("directory.era", s.metricValues.era.Load)
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -110,6 +110,7 @@
 	// settlesAt is the SettledAt of the routing table while that is in the future, or 0.
 	settlesAt    time.Duration
 	survey       survey
+	crossing     crossing
 	metricValues metricValues
 }
 
@@ -201,6 +202,7 @@
 		s.settlesAt != 0 && now >= s.settlesAt:
 		s.publish(now)
 	}
+	s.crossing.observe(now, s.traffic.placements.outOfRoom.Load(), s.log)
 	if now-s.lastComparison >= compareInterval {
 		s.lastComparison = now
 		s.compareProcessingTimes()
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -37,6 +37,8 @@
 	EventFlowSearched       = event.Define(3203, logrus.InfoLevel, "flow search sent to agents")
 	EventFlowEnded          = event.Define(3204, logrus.InfoLevel, "flow ended by a reset")
 	EventFlowUnplaced       = event.Define(3205, logrus.InfoLevel, "flow not placed")
+	EventCrossingBegins     = event.Define(3210, logrus.InfoLevel, "new flows go to other failure domains")
+	EventCrossingEnds       = event.Define(3211, logrus.InfoLevel, "new flows stay in the failure domain again")
 )
 
 // logDecision logs a decision that operators may need to trace. buffer contains the
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -181,10 +181,18 @@
 }
 
 func (b *tableBuilder) addRoute(r directory.Route) {
-	route := new(flow.Route)
+	route := &flow.Route{Class: classOf(r)}
 	for _, share := range r.Shares {
 		route.Shares = append(route.Shares, flow.Share{Service: b.service(share.Service), Weight: share.Weight})
 		route.Weight += share.Weight
 	}
 	b.table.Routes[flow.AddressOf(r.Address)] = route
 }
+
+// classOf returns the class of a route's requests; it may be unknown.
+func classOf(r directory.Route) flow.Class {
+	if r.Class == nil {
+		return flow.Class{}
+	}
+	return flow.Class{Priority: r.Class.Priority, Repeatable: r.Class.Repeatable, Goal: r.Class.Goal, Limit: r.Class.Limit}
+}
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -50,8 +50,9 @@
 	// stopNanos is how long a graceful stop may take, in nanoseconds.
 	stopNanos atomic.Int64
 
-	counters  traffic.Counters
-	survivors survivors
+	counters   traffic.Counters
+	placements placements
+	survivors  survivors
 	// received counts the packets received from callers.
 	received atomic.Int64
 }
@@ -139,6 +140,7 @@
 // there is only a reset to send. hops is the hop count received with the packet.
 func (f *forwarder) execute(key flow.Key, d flow.Decision, buffer []byte, hops uint8) {
 	f.counters.CountDecision(d.Reason)
+	f.placements.count(d)
 	f.logDecision(key, d, buffer)
 	if d.SendReset {
 		f.sendReset(d.Reset)
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -176,8 +176,7 @@
 // HasFreeSlot reports whether the endpoint is usable, neither slow nor failing, and has
 // a free slot.
 func (c *Candidate) HasFreeSlot(now time.Duration) bool {
-	healthy := c.status(now) == usable && c.AgentLoad.Slowness() == 1 && c.AgentLoad.failing.Load() < failingThreshold
-	return healthy && c.AgentLoad.Running() < int64(c.Slots)
+	return c.isHealthy(now) && c.AgentLoad.Running() < int64(c.Slots)
 }
 
 // cost returns the endpoint's load and its other disadvantages, in shares of all
