--- a/flow/preferences.go
+++ b/flow/preferences.go
@@ -87,13 +87,20 @@
 	return h ^ h>>33
 }
 
+// excludes returns a function that reports whether a new flow does not go to the endpoint with
+// an index: it was offered to it, or its agent gave opening packets back for an evacuation.
+func (a *Assignments) excludes(now Timestamp, service *Service, known assignment) func(i int) bool {
+	return func(i int) bool {
+		endpoint := service.Accepting[i]
+		return known.wasTried(endpoint.Agent) || a.evacuated.has(now, endpoint)
+	}
+}
+
 // choose returns the indexes of the best and the next best endpoint for a new flow, or
 // -1 where there is none: among the endpoints that the flow prefers if one of them is
 // free, else among all.
 func (a *Assignments) choose(now Timestamp, service *Service, key Key, known assignment) (first, second int) {
-	excluded := func(i int) bool {
-		return known.wasTried(service.Accepting[i].Agent) || a.evacuated.has(now, service.Accepting[i])
-	}
+	excluded := a.excludes(now, service, known)
 	if len(service.Accepting) <= preferenceThreshold {
 		return placement.Choose(now, a.random, service.Candidates, excluded)
 	}
