Lost flows do not wait for a frozen agent of another service

Cause: after the loss of all balancers every service may hold flows of any route, and a silent agent that had reported before was awaited without limit: 6 s after the kill, with an agent of another service frozen for 3 s, lost flows were reset when that agent ran again. A silent agent of an assumed service that has stated it holds none of the route, 4 s after the start of the route history or later, is not awaited.

--- a/flow/flow.go
+++ b/flow/flow.go
@@ -4,6 +4,8 @@
 package flow
 
 import (
+	"bytes"
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -33,6 +35,10 @@
 // IsZero reports whether the address is the zero Address.
 func (a Address) IsZero() bool { return a == Address{} }
 
+func (a Address) compare(b Address) int {
+	return cmp.Or(bytes.Compare(a.IP[:], b.IP[:]), cmp.Compare(a.Port, b.Port))
+}
+
 func (a Address) String() string { return a.AddrPort().String() }
 
 // Key identifies a flow by the caller's address and the service's address that the
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -155,6 +155,11 @@
 	// SettledAt is the time by which the entries of endpoints that outlived all balancers are
 	// registered again, if they have expired.
 	SettledAt Timestamp
+	// HeldRoutes is what agents have stated about the routes of their flows; nil if nothing.
+	HeldRoutes *HeldRoutes
+	// RoutesSettledAt is from when every balancer places new flows by a desired state that the
+	// route history has.
+	RoutesSettledAt Timestamp
 	// CurrentAt returns when the table was last known to be the newest.
 	CurrentAt func() Timestamp
 }
--- a/flow/search.go
+++ b/flow/search.go
@@ -266,11 +266,11 @@
 }
 
 // awaited returns the agents that must deny the flow before it ends.
-func (s *search) awaited(now Timestamp, route *Route, routing *RoutingTable) []Address {
+func (s *search) awaited(now Timestamp, key Key, route *Route, routing *RoutingTable) []Address {
 	awaited := s.remaining(route.known)
 	for service := range route.assumed {
 		for _, endpoint := range service.Holders {
-			if !s.denied[endpoint.Agent] && s.awaitsAssumed(now, endpoint, routing) {
+			if !s.denied[endpoint.Agent] && s.awaitsAssumed(now, endpoint, key.Service, routing) {
 				awaited = append(awaited, endpoint.Agent)
 			}
 		}
@@ -286,13 +286,16 @@
 // Invariant: an agent is awaited if it can deny the flow, if the registry shows that its
 // endpoint lives, if it has reported to a balancer and may be restarting, or if other agents
 // outlived all balancers, so that its machine did not lose power with theirs. Any other is
-// awaited while it may be starting, and for assumedTimeout.
-func (s *search) awaitsAssumed(now Timestamp, endpoint *Endpoint, routing *RoutingTable) bool {
+// awaited while it may be starting, and for assumedTimeout. A silent agent that has excluded
+// flows of the route is not awaited.
+func (s *search) awaitsAssumed(now Timestamp, endpoint *Endpoint, route Address, routing *RoutingTable) bool {
 	load := endpoint.AgentLoad
 	alive, inTime := load.Alive(now), now-s.startedAt < assumedTimeout
 	switch {
 	case alive && load.FlowsKnown():
 		return true
+	case !alive && routing.excludesFlows(endpoint, route):
+		return false
 	case endpoint.Introduced && !alive:
 		return true // another balancer knows it, or it is restarting
 	case endpoint.Unregistered:
@@ -314,7 +317,7 @@
 	switch {
 	case route == nil:
 		return Decision{Reason: UnknownAddress}
-	case len(s.awaited(now, route, routing)) > 0 || !routing.isComplete(now):
+	case len(s.awaited(now, key, route, routing)) > 0 || !routing.isComplete(now):
 		return Decision{Reason: Searched}
 	case !route.hasHolders():
 		return Decision{Reason: NoEndpoint}
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -158,6 +158,9 @@
 	BalancersKnown time.Duration
 	// ReadsClass is true if the sender reads datagrams of the kind ForwardClass.
 	ReadsClass bool
+	// RoutesStated is true if Routes has the route of every flow that the endpoint holds.
+	RoutesStated bool
+	Routes       []flow.Address
 }
 
 // Owner informs a balancer which agent holds a flow; a zero Agent is the sender.
@@ -259,10 +262,14 @@
 		AnswerUs:   uint32(min(m.ProcessingTime.Microseconds(), math.MaxUint32)),
 		IntervalMs: uint32(m.Interval.Milliseconds()), FlowsKnown: m.FlowsKnown,
 		BalancersKnownMs: uint32(min(m.BalancersKnown.Milliseconds(), math.MaxUint32)), ReadsClass: m.ReadsClass,
+		RoutesStated: m.RoutesStated,
 	}
 	for _, b := range m.Balancers[:min(len(m.Balancers), maxBalancers)] {
 		r.Balancers = appendAddress(r.Balancers, b)
 	}
+	for _, route := range m.Routes {
+		r.Routes = appendAddress(r.Routes, route)
+	}
 	return r
 }
 
@@ -338,9 +345,12 @@
 		ProcessingTime: time.Duration(r.GetAnswerUs()) * time.Microsecond,
 		Interval:       time.Duration(r.GetIntervalMs()) * time.Millisecond,
 		FlowsKnown:     r.GetFlowsKnown(),
-	}, BalancersKnown: time.Duration(r.GetBalancersKnownMs()) * time.Millisecond, ReadsClass: r.GetReadsClass()}
+	}, BalancersKnown: time.Duration(r.GetBalancersKnownMs()) * time.Millisecond, ReadsClass: r.GetReadsClass(), RoutesStated: r.GetRoutesStated()}
 	for b := r.GetBalancers(); len(b) >= addressSize; b = b[addressSize:] {
 		m.Balancers = append(m.Balancers, decodeAddress(b))
 	}
+	for b := r.GetRoutes(); len(b) >= addressSize; b = b[addressSize:] {
+		m.Routes = append(m.Routes, decodeAddress(b))
+	}
 	return m
 }
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -184,6 +184,7 @@
 		for balancer := range s.balancers {
 			report.Balancers = append(report.Balancers, balancer)
 		}
+		report.Routes, report.RoutesStated = s.traffic.heldRoutes(now)
 	}
 	datagram := wire.Encode(report)
 	for balancer := range s.balancers {
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -104,6 +104,13 @@
 	return f.flowTable.FlowsKnown(clock.Now())
 }
 
+// heldRoutes returns the routes of the endpoint's flows, if all of them are known.
+func (f *forwarder) heldRoutes(now time.Duration) ([]flow.Address, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.flowTable.HeldRoutes(now)
+}
+
 // sweep removes expired flows, and logs and counts their unanswered requests.
 func (f *forwarder) sweep() {
 	for _, a := range withFlows(f, func(t *flow.AgentTable) []flow.AbandonedRequest { return t.Sweep(clock.Now()) }) {
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -219,6 +219,7 @@
 	builder := newTableBuilder(now, s)
 	table := builder.build()
 	s.traffic.table.Store(table)
+	s.traffic.heldRoutes.Retain(table)
 	s.traffic.endSearches(now)
 	s.tableExpires, s.hasFormer = builder.hasDeparted || builder.hasDraining, builder.hasFormer
 	s.settlesAt = 0
--- a/packetbalancer/peers.go
+++ b/packetbalancer/peers.go
@@ -71,6 +71,9 @@
 	case wire.Report:
 		f.survivors.record(now, m.BalancersKnown)
 		f.reportReceived(now, sender, m.Usage)
+		if m.RoutesStated && m.FlowsKnown && f.table.Load().Agents[sender] != nil {
+			f.heldRoutes.Record(now, sender, m.Routes)
+		}
 		if len(m.Balancers) > 0 {
 			f.loop.Offer(reportReceived{balancers: m.Balancers})
 		}
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -34,6 +34,8 @@
 	b.table.Complete = b.state.survey.complete
 	b.table.Outlived = b.state.traffic.survivors.outlived
 	b.table.SettledAt = b.state.runningSince + reregisterTimeout
+	b.table.HeldRoutes = &b.state.traffic.heldRoutes
+	b.table.RoutesSettledAt = b.state.directory.RouteHistorySince() + flow.RouteChangeTime
 	b.table.CurrentAt = func() flow.Timestamp { return time.Duration(b.state.asOf.Load()) }
 	latestEntries := b.latestEntries()
 	for _, e := range latestEntries {
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -52,6 +52,8 @@
 
 	counters  traffic.Counters
 	survivors survivors
+	// heldRoutes has what agents have stated about the routes of their endpoints' flows.
+	heldRoutes flow.HeldRoutes
 	// received counts the packets received from callers.
 	received atomic.Int64
 }
--- a/standin/e2e/lost_flows_test.go
+++ b/standin/e2e/lost_flows_test.go
@@ -3,11 +3,16 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"cactustray/event"
+	"cactustray/packetagent"
 	"cactustray/standin/packets"
 
 	"github.com/shoenig/test/must"
@@ -72,27 +77,94 @@
 					c.run(host)
 				}
 			}
-			took := make([]time.Duration, len(feeds))
-			var group errgroup.Group
-			for i, feed := range feeds {
-				group.Go(func() error {
-					_, err := feed.Request(fmt.Sprint("r", requests.Add(1)), packetRequestTimeout)
-					took[i] = time.Since(began)
-					var reset *packets.ResetError
-					if !errors.As(err, &reset) {
-						return &notResetError{cause: err}
-					}
-					return nil
-				})
-			}
-			must.NoError(t, group.Wait())
-			slices.Sort(took)
+			took := requireResets(t, feeds, began)
 			t.Logf("reset after %v to %v, median %v", took[0], took[len(took)-1], took[len(took)/2])
 			must.Less(t, lostFlowLimit, took[len(took)-1])
 		})
 	}
 }
 
+// Callers of one service must not wait for a frozen machine of another: 6 s after the loss of all
+// balancers, lost flows got no reset for as long as it was frozen, since their route might have
+// used that service earlier. Its agent had stated before that it holds no flow of the route.
+func TestPacketLostFlowsDoNotAwaitFrozenAgentOfOtherService(t *testing.T) {
+	t.Parallel()
+	const (
+		frozen       = endpointHost + 4
+		freezeTime   = 3 * time.Second
+		resetLimit   = 2 * time.Second
+		afterTheKill = 6 * time.Second
+	)
+	c := newPacketCluster(t, 2)
+	feeds := c.openFeeds(12)
+	var balancers, agents []int
+	for i := range c.balancers {
+		balancers = append(balancers, balancerHost+i)
+	}
+	for i := range 4 {
+		agents = append(agents, endpointHost+i) // of the service that the flows use
+	}
+	// The endpoint starts anew beside its agent, which then knows all flows, as in a system that
+	// has not lost that agent since its start.
+	c.endpoints[frozen-endpointHost].Crash()
+	c.register(frozen, "ready", int(time.Now().UnixMilli()))
+	c.await(func() bool { return c.hasLogged(frozen, packetagent.EventFlowsKnown) })
+	c.restartAll(balancers)
+	time.Sleep(afterTheKill)
+	for i := range agents {
+		c.endpoints[i].Crash()
+	}
+	c.restartAll(agents)
+	c.signal(frozen, syscall.SIGSTOP)
+	thaw := time.AfterFunc(freezeTime, func() { c.signal(frozen, syscall.SIGCONT) })
+	defer thaw.Stop()
+	took := requireResets(t, feeds, time.Now())
+	t.Logf("reset after %v to %v, median %v", took[0], took[len(took)-1], took[len(took)/2])
+	must.Less(t, resetLimit, took[len(took)-1])
+}
+
+// restartAll kills the daemons of all hosts before it starts any of them.
+func (c *packetCluster) restartAll(hosts []int) {
+	for _, host := range hosts {
+		c.signal(host, syscall.SIGKILL)
+	}
+	for _, host := range hosts {
+		_ = c.daemons[c.IP(host)].Wait()
+	}
+	for _, host := range hosts {
+		c.run(host)
+	}
+}
+
+// hasLogged reports whether the daemon of a host has logged an event.
+func (c *packetCluster) hasLogged(host int, e event.Event) bool {
+	raw, err := os.ReadFile(filepath.Join(c.dir, fmt.Sprint(host)+".log"))
+	must.NoError(c.t, err)
+	return strings.Contains(string(raw), fmt.Sprintf(`"event":%d,`, e.Number))
+}
+
+// requireResets sends a request on each flow and returns, in order, how long after began the
+// flows were reset.
+func requireResets(t *testing.T, feeds []*packetFeed, began time.Time) []time.Duration {
+	t.Helper()
+	took := make([]time.Duration, len(feeds))
+	var group errgroup.Group
+	for i, feed := range feeds {
+		group.Go(func() error {
+			_, err := feed.Request(fmt.Sprint("r", requests.Add(1)), packetRequestTimeout)
+			took[i] = time.Since(began)
+			var reset *packets.ResetError
+			if !errors.As(err, &reset) {
+				return &notResetError{cause: err}
+			}
+			return nil
+		})
+	}
+	must.NoError(t, group.Wait())
+	slices.Sort(took)
+	return took
+}
+
 // notResetError reports that a request on a lost flow ended without a reset.
 type notResetError struct{ cause error }
 
