Count bytes between nodes by kind of message and failure domain

Cause: nothing showed how many bytes the system's own messages take between failure domains, which are billed. Change: both packet roles count the datagrams that they send to other nodes, with 28 bytes of headers each, and balancers the bytes of the directories that they fetch: traffic.KIND.local|remote.bytes. Which nodes are remote follows with the contact between domains.

--- a/directory/exchange/exchange.go
+++ b/directory/exchange/exchange.go
@@ -79,10 +79,10 @@
 // Client fetches the directory from other balancers.
 type Client struct{ http *http.Client }
 
-// NewClient returns a client. A connection that no longer responds costs one
-// call: its timeout closes it.
-func NewClient() *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}
+// NewClient returns a client that calls count with the bytes sent to and received from each
+// balancer. A connection that no longer responds costs one call: its timeout closes it.
+func NewClient(count CountFunc) *Client {
+	transport := &http.Transport{DialContext: dialer(count), MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}
 	return &Client{http: &http.Client{Transport: &rpc.ProgressTransport{Base: transport, Timeout: callTimeout, Limit: callLimit}}}
 }
 
--- a/flow/traffic/traffic.go
+++ b/flow/traffic/traffic.go
@@ -32,6 +32,8 @@
 	// Resets counts the flows that were ended by a reset to the caller.
 	Resets atomic.Int64
 	unsent atomic.Int64
+	// Domains counts what is sent to other nodes.
+	Domains Domains
 }
 
 // CountDecision counts a decision on a packet.
@@ -64,4 +66,5 @@
 	registry.GaugeFunc("packets.malformed", c.malformed.Load)
 	registry.GaugeFunc("packets.unsent", c.unsent.Load)
 	registry.GaugeFunc("resets", c.Resets.Load)
+	c.Domains.register(registry)
 }
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -162,7 +162,7 @@
 		}
 	}
 	if len(answers.Held)+len(answers.Denied)+len(answers.Unsure) > 0 {
-		f.counters.Send(f.peers, wire.Encode(answers), balancer)
+		f.counters.SendToNode(f.peers, wire.Encode(answers), balancer)
 	}
 	for _, q := range ended {
 		f.execute(q.Flow, flow.Verdict{Action: flow.SendReset, Reason: flow.EndpointLost, Reset: flow.Reset(q)}, flow.Address{}, make([]byte, wire.EnvelopeSize))
@@ -324,18 +324,18 @@
 		// The tag lets the other agent refuse the packet if its address now belongs to
 		// another service.
 		wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: f.tag, Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
-		f.counters.Send(f.peers, buffer, v.To.AddrPort())
+		f.counters.SendToNode(f.peers, buffer, v.To.AddrPort())
 	case flow.Return:
 		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops, Silent: v.Reason == flow.EndpointSilent}})
-		f.counters.Send(f.peers, buffer, v.To.AddrPort())
+		f.counters.SendToNode(f.peers, buffer, v.To.AddrPort())
 	case flow.Deny:
-		f.counters.Send(f.peers, wire.Encode(wire.Denied{Flow: key}), v.To.AddrPort())
+		f.counters.SendToNode(f.peers, wire.Encode(wire.Denied{Flow: key}), v.To.AddrPort())
 	case flow.SendReset:
 		f.counters.Resets.Add(1)
 		f.counters.Send(f.outbound, f.codec.AppendReset(nil, v.Reset), f.callerAddress(key))
 	}
 	if !v.Notify.IsZero() {
-		f.counters.Send(f.peers, wire.Encode(wire.Owner{Flow: key, Agent: v.Owner}), v.Notify.AddrPort())
+		f.counters.SendToNode(f.peers, wire.Encode(wire.Owner{Flow: key, Agent: v.Owner}), v.Notify.AddrPort())
 	}
 }
 
--- a/packetbalancer/balancer.go
+++ b/packetbalancer/balancer.go
@@ -42,6 +42,7 @@
 	}
 	healthy := new(atomic.Bool)
 	reader := newReader(source, loop, log)
+	reader.client = exchange.NewClient(traffic.counters.Domains.CountFetch)
 	state := newState(s, log, traffic, reader, healthy)
 	log.Emit(EventStarted, event.Fields{"edge": s.Packets.Edge, "registry": s.Packets.Registry, "zone": s.Zone})
 	defer log.Emit(EventStopped, nil)
--- a/packetbalancer/reader.go
+++ b/packetbalancer/reader.go
@@ -66,7 +66,7 @@
 
 func newReader(source directory.Source, loop *control.Loop, log *event.Log) *reader {
 	return &reader{
-		source: source, client: exchange.NewClient(), loop: loop, log: log,
+		source: source, client: exchange.NewClient(func(netip.Addr, int) {}), loop: loop, log: log,
 		requests: make(chan readRequest, 1), fetches: make(chan fetchRequest, 1),
 		surveys: make(chan fetchRequest, maxSurveyedPeers),
 	}
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -73,7 +73,7 @@
 		assignments: flow.NewAssignments(p.FlowLifetime(), newRandom()),
 	}
 	f.queries = newQueryBatches(func(agent flow.Address, batch []flow.Query) {
-		f.counters.Send(f.peers, wire.Encode(wire.Queries{Flows: batch}), agent.AddrPort())
+		f.counters.SendToNode(f.peers, wire.Encode(wire.Queries{Flows: batch}), agent.AddrPort())
 	})
 	f.table.Store(flow.NewRoutingTable())
 	f.stopNanos.Store(int64(p.StopTimeout()))
@@ -153,10 +153,10 @@
 	}
 	wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: d.Tag, Delivery: delivery})
 	if !d.To.IsZero() {
-		f.counters.Send(f.peers, buffer, d.To.AddrPort())
+		f.counters.SendToNode(f.peers, buffer, d.To.AddrPort())
 	}
 	for _, agent := range d.SearchAgents {
-		f.counters.Send(f.peers, buffer, agent.AddrPort())
+		f.counters.SendToNode(f.peers, buffer, agent.AddrPort())
 	}
 	for _, agent := range d.QueryAgents {
 		f.queries.add(agent, d.Query)
