Search agents that do not report to a balancer by its choice

Cause: a balancer that keeps in touch with some agents of other failure domains only must still find flows at the others, and may reset a flow only after all have denied it. Change: endpoints can be distant. They get no new flows; a search queries their agents by the flow's key in a wave after those in touch, again if they do not answer, and sends them the packet at last.

--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -124,7 +124,7 @@
 	if ok && now-known.placedAt > openingTimeout {
 		known, ok = assignment{}, false // the caller has reused its port
 	}
-	if ok && !known.ended && known.keepsAgent(packet, routing) {
+	if ok && !known.ended && known.keepsAgent(now, packet, routing) {
 		known.lastSeen = now
 		a.flows[packet.Flow] = known
 		return a.repeat(routing, known)
@@ -143,14 +143,15 @@
 
 // keepsAgent reports whether a repeated opening packet goes to the agent that already
 // has the flow. The caller's second and third copies do not if that agent has not
-// reported since the flow was placed; no copy does if the agent's address now belongs to
-// another service.
-func (a assignment) keepsAgent(packet Packet, routing *RoutingTable) bool {
+// reported since the flow was placed, although a report was due; no copy does if the agent's
+// address now belongs to another service.
+func (a assignment) keepsAgent(now Timestamp, packet Packet, routing *RoutingTable) bool {
 	endpoint := routing.Agents[a.agent]
 	if endpoint == nil {
 		return true
 	}
-	return a.matchesService(endpoint) && (packet.Copy == 0 || endpoint.AgentLoad.ReportedAt() > a.placedAt)
+	load := endpoint.AgentLoad
+	return a.matchesService(endpoint) && (packet.Copy == 0 || load.ReportedAt() > a.placedAt || load.AwaitsReport(now))
 }
 
 // matchesService reports whether an endpoint still belongs to the flow's service.
--- a/flow/preferences.go
+++ b/flow/preferences.go
@@ -40,6 +40,9 @@
 func preferred(endpoints []*Endpoint, key Key, limit int) (p preferences) {
 	flow := key.hash()
 	for i, endpoint := range endpoints {
+		if endpoint.Distant {
+			continue // flows are not placed there, and a search queries it later
+		}
 		r := ranked{index: i, score: mix(flow ^ endpoint.hash)}
 		if endpoint.Remote {
 			p.remotes = insertRanked(p.remote[:limit], p.remotes, r)
--- a/flow/retry.go
+++ b/flow/retry.go
@@ -43,8 +43,9 @@
 func (a *Assignments) retry(now Timestamp, key Key, s *search, route *Route, routing *RoutingTable) Decision {
 	d := Decision{Reason: Searched, Continued: true, Query: Query{Flow: key, Acknowledged: s.acknowledged}}
 	for _, agent := range s.remaining(route.holders) {
-		load := routing.Agents[agent].AgentLoad
-		if asked := s.queried[agent] || s.received[agent]; asked && load.Alive(now) && load.FlowsKnown() {
+		endpoint := routing.Agents[agent]
+		knows := endpoint.AgentLoad.Alive(now) && endpoint.AgentLoad.FlowsKnown() || s.queriesDistant(endpoint)
+		if asked := s.queried[agent] || s.received[agent]; asked && knows {
 			d.QueryAgents = append(d.QueryAgents, agent)
 		}
 	}
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -25,6 +25,10 @@
 	// Introduced is true if only the reports of its agent show that the endpoint exists; its
 	// service and its slots are not known.
 	Introduced bool
+	// Accepts is true if the endpoint accepts new flows, from balancers that it reports to.
+	Accepts bool
+	// Distant is true if the agent does not report to this balancer, by this balancer's choice.
+	Distant bool
 	// hash is the hash of the agent's address, for the order in which a flow prefers
 	// endpoints.
 	hash uint64
@@ -37,6 +41,7 @@
 
 // Accept makes the endpoint accept new flows of its service.
 func (e *Endpoint) Accept() {
+	e.Accepts = true
 	e.Service.Accepting = append(e.Service.Accepting, e)
 	e.Service.Candidates = append(e.Service.Candidates, &e.Candidate)
 }
@@ -54,6 +59,8 @@
 	// Holders may hold open flows: endpoints that accept new flows, drain or have
 	// departed.
 	Holders []*Endpoint
+	// hasDistant is true if some of them are distant.
+	hasDistant bool
 }
 
 // Share is the part of a route's new flows that goes to one service.
--- a/flow/search.go
+++ b/flow/search.go
@@ -55,6 +55,8 @@
 	// queried are the agents that were queried, received those that were sent the packet.
 	queried  map[Address]bool
 	received map[Address]bool
+	// unsure are the agents that answered a query without knowing the flow.
+	unsure map[Address]bool
 	// wave is the last wave of agents that was queried.
 	wave wave
 	// waiting are the packets that wait until the flow's agent is found.
@@ -63,7 +65,7 @@
 
 func newSearch(now Timestamp) *search {
 	return &search{
-		denied: make(map[Address]bool), queried: make(map[Address]bool), received: make(map[Address]bool),
+		denied: make(map[Address]bool), queried: make(map[Address]bool), received: make(map[Address]bool), unsure: make(map[Address]bool),
 		startedAt: now, retryAt: now + retryInterval,
 	}
 }
@@ -193,9 +195,9 @@
 		load := routing.Agents[agent].AgentLoad
 		alive := load.Alive(now)
 		switch {
-		case alive && load.FlowsKnown() && !s.queried[agent]:
+		case alive && load.FlowsKnown() && !s.queried[agent], s.queriesDistant(routing.Agents[agent]):
 			d.QueryAgents = append(d.QueryAgents, agent)
-		case alive || s.transmissions > 1:
+		case alive || s.transmissions > 1 || s.unsure[agent]:
 			d.SearchAgents = append(d.SearchAgents, agent)
 		}
 	}
@@ -262,6 +264,7 @@
 	if s == nil || route == nil || s.packet == nil || routing.Agents[agent] == nil || !s.queried[agent] {
 		return Decision{Reason: NotHeld}, nil
 	}
+	s.unsure[agent] = true
 	return a.sendSearch(now, key, s, route, routing, []Address{agent}), s.packet
 }
 
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -386,9 +386,16 @@
 	s.retrySearches()
 }
 
-// report delivers a report of an agent to all balancers, which share its load.
+// report delivers a report of an agent to all balancers, which share its load. Distant agents
+// do not report.
 func (s *simulation) report(a *simAgent) {
 	load := s.table.Agents[a.address].AgentLoad
+	if s.table.Agents[a.address].Distant {
+		if a.flowTable.startedAt < a.endpoint.startedAt {
+			a.flowTable.ConfirmComplete()
+		}
+		return
+	}
 	if alive := load.Alive(s.now); !alive {
 		for b, assignments := range s.balancers {
 			for _, resend := range assignments.AgentReported(s.now, a.address, s.table) {
--- a/flow/wave.go
+++ b/flow/wave.go
@@ -12,12 +12,15 @@
 const (
 	// preferredWave is all agents that the flow prefers.
 	preferredWave wave = 2
-	// allWave is all agents of the services to which the route sends new flows.
+	// allWave is all agents of the services to which the route sends new flows, but for the
+	// distant ones.
 	allWave wave = 3
+	// distantWave is those of them that do not report to this balancer, by its choice.
+	distantWave wave = 4
 	// formerWave is the agents of the services that the route is known to have left.
-	formerWave wave = 4
+	formerWave wave = 5
 	// assumedWave is the agents of the services that it may have left.
-	assumedWave wave = 5
+	assumedWave wave = 6
 )
 
 // lastWave returns the wave after which every agent that may hold a flow of the route has
@@ -28,6 +31,8 @@
 		return assumedWave
 	case len(r.Former) > 0:
 		return formerWave
+	case r.hasDistant():
+		return distantWave
 	}
 	return allWave
 }
@@ -53,7 +58,9 @@
 func (s *search) remainingIn(w wave, key Key, route *Route) []Address {
 	switch w {
 	case allWave:
-		return s.remaining(route.present)
+		return s.remainingPresent(route, false)
+	case distantWave:
+		return s.remainingPresent(route, true)
 	case formerWave:
 		return s.remaining(route.former)
 	case assumedWave:
@@ -88,6 +95,6 @@
 // answer.
 func (s *search) mayAnswer(now Timestamp, key Key, route *Route, routing *RoutingTable) bool {
 	return slices.ContainsFunc(s.remainingIn(s.wave, key, route), func(agent Address) bool {
-		return routing.Agents[agent].AgentLoad.Alive(now)
+		return routing.Agents[agent].mayAnswer(now, s)
 	})
 }
