Keep in touch with a bounded subset of the agents of other domains

Cause: hello messages and reports between failure domains grow with the product of balancers and agents. The agent keeps an interval for each balancer and states it in the report. Announcements of the directory go by directory.Dissemination.

--- a/flow/traffic/bytes.go
+++ b/flow/traffic/bytes.go
@@ -53,12 +53,23 @@
 // headers below HTTP.
 func (d *Domains) CountFetch(peer netip.Addr, bytes int) { d.fetch[d.side(peer)].Add(int64(bytes)) }
 
+// Sent returns the number of datagrams of a kind that were sent, and their bytes, to nodes in
+// other failure domains or in the same.
+func (d *Domains) Sent(kind wire.MessageKind, remote bool) (datagrams, bytes int64) {
+	counted := &d.kinds[kind][0]
+	if remote {
+		counted = &d.kinds[kind][1]
+	}
+	return counted.datagrams.Load(), counted.bytes.Load()
+}
+
 func (d *Domains) register(registry *metrics.Registry) {
 	for side, name := range []string{"local", "remote"} {
 		for kind := range wire.KindCount {
 			prefix := "traffic." + kind.String() + "." + name
-			registry.GaugeFunc(prefix+".bytes", d.kinds[kind][side].bytes.Load)
-			registry.GaugeFunc(prefix+".datagrams", d.kinds[kind][side].datagrams.Load)
+			counted := &d.kinds[kind][side]
+			registry.GaugeFunc(prefix+".bytes", counted.bytes.Load)
+			registry.GaugeFunc(prefix+".datagrams", counted.datagrams.Load)
 		}
 		registry.GaugeFunc("traffic."+fetch+"."+name+".bytes", d.fetch[side].Load)
 	}
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cactustray/contact"
 	"cactustray/control"
 	"cactustray/control/clock"
 	"cactustray/event"
@@ -49,6 +50,10 @@
 	traffic       *forwarder
 	balancers     map[flow.Address]time.Duration
 	introductions introductions
+	// receivers are the balancers that requested a longer interval between reports.
+	receivers contact.Receivers
+	// remote has the balancers that stated to be in another failure domain.
+	remote map[flow.Address]bool
 	// firstHello is when the first hello message of any balancer arrived, or 0.
 	firstHello time.Duration
 	leaving    bool
@@ -58,6 +63,7 @@
 	// computed.
 	lastUsage   flow.Usage
 	lastUsageAt time.Duration
+	lastMean    float64
 	// lastReport is when the load was last reported, lastBalancerList when a report last
 	// listed the balancers; 0 makes the next report list them.
 	lastReport       time.Duration
@@ -104,16 +110,22 @@
 		defer s.report(now)
 	}
 	delete(s.introductions, m.balancer)
+	s.recordDomain(m.balancer, m.Remote)
 	_, known := s.balancers[m.balancer]
 	switch {
 	case m.Leaving && known:
-		delete(s.balancers, m.balancer)
+		s.forget(m.balancer)
 		s.lastBalancerList = 0
-		s.log.Emit(EventBalancerStopping, event.Fields{"balancer": m.balancer.String()})
+		s.log.Emit(stopEvent(m.Hello), event.Fields{"balancer": m.balancer.String()})
 	case m.Leaving || !known && len(s.balancers) >= maxBalancers:
 	default:
 		s.balancers[m.balancer] = now
-		if !known {
+		s.receivers.Request(m.balancer, m.ReportInterval)
+		switch {
+		case !known && s.receivers.IsSlow(m.balancer):
+			s.log.Emit(EventRemoteBalancerFound, event.Fields{"balancer": m.balancer.String(), "interval_ms": m.ReportInterval.Milliseconds()})
+			s.reportSlow(now)
+		case !known:
 			s.log.Emit(EventBalancerFound, event.Fields{"balancer": m.balancer.String()})
 			s.lastBalancerList = 0
 			s.report(now)
@@ -140,8 +152,9 @@
 	s.lastTick = now
 	s.traffic.admitWaiting()
 	s.removeSilentBalancers(now)
+	s.reportSlow(now)
 	if now-s.lastReport >= s.reportInterval()-placement.ReportInterval/2 {
-		s.report(now)
+		s.reportFast(now)
 	}
 	if now-s.lastSweep >= sweepInterval {
 		s.lastSweep = now
@@ -152,26 +165,62 @@
 // removeSilentBalancers removes balancers that stopped sending hello messages.
 func (s *state) removeSilentBalancers(now time.Duration) {
 	for balancer, at := range s.balancers {
-		if now-at > helloLifetime {
-			delete(s.balancers, balancer)
+		if now-at > s.receivers.HelloLifetime(balancer, helloLifetime) {
+			s.forget(balancer)
 			s.introductions.begin(now, balancer)
 			s.log.Emit(EventBalancerLost, event.Fields{"balancer": balancer.String()})
 		}
 	}
 }
 
-// reportInterval returns the interval between two reports.
+// reportInterval returns the interval between two reports to the balancers that request no
+// other.
 func (s *state) reportInterval() time.Duration {
-	slower := placement.ReportInterval * time.Duration(len(s.balancers)) / reportFanout
+	slower := placement.ReportInterval * time.Duration(len(s.balancers)-s.receivers.Len()) / reportFanout
 	return min(max(slower, placement.ReportInterval), maxReportInterval)
 }
 
-// report sends the endpoint's load to the balancers.
+// report sends the endpoint's load to all balancers, as after a change that all must know.
 func (s *state) report(now time.Duration) {
-	s.lastReport = now
+	s.reportFast(now)
+	report := s.currentReport(now)
+	for balancer := range s.balancers {
+		if s.receivers.IsSlow(balancer) {
+			s.sendSlow(now, report, balancer)
+		}
+	}
+}
+
+// reportSlow sends the endpoint's load to the balancers that requested a longer interval and
+// are due.
+func (s *state) reportSlow(now time.Duration) {
+	var report wire.Report
+	prepared := false
+	for balancer := range s.balancers {
+		if !s.receivers.Due(now, balancer, s.reportInterval(), placement.ReportInterval) {
+			continue
+		}
+		if !prepared {
+			report, prepared = s.currentReport(now), true
+		}
+		s.sendSlow(now, report, balancer)
+	}
+}
+
+// sendSlow sends a report that states the interval that holds for the receiver. It lists no
+// balancers: the receiver has them from the agents of its own failure domain.
+func (s *state) sendSlow(now time.Duration, report wire.Report, balancer flow.Address) {
+	report.Interval = s.receivers.Interval(balancer, s.reportInterval())
+	s.receivers.Sent(now, balancer)
+	s.traffic.counters.SendToNode(s.traffic.peers, wire.Encode(report), balancer.AddrPort())
+}
+
+// currentReport returns the endpoint's load, with the mean of the last fast report and without
+// the balancers.
+func (s *state) currentReport(now time.Duration) wire.Report {
 	usage := s.traffic.usage()
 	report := wire.Report{Usage: placement.Usage{
-		Flows: usage.Flows, Running: usage.Running + usage.Waiting, Mean: s.meanRunning(now, usage), Failing: usage.Failing,
+		Flows: usage.Flows, Running: usage.Running + usage.Waiting, Mean: s.lastMean, Failing: usage.Failing,
 		ProcessingTime: usage.ProcessingTime,
 		Interval:       s.reportInterval(), Silent: usage.Silent, Leaving: s.leaving,
 		FlowsKnown: s.traffic.flowsKnown(),
@@ -179,6 +228,13 @@
 	if s.firstHello != 0 {
 		report.BalancersKnown = now - s.firstHello
 	}
+	return report
+}
+
+// reportFast sends the endpoint's load to the balancers that request no other interval.
+func (s *state) reportFast(now time.Duration) {
+	s.lastReport, s.lastMean = now, s.meanRunning(now, s.traffic.usage())
+	report := s.currentReport(now)
 	if s.lastBalancerList == 0 || now-s.lastBalancerList >= balancerListInterval {
 		s.lastBalancerList = now
 		for balancer := range s.balancers {
@@ -187,16 +243,51 @@
 	}
 	datagram := wire.Encode(report)
 	for balancer := range s.balancers {
-		s.traffic.counters.Send(s.traffic.peers, datagram, balancer.AddrPort())
+		if !s.receivers.IsSlow(balancer) {
+			s.traffic.counters.SendToNode(s.traffic.peers, datagram, balancer.AddrPort())
+		}
 	}
 	for _, balancer := range s.introductions.take(now) {
-		s.traffic.counters.Send(s.traffic.peers, datagram, balancer.AddrPort())
+		s.traffic.counters.SendToNode(s.traffic.peers, datagram, balancer.AddrPort())
 	}
 }
 
 // minMeanSpan is the shortest time over which a mean is computed.
 const minMeanSpan = placement.ReportInterval / 2
 
+// forget removes a balancer.
+func (s *state) forget(balancer flow.Address) {
+	delete(s.balancers, balancer)
+	s.receivers.Remove(balancer)
+}
+
+// recordDomain tells the traffic counters whether a balancer is in another failure domain.
+func (s *state) recordDomain(balancer flow.Address, remote bool) {
+	if s.remote[balancer] == remote {
+		return
+	}
+	if s.remote == nil || len(s.remote) > 2*maxBalancers {
+		s.remote = make(map[flow.Address]bool)
+	}
+	s.remote[balancer] = remote
+	hosts := make(map[[4]byte]bool)
+	for known, isRemote := range s.remote {
+		if isRemote {
+			hosts[known.IP] = true
+		}
+	}
+	s.traffic.counters.Domains.SetRemote(hosts)
+}
+
+// stopEvent returns the event of a balancer that sends no more hello messages: one in another
+// failure domain that has requested slow reports may have chosen other agents.
+func stopEvent(h wire.Hello) event.Event {
+	if h.Remote && h.ReportInterval > 0 {
+		return EventContactEnded
+	}
+	return EventBalancerStopping
+}
+
 // meanRunning returns the mean number of running requests since the previous report,
 // or the current number if that was less than minMeanSpan ago.
 func (s *state) meanRunning(now time.Duration, usage flow.Usage) float64 {
--- a/packetbalancer/agents.go
+++ b/packetbalancer/agents.go
@@ -10,11 +10,17 @@
 )
 
 // sendHellos sends every agent a hello message: this balancer may send it flows,
-// or is stopping.
+// or is stopping. Those of other failure domains get theirs when due, in services with many
+// endpoints.
 func (s *state) sendHellos(now time.Duration) {
 	s.lastHello = now
 	for _, endpoint := range s.traffic.table.Load().Agents {
-		s.sendHello(endpoint)
+		if _, managed := s.contacts.requested(endpoint); !managed || s.leaving && !endpoint.Distant {
+			s.sendHello(endpoint)
+		}
+	}
+	if !s.leaving {
+		s.sendRemoteHellos(now)
 	}
 }
 
@@ -22,7 +28,11 @@
 // report; it may be starting.
 func (s *state) sendHellosToUnresponsive(now time.Duration) {
 	for _, endpoint := range s.traffic.table.Load().Agents {
-		if !endpoint.AgentLoad.Alive(now) {
+		if endpoint.Distant || endpoint.AgentLoad.Alive(now) {
+			continue
+		}
+		interval, managed := s.contacts.requested(endpoint)
+		if !managed || s.contacts.hellos.DueWhileStarting(now, endpoint.Agent, interval) {
 			s.sendHello(endpoint)
 		}
 	}
@@ -33,8 +43,12 @@
 	if endpoint.Introduced {
 		return
 	}
-	hello := wire.Hello{Slots: endpoint.Slots, Leaving: s.leaving, EndpointStart: endpoint.StartedAt, Clock: time.Now().UnixMilli()}
-	s.traffic.counters.Send(s.traffic.peers, wire.Encode(hello), endpoint.Agent.AddrPort())
+	interval, _ := s.contacts.requested(endpoint)
+	hello := wire.Hello{
+		Slots: endpoint.Slots, Leaving: s.leaving, EndpointStart: endpoint.StartedAt, Clock: time.Now().UnixMilli(),
+		Remote: endpoint.Remote, ReportInterval: interval,
+	}
+	s.traffic.counters.SendToNode(s.traffic.peers, wire.Encode(hello), endpoint.Agent.AddrPort())
 }
 
 // compareProcessingTimes finds the endpoints that answer slowly and logs the changes.
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -76,6 +76,9 @@
 	introduced map[flow.Address]time.Duration
 	// introducedChanged is true if the routing table lacks some of them.
 	introducedChanged bool
+	contacts          contacts
+	// dissemination decides which balancers get announcements.
+	dissemination directory.Dissemination
 
 	started     time.Duration
 	lastTick    time.Duration
@@ -125,8 +128,9 @@
 	return &state{
 		settings: s, log: log, traffic: f, reader: r, healthy: healthy,
 		directory: known, schedule: directory.NewReaderSchedule(s.Packets.AdvertisedPeer()),
-		history: directory.NewHistorySchedule(s.Packets.AdvertisedPeer()),
-		loads:   make(map[flow.Address]*placement.AgentLoad), introduced: make(map[flow.Address]time.Duration),
+		history:       directory.NewHistorySchedule(s.Packets.AdvertisedPeer()),
+		dissemination: directory.NewDissemination(s.Packets.AdvertisedPeer(), s.Zone),
+		loads:         make(map[flow.Address]*placement.AgentLoad), introduced: make(map[flow.Address]time.Duration),
 		started: now, lastTick: now, fullRead: true, seeds: s.Packets.SeedAddresses(), drainLimit: s.Packets.DrainLimit(),
 		survey: survey{queried: make(map[netip.AddrPort]bool), complete: s.Packets.FirstStart},
 	}
@@ -160,6 +164,7 @@
 	case reportReceived:
 		for _, b := range m.balancers {
 			s.schedule.RecordPeer(now, b.AddrPort())
+			s.introduceTo(now, b.AddrPort(), false)
 		}
 		if s.survey.agentReportedAt == 0 {
 			s.survey.agentReportedAt = now
@@ -193,6 +198,8 @@
 	} else if now-s.lastPublish < eagerHelloPeriod {
 		s.sendHellosToUnresponsive(now)
 	}
+	s.sendRemoteHellos(now)
+	s.checkContacts(now)
 	s.recordSurvivors(now)
 	s.publishIntroduced(now)
 	switch {
@@ -219,6 +226,8 @@
 	builder := newTableBuilder(now, s)
 	table := builder.build()
 	s.traffic.table.Store(table)
+	s.recordDomains()
+	s.endContacts()
 	s.traffic.endSearches(now)
 	s.tableExpires, s.hasFormer = builder.hasDeparted || builder.hasDraining, builder.hasFormer
 	s.settlesAt = 0
--- a/packetbalancer/departed.go
+++ b/packetbalancer/departed.go
@@ -114,7 +114,7 @@
 		return true
 	}
 	for _, endpoint := range s.traffic.table.Load().Agents {
-		if endpoint.AgentLoad.ReportedAt() == 0 {
+		if endpoint.AgentLoad.ReportedAt() == 0 && !endpoint.Distant {
 			return false
 		}
 	}
--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -129,7 +129,7 @@
 	s.fullRead = false
 	s.updateTraffic(now, changed || s.knowsRouteHistory(now) != s.historyKnown, m.from.String())
 	if changed {
-		s.announceDirectory(now)
+		s.announceFetched(now, m)
 	} else {
 		s.correctSender(now, m)
 	}
@@ -147,17 +147,23 @@
 	}
 	s.lastCorrection = now
 	sender := netip.AddrPortFrom(m.from.Addr(), s.settings.Packets.Peer.Port())
-	s.traffic.counters.Send(s.traffic.peers, s.announcement(now), sender)
+	s.traffic.counters.SendToNode(s.traffic.peers, s.announcement(now), sender)
 }
 
 func (s *state) announcementReceived(now time.Duration, m announcementReceived) {
-	s.schedule.RecordPeer(now, m.from.AddrPort())
+	from := m.from.AddrPort()
+	s.schedule.RecordPeer(now, from)
+	if s.dissemination.RecordZone(from, m.Zone) {
+		s.recordDomains()
+	}
+	s.introduceTo(now, from, true)
 	if !s.directory.Confirm(m.Position, m.Digest, now-m.Age) {
 		s.contentDiffers = s.contentDiffers || m.Position == s.directory.Position()
 		s.fetch(m.Control.AddrPort())
 		return
 	}
 	s.recordPosition()
+	s.announceTo(now, s.dissemination.Relay(now, from, s.directory.Position(), s.directory.Digest(), s.schedule.Peers(now)))
 }
 
 // recordPosition stores what traffic goroutines and metrics read of the directory's position.
@@ -206,12 +212,38 @@
 	s.log.Emit(EventEndpoints, fields)
 }
 
-// announceDirectory sends position, digest and age of the directory to the other
-// balancers.
+// announceDirectory sends position, digest and age of the directory to the balancers of the own
+// failure domain and to some of the others, which relay them.
 func (s *state) announceDirectory(now time.Duration) {
+	s.announceTo(now, s.dissemination.FromReader(s.schedule.Peers(now)))
+}
+
+// announceFetched announces a directory that was fetched from another balancer. If it has
+// content that the sender lacks, no other balancer has announced it.
+func (s *state) announceFetched(now time.Duration, m fetchEnded) {
+	if m.change.Digest != s.directory.Digest() {
+		s.announceDirectory(now)
+		return
+	}
+	from := netip.AddrPortFrom(m.from.Addr(), s.settings.Packets.Peer.Port())
+	s.announceTo(now, s.dissemination.AfterFetch(now, from, s.directory.Position(), s.directory.Digest(), s.schedule.Peers(now)))
+}
+
+// introduceTo tells a balancer the failure domain of this one, if that is due. announced is
+// whether the balancer has sent an announcement.
+func (s *state) introduceTo(now time.Duration, peer netip.AddrPort, announced bool) {
+	if s.directory.Known() && s.dissemination.Introduce(now, peer, announced) {
+		s.announceTo(now, []netip.AddrPort{peer})
+	}
+}
+
+func (s *state) announceTo(now time.Duration, peers []netip.AddrPort) {
+	if len(peers) == 0 {
+		return
+	}
 	announcement := s.announcement(now)
-	for _, peer := range s.schedule.Peers(now) {
-		s.traffic.counters.Send(s.traffic.peers, announcement, peer)
+	for _, peer := range peers {
+		s.traffic.counters.SendToNode(s.traffic.peers, announcement, peer)
 	}
 }
 
@@ -219,6 +251,6 @@
 func (s *state) announcement(now time.Duration) []byte {
 	return wire.Encode(wire.DirectoryAnnouncement{
 		Position: s.directory.Position(), Digest: s.directory.Digest(), Age: now - s.directory.AsOf(),
-		Control: flow.AddressOf(s.settings.Packets.AdvertisedControl()),
+		Control: flow.AddressOf(s.settings.Packets.AdvertisedControl()), Zone: s.settings.Zone,
 	})
 }
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -32,6 +32,8 @@
 	EventHistoryLost        = event.Define(3115, logrus.WarnLevel, "route history was lost")
 	EventOutlived           = event.Define(3116, logrus.WarnLevel, "agents outlived all balancers")
 	EventIntroduced         = event.Define(3117, logrus.InfoLevel, "agent of an unknown endpoint reported")
+	EventContactWidth       = event.Define(3130, logrus.InfoLevel, "another number of agents of other failure domains in touch")
+	EventContactInterval    = event.Define(3131, logrus.InfoLevel, "another interval of reports requested of other failure domains")
 	EventPaused             = event.Define(3107, logrus.WarnLevel, "packet balancer was paused")
 	EventFlowPlaced         = event.Define(3201, logrus.InfoLevel, "flow placed")
 	EventFlowSearched       = event.Define(3203, logrus.InfoLevel, "flow search sent to agents")
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -40,6 +40,7 @@
 		b.addEndpoint(e)
 	}
 	b.acceptAtDraining(latestEntries)
+	b.keepInTouch(latestEntries)
 	for _, route := range b.state.directory.Desired().Routes {
 		b.addRoute(route)
 	}
