--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -29,6 +29,10 @@
 	Zone string
 	// Evacuated is true if an order to evacuate the failure domain is in force.
 	Evacuated bool
+	// Accepts is true if the endpoint accepts new flows, from balancers that it reports to.
+	Accepts bool
+	// Distant is true if the agent does not report to this balancer, by this balancer's choice.
+	Distant bool
 	// hash is the hash of the agent's address, for the order in which a flow prefers
 	// endpoints.
 	hash uint64
@@ -41,6 +45,7 @@
 
 // Accept makes the endpoint accept new flows of its service.
 func (e *Endpoint) Accept() {
+	e.Accepts = true
 	e.Service.Accepting = append(e.Service.Accepting, e)
 	e.Service.Candidates = append(e.Service.Candidates, &e.Candidate)
 }
@@ -61,6 +66,8 @@
 	// Evacuated is true if the service has no endpoint that accepts new flows, and would have
 	// one without the orders to evacuate failure domains.
 	Evacuated bool
+	// hasDistant is true if some of them are distant.
+	hasDistant bool
 }
 
 // Share is the part of a route's new flows that goes to one service.
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -35,6 +35,8 @@
 	EventEvacuationBegun    = event.Define(3120, logrus.WarnLevel, "failure domain evacuated")
 	EventEvacuationEnded    = event.Define(3121, logrus.InfoLevel, "failure domain back in service")
 	EventEvacuationUnknown  = event.Define(3122, logrus.WarnLevel, "order to evacuate an unknown failure domain")
+	EventContactWidth       = event.Define(3130, logrus.InfoLevel, "another number of agents of other failure domains in touch")
+	EventContactInterval    = event.Define(3131, logrus.InfoLevel, "another interval of reports requested of other failure domains")
 	EventPaused             = event.Define(3107, logrus.WarnLevel, "packet balancer was paused")
 	EventFlowPlaced         = event.Define(3201, logrus.InfoLevel, "flow placed")
 	EventFlowSearched       = event.Define(3203, logrus.InfoLevel, "flow search sent to agents")
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -43,6 +43,7 @@
 	}
 	b.acceptAtDraining(latestEntries)
 	b.settleEvacuations()
+	b.keepInTouch(latestEntries)
 	for _, route := range b.state.directory.Desired().Routes {
 		b.addRoute(route)
 	}
