Waiting openings are ordered by the class of their requests

Cause: the newest waiting opening packet was delivered first, whatever its goal, limit and priority. After a loss of power, tickets failed while feeds of lower priority were answered. Change: balancers state the class with opening packets, if the agent and its alternate report that they read it. At a saturated endpoint, openings that can still be answered in time come first, then the more urgent priority, then the newest; a quarter of the work is guaranteed to the waiting classes in equal parts. Openings that cannot be served within their limit get a reset, only while no copy of them can be elsewhere (200 ms). Without classes the order is as before. Metrics openings.waiting and openings.refused by priority, events 3410 and 3411; event.Episode logs the begin and the end of what happens often (3210 uses it too). Tests of flow, packetagent, packetbalancer, event pass; -race all of packetagent, packetbalancer, event, placement, and the tests in flow that concern this.

--- a/flow/agent_table.go
+++ b/flow/agent_table.go
@@ -72,6 +72,8 @@
 	concurrent  uint16
 	// opening is the opening datagram, retained until the endpoint answers.
 	opening []byte
+	// class is the class of the flow's requests; it may be unknown.
+	class Class
 }
 
 // Delivery is what a balancer sends with a packet.
@@ -88,6 +90,9 @@
 	Search bool
 	// Hops counts the nodes that have forwarded or returned the packet.
 	Hops uint8
+	// Class is the class of the requests on a new flow; it may be unknown. The alternate
+	// reads classes too if it is known.
+	Class Class
 	// Silent is true for a returned packet that the endpoint left unanswered: it may
 	// still answer, whereas an endpoint that gave the packet back will not.
 	Silent bool
@@ -130,6 +135,8 @@
 	// Balancer gets the replies about a packet that is forwarded; it may be zero for any
 	// other.
 	Balancer Address
+	// Class goes with an opening packet that is forwarded; it may be unknown.
+	Class Class
 	// Hops is the hop count to send with a packet that is forwarded or returned.
 	Hops uint8
 	// RequestBegins is true if a request starts with this packet, which goes to the
@@ -181,11 +188,15 @@
 	return &AgentTable{
 		flows: make(map[Key]flowRecord), slots: max(slots, 1), complete: complete,
 		startedAt: now, lifetime: lifetime, accountedAt: now, endpointLastSeen: now,
+		waiting: waitingOpenings{order: newClassOrder(max(slots, 1))},
 	}
 }
 
 // SetSlots sets how many requests the endpoint works on at once.
-func (t *AgentTable) SetSlots(slots int) { t.slots = max(slots, 1) }
+func (t *AgentTable) SetSlots(slots int) {
+	t.slots = max(slots, 1)
+	t.waiting.order.setSlots(t.slots)
+}
 
 // SetLifetime sets the maximum lifetime of a flow.
 func (t *AgentTable) SetLifetime(lifetime time.Duration) { t.lifetime = lifetime }
@@ -225,7 +236,7 @@
 		t.store(p.Flow, r)
 		switch r.state {
 		case forwarded:
-			return Verdict{Action: ForwardToAgent, To: r.otherAgent, Reason: HandedOn, Notify: d.Balancer, Owner: r.otherAgent}
+			return Verdict{Action: ForwardToAgent, To: r.otherAgent, Reason: HandedOn, Notify: d.Balancer, Owner: r.otherAgent, Class: r.class}
 		case refused:
 			return Verdict{Action: Return, To: d.Balancer, Reason: EndpointRefused}
 		case delayed:
@@ -235,14 +246,14 @@
 		}
 	}
 	if reason, away := t.shouldForward(now, d); away && !d.Alternate.IsZero() {
-		return t.forward(now, p.Flow, d.Balancer, d.Alternate, reason)
+		return t.forward(now, p.Flow, d.Balancer, d.Alternate, d.Class, reason)
 	}
 	if len(t.flows) >= maxFlows {
 		return Verdict{Action: Return, To: d.Balancer, Reason: TableFull}
 	}
 	return t.admitOrWait(now, p, flowRecord{
 		state: offered, balancer: d.Balancer, hops: d.Hops, otherAgent: d.Alternate, lastSeen: now,
-		opening: append([]byte(nil), datagram...),
+		opening: append([]byte(nil), datagram...), class: d.Class,
 	})
 }
 
@@ -267,9 +278,9 @@
 	return EndpointBusy, t.running >= t.slots && t.running > int(d.AlternateRunning)
 }
 
-func (t *AgentTable) forward(now Timestamp, key Key, balancer, to Address, reason Reason) Verdict {
-	t.store(key, flowRecord{state: forwarded, balancer: balancer, otherAgent: to, lastSeen: now})
-	return Verdict{Action: ForwardToAgent, To: to, Reason: reason, Notify: balancer, Owner: to, Balancer: balancer}
+func (t *AgentTable) forward(now Timestamp, key Key, balancer, to Address, class Class, reason Reason) Verdict {
+	t.store(key, flowRecord{state: forwarded, balancer: balancer, otherAgent: to, lastSeen: now, class: class})
+	return Verdict{Action: ForwardToAgent, To: to, Reason: reason, Notify: balancer, Owner: to, Balancer: balancer, Class: class}
 }
 
 // handleUnknown decides on a packet of a flow that has no record.
--- a/flow/agent_table_endpoint.go
+++ b/flow/agent_table_endpoint.go
@@ -37,6 +37,7 @@
 		t.endRequest(&r)
 		if !p.Reset {
 			t.processingTime.ended(now, v.EndedRequest, t.slots)
+			t.waiting.order.answered(now, r.class, v.EndedRequest)
 		}
 	}
 	r.endpointDone = r.endpointDone || p.Closing || p.Reset
@@ -86,7 +87,7 @@
 	}
 	t.failureRate.ended(now, true)
 	if !r.otherAgent.IsZero() {
-		return t.forward(now, p.Flow, r.balancer, r.otherAgent, EndpointRefused)
+		return t.forward(now, p.Flow, r.balancer, r.otherAgent, r.class, EndpointRefused)
 	}
 	r.state, r.opening = refused, nil
 	t.store(p.Flow, r)
@@ -130,7 +131,7 @@
 func (t *AgentTable) redirectOverdue(now Timestamp, key Key, r flowRecord) (v Verdict, ok bool) {
 	switch {
 	case !r.otherAgent.IsZero():
-		v = t.forward(now, key, r.balancer, r.otherAgent, EndpointSilent)
+		v = t.forward(now, key, r.balancer, r.otherAgent, r.class, EndpointSilent)
 	case r.hops > 0:
 		v = Verdict{Action: Return, To: r.balancer, Reason: EndpointSilent, Balancer: r.balancer}
 	default:
--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -88,8 +88,10 @@
 	AlternateRunning uint8
 	// Crosses is true if a new flow goes to another failure domain.
 	Crosses bool
-	// Class is the class of a new flow's requests; it may be unknown.
-	Class Class
+	// Class is the class of a new flow's requests; it may be unknown. StatesClass is true if
+	// the agents that may receive the opening packet read it.
+	Class       Class
+	StatesClass bool
 	// SendReset is true if the caller gets the reset.
 	SendReset bool
 	Reset     Reset
@@ -100,7 +102,7 @@
 // packet may have to be resent.
 func (a *Assignments) FromCaller(now Timestamp, packet Packet, routing *RoutingTable, datagram []byte) Decision {
 	if packet.Opening {
-		return a.open(now, packet, routing, datagram)
+		return a.open(now, packet, routing, datagram).withClass(routing, packet.Flow)
 	}
 	known, ok := a.flows[packet.Flow]
 	switch {
@@ -186,7 +188,7 @@
 	known.tried[known.triedCount] = endpoint.Agent
 	known.triedCount++
 	a.flows[packet.Flow] = known
-	d := Decision{To: endpoint.Agent, Tag: service.Tag, Reason: Opened, Crosses: endpoint.Remote, Class: route.Class}
+	d := Decision{To: endpoint.Agent, Tag: service.Tag, Reason: Opened, Crosses: endpoint.Remote}
 	if second >= 0 {
 		other := service.Accepting[second]
 		d.Alternate = other.Agent
@@ -245,7 +247,7 @@
 		return Decision{Reason: UnknownAddress}
 	}
 	known.recordFailure(agent, d.Silent)
-	return a.place(now, packet, route, route.Service(packet.Flow), known)
+	return a.place(now, packet, route, route.Service(packet.Flow), known).withClass(routing, packet.Flow)
 }
 
 // recordFailure records that an endpoint gave the opening packet back or left it
--- a/flow/class.go
+++ b/flow/class.go
@@ -16,3 +16,18 @@
 
 // IsKnown reports whether the class was stated. The zero Class is unknown.
 func (c Class) IsKnown() bool { return c.Goal > 0 && c.Limit > 0 }
+
+// withClass adds the class of the flow's requests to a decision on an opening packet. It is
+// stated to the agent only if the alternate, to which the agent may forward it, reads it too.
+func (d Decision) withClass(routing *RoutingTable, key Key) Decision {
+	route := routing.Routes[key.Service]
+	if route == nil || !route.Class.IsKnown() || d.To.IsZero() {
+		return d
+	}
+	reads := func(agent Address) bool {
+		endpoint := routing.Agents[agent]
+		return endpoint != nil && endpoint.AgentLoad.ReadsClass()
+	}
+	d.Class, d.StatesClass = route.Class, reads(d.To) && (d.Alternate.IsZero() || reads(d.Alternate))
+	return d
+}
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -26,6 +26,7 @@
 	EndpointReset
 	SearchWaits
 	OpeningWaits
+	OpeningRefused
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
@@ -36,6 +37,7 @@
 	EndpointLost: "endpoint-lost", NotHeld: "not-held", Closed: "closed", TableFull: "table-full",
 	UnknownAddress: "unknown-address", NoEndpoint: "no-endpoint", Searched: "searched", NobodyHolds: "nobody-holds",
 	ForeignService: "foreign-service", TooManyHops: "too-many-hops", EndpointReset: "endpoint-reset", SearchWaits: "search-waits", OpeningWaits: "opening-waits",
+	OpeningRefused: "opening-refused",
 }
 
 func (r Reason) String() string {
--- a/flow/resend.go
+++ b/flow/resend.go
@@ -110,7 +110,7 @@
 			d = a.place(now, stored.packet, route, endpoint.Service, known)
 		}
 		if !d.To.IsZero() {
-			resends = append(resends, Resend{Packet: stored.packet, Decision: d, Datagram: stored.datagram})
+			resends = append(resends, Resend{Packet: stored.packet, Decision: d.withClass(routing, stored.packet.Flow), Datagram: stored.datagram})
 		}
 		return true
 	})
--- a/flow/waiting.go
+++ b/flow/waiting.go
@@ -26,19 +26,25 @@
 // saturated. A flow that has not opened has run nothing: its caller may still open it
 // elsewhere, and loses none of its retries as by a refusal.
 //
-// The newest is delivered first. When more is requested than the endpoint can do, serving in
-// order would make every request late; this way those that can still be in time are, and the
-// others get what capacity is left.
+// The order decides which is delivered first; without classes it is the newest. When more is
+// requested than the endpoint can do, serving in order would make every request late; this way
+// those that can still be in time are, and the others get what capacity is left.
 type waitingOpenings struct {
+	order openingOrder
 	// flows are in the order in which their callers began to open them.
 	flows []waitingOpening
 	// admitted are the flows whose opening packets were delivered recently.
 	admitted []admittedOpening
+	// checkedAt is when openings were last refused that cannot be served in time, and refused
+	// how many there were.
+	checkedAt Timestamp
+	refused   [BandCount]int64
 }
 
 type waitingOpening struct {
 	key   Key
 	begun Timestamp
+	class Class
 }
 
 type admittedOpening struct {
@@ -59,12 +65,12 @@
 }
 
 // add adds a flow in the order of its begin.
-func (w *waitingOpenings) add(key Key, begun Timestamp) {
+func (w *waitingOpenings) add(key Key, begun Timestamp, class Class) {
 	at := len(w.flows)
 	for at > 0 && w.flows[at-1].begun > begun {
 		at--
 	}
-	w.flows = slices.Insert(w.flows, at, waitingOpening{key: key, begun: begun})
+	w.flows = slices.Insert(w.flows, at, waitingOpening{key: key, begun: begun, class: class})
 }
 
 func (w *waitingOpenings) remove(key Key) {
@@ -101,36 +107,38 @@
 func (t *AgentTable) admit(now Timestamp, key Key) {
 	t.pending = append(t.pending, pendingOpen{key: key, due: now + AnswerTimeout})
 	t.waiting.admitted = append(t.waiting.admitted, admittedOpening{key: key, at: now})
+	t.waiting.order.delivered(now, t.flows[key].class)
 }
 
 // wait lets a flow's opening packet wait. It replaces the record of an earlier copy.
 func (t *AgentTable) wait(now Timestamp, p Packet, r flowRecord) Verdict {
 	t.waiting.remove(p.Flow)
-	t.waiting.add(p.Flow, begunAt(now, p.Copy))
+	t.waiting.add(p.Flow, begunAt(now, p.Copy), r.class)
 	r.state = delayed
 	t.store(p.Flow, r)
 	return Verdict{Action: Drop, Reason: OpeningWaits}
 }
 
-// AdmittedOpening is an opening packet that waited and goes to the endpoint now.
+// AdmittedOpening is an opening packet that waited and goes to the endpoint now, or whose caller
+// gets a reset.
 type AdmittedOpening struct {
 	Verdict  Verdict
 	Flow     Key
 	Datagram []byte
 }
 
-// AdmitWaiting returns the opening packets that the endpoint has room for, the newest first.
-// It is called after each packet of the endpoint and periodically.
+// AdmitWaiting returns the opening packets that the endpoint has room for, in the order of their
+// delivery, and the resets for those that cannot be served within their time limit. It is called after each packet of the endpoint and periodically.
 func (t *AgentTable) AdmitWaiting(now Timestamp) []AdmittedOpening {
 	if len(t.waiting.flows) == 0 {
 		return nil
 	}
 	t.waiting.expire(now)
-	var admitted []AdmittedOpening
+	admitted := t.refuseHopeless(now)
 	for len(t.waiting.flows) > 0 && !t.isSaturated(now) {
-		last := len(t.waiting.flows) - 1
-		key := t.waiting.flows[last].key
-		t.waiting.flows = t.waiting.flows[:last]
+		next := t.waiting.order.next(now, t.waiting.flows)
+		key := t.waiting.flows[next].key
+		t.waiting.flows = slices.Delete(t.waiting.flows, next, next+1)
 		r, known := t.flows[key]
 		if !known || r.state != delayed {
 			continue
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -57,6 +57,7 @@
 	registry.GaugeFunc("flows", func() int64 { return int64(f.usage().Flows) })
 	registry.GaugeFunc("requests", func() int64 { return int64(f.usage().Running) })
 	registry.GaugeFunc("requests.unanswered", f.unanswered.Load)
+	registerOverload(f, registry)
 	registry.RegisterTimer("requests.answer", f.answers)
 	registry.RegisterEvents(log)
 	return registry
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -51,6 +51,7 @@
 	introductions introductions
 	// firstHello is when the first hello message of any balancer arrived, or 0.
 	firstHello time.Duration
+	refusals   event.Episode
 	leaving    bool
 	lastTick   time.Duration
 	lastSweep  time.Duration
@@ -69,7 +70,7 @@
 func newState(log *event.Log, f *forwarder, seeds []flow.Address) *state {
 	now := clock.Now()
 	s := &state{
-		log: log, traffic: f, balancers: make(map[flow.Address]time.Duration), introductions: make(introductions),
+		log: log, traffic: f, balancers: make(map[flow.Address]time.Duration), introductions: make(introductions), refusals: newRefusals(),
 		lastTick: now, lastSweep: now, lastUsageAt: now,
 	}
 	for _, seed := range seeds {
@@ -139,6 +140,7 @@
 	}
 	s.lastTick = now
 	s.traffic.admitWaiting()
+	s.refusals.Observe(now, s.traffic.refusedOpenings(), s.log)
 	s.removeSilentBalancers(now)
 	if now-s.lastReport >= s.reportInterval()-placement.ReportInterval/2 {
 		s.report(now)
@@ -175,7 +177,7 @@
 		ProcessingTime: usage.ProcessingTime,
 		Interval:       s.reportInterval(), Silent: usage.Silent, Leaving: s.leaving,
 		FlowsKnown: s.traffic.flowsKnown(),
-	}}
+	}, ReadsClass: true}
 	if s.firstHello != 0 {
 		report.BalancersKnown = now - s.firstHello
 	}
--- a/packetagent/events.go
+++ b/packetagent/events.go
@@ -25,6 +25,8 @@
 	EventFlowReturned     = event.Define(3402, logrus.InfoLevel, "packet returned to its balancer")
 	EventFlowEnded        = event.Define(3403, logrus.InfoLevel, "reset sent for a flow that the endpoint lost")
 	EventFlowReset        = event.Define(3405, logrus.InfoLevel, "flow reset by the endpoint")
+	EventRefusalsBegin    = event.Define(3410, logrus.WarnLevel, "waiting opening packets are refused")
+	EventRefusalsEnd      = event.Define(3411, logrus.InfoLevel, "no more waiting opening packets are refused")
 	EventRequest          = event.Define(3500, logrus.InfoLevel, "request reached the endpoint")
 	EventAnswered         = event.Define(3501, logrus.InfoLevel, "request answered")
 	EventUnanswered       = event.Define(3502, logrus.WarnLevel, "request ended without an answer")
@@ -51,6 +53,8 @@
 func (f *forwarder) logDecision(key flow.Key, v flow.Verdict) {
 	var e event.Event
 	switch {
+	case v.Reason == flow.OpeningRefused:
+		return // counted, and logged as an episode: under overload there are thousands
 	case v.Action == flow.SendReset:
 		e = EventFlowEnded
 	case v.Action == flow.ForwardToAgent && v.Reason != flow.HandedOn:
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -120,8 +120,12 @@
 }
 
 func (f *forwarder) datagramReceived(buffer []byte, from netip.AddrPort) {
-	if wire.KindOf(buffer) == wire.Forward {
-		f.packetForwarded(buffer)
+	switch wire.KindOf(buffer) {
+	case wire.Forward:
+		f.packetForwarded(buffer, flow.Class{})
+		return
+	case wire.ForwardClass:
+		f.openingForwarded(buffer)
 		return
 	}
 	message, err := wire.Decode(buffer)
@@ -173,13 +177,15 @@
 	f.log.Emit(EventSocketFailed, event.Fields{"socket": socket, "cause": err.Error()})
 }
 
-// packetForwarded handles a caller's packet that a balancer or another agent forwarded.
-func (f *forwarder) packetForwarded(buffer []byte) {
+// packetForwarded handles a caller's packet that a balancer or another agent forwarded, with
+// the class of the requests on a new flow, if it is known.
+func (f *forwarder) packetForwarded(buffer []byte, class flow.Class) {
 	envelope, payload, err := wire.OpenEnvelope(buffer)
 	if err != nil {
 		f.counters.CountMalformed(f.log, clock.Now(), err)
 		return
 	}
+	envelope.Class = class
 	packet, err := f.codec.Decode(payload)
 	if err != nil {
 		f.counters.CountMalformed(f.log, clock.Now(), err)
@@ -245,12 +251,15 @@
 	f.admitWaiting()
 }
 
-// admitWaiting sends the opening packets that waited to the endpoint, if it has room.
+// admitWaiting sends the opening packets that waited to the endpoint, if it has room, and resets
+// to the callers of those that cannot be served within their time limit.
 func (f *forwarder) admitWaiting() {
 	admitted := withFlows(f, func(t *flow.AgentTable) []flow.AdmittedOpening { return t.AdmitWaiting(clock.Now()) })
 	for _, a := range admitted {
 		f.execute(a.Flow, a.Verdict, flow.Address{}, append(make([]byte, wire.EnvelopeSize), a.Datagram...))
-		f.awaitAnswer()
+		if a.Verdict.Action == flow.Deliver {
+			f.awaitAnswer()
+		}
 	}
 }
 
@@ -324,7 +333,7 @@
 		// The tag lets the other agent refuse the packet if its address now belongs to
 		// another service.
 		wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: f.tag, Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
-		f.counters.Send(f.peers, buffer, v.To.AddrPort())
+		f.counters.Send(f.peers, withClass(buffer, v.Class), v.To.AddrPort())
 	case flow.Return:
 		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops, Silent: v.Reason == flow.EndpointSilent}})
 		f.counters.Send(f.peers, buffer, v.To.AddrPort())
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -110,7 +110,7 @@
 	// settlesAt is the SettledAt of the routing table while that is in the future, or 0.
 	settlesAt    time.Duration
 	survey       survey
-	crossing     crossing
+	crossing     event.Episode
 	metricValues metricValues
 }
 
@@ -129,7 +129,8 @@
 		history: directory.NewHistorySchedule(s.Packets.AdvertisedPeer()),
 		loads:   make(map[flow.Address]*placement.AgentLoad), introduced: make(map[flow.Address]time.Duration),
 		started: now, lastTick: now, fullRead: true, seeds: s.Packets.SeedAddresses(), drainLimit: s.Packets.DrainLimit(),
-		survey: survey{queried: make(map[netip.AddrPort]bool), complete: s.Packets.FirstStart},
+		crossing: newCrossing(),
+		survey:   survey{queried: make(map[netip.AddrPort]bool), complete: s.Packets.FirstStart},
 	}
 }
 
@@ -202,7 +203,7 @@
 		s.settlesAt != 0 && now >= s.settlesAt:
 		s.publish(now)
 	}
-	s.crossing.observe(now, s.traffic.placements.outOfRoom.Load(), s.log)
+	s.crossing.Observe(now, s.traffic.placements.outOfRoom.Load(), s.log)
 	if now-s.lastComparison >= compareInterval {
 		s.lastComparison = now
 		s.compareProcessingTimes()
--- a/packetbalancer/crossing.go
+++ b/packetbalancer/crossing.go
@@ -39,27 +39,7 @@
 	registry.GaugeFunc("placements.crossing", p.crossing.Load)
 }
 
-// crossing logs when flows begin and cease to leave the failure domain for lack of room. The
-// control goroutine owns it.
-type crossing struct {
-	seen   int64
-	before int64
-	lastAt time.Duration
-	active bool
-}
-
-// observe compares the number of flows that have left the failure domain with the one before.
-func (c *crossing) observe(now time.Duration, outOfRoom int64, log *event.Log) {
-	if outOfRoom > c.seen {
-		if !c.active {
-			c.active, c.before = true, c.seen
-			log.Emit(EventCrossingBegins, event.Fields{})
-		}
-		c.seen, c.lastAt = outOfRoom, now
-		return
-	}
-	if c.active && now-c.lastAt >= crossingEndsAfter {
-		c.active = false
-		log.Emit(EventCrossingEnds, event.Fields{"flows": c.seen - c.before})
-	}
+// newCrossing returns the episode in which flows leave the failure domain for lack of room.
+func newCrossing() event.Episode {
+	return event.Episode{Begins: EventCrossingBegins, Ends: EventCrossingEnds, Counted: "flows", Quiet: crossingEndsAfter}
 }
--- a/packetbalancer/peers.go
+++ b/packetbalancer/peers.go
@@ -70,6 +70,7 @@
 	switch m := message.(type) {
 	case wire.Report:
 		f.survivors.record(now, m.BalancersKnown)
+		f.readsClassReceived(sender, m.ReadsClass)
 		f.reportReceived(now, sender, m.Usage)
 		if len(m.Balancers) > 0 {
 			f.loop.Offer(reportReceived{balancers: m.Balancers})
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -155,7 +155,7 @@
 	}
 	wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: d.Tag, Delivery: delivery})
 	if !d.To.IsZero() {
-		f.counters.Send(f.peers, buffer, d.To.AddrPort())
+		f.counters.Send(f.peers, withClass(buffer, d), d.To.AddrPort())
 	}
 	for _, agent := range d.SearchAgents {
 		f.counters.Send(f.peers, buffer, agent.AddrPort())
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -66,6 +66,7 @@
 	silent         atomic.Bool
 	leaving        atomic.Bool
 	flowsKnown     atomic.Bool
+	readsClass     atomic.Bool
 	// placed is the number of flows placed here since the last report.
 	placed atomic.Int64
 }
@@ -134,6 +135,13 @@
 // last report.
 func (l *AgentLoad) FlowsKnown() bool { return l.flowsKnown.Load() }
 
+// SetReadsClass records whether the agent reads the classes of opening packets, by its last
+// report.
+func (l *AgentLoad) SetReadsClass(reads bool) { l.readsClass.Store(reads) }
+
+// ReadsClass reports whether the agent reads the classes of opening packets.
+func (l *AgentLoad) ReadsClass() bool { return l.readsClass.Load() }
+
 // Candidate is an endpoint that may get a new flow.
 type Candidate struct {
 	AgentLoad *AgentLoad
