--- a/flow/reason.go
+++ b/flow/reason.go
@@ -28,6 +28,7 @@
 	OpeningWaits
 	Evacuated
 	EndpointCold
+	OpeningRefused
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
@@ -39,6 +40,7 @@
 	UnknownAddress: "unknown-address", NoEndpoint: "no-endpoint", Searched: "searched", NobodyHolds: "nobody-holds",
 	ForeignService: "foreign-service", TooManyHops: "too-many-hops", EndpointReset: "endpoint-reset", SearchWaits: "search-waits", OpeningWaits: "opening-waits",
 	Evacuated: "evacuated", EndpointCold: "endpoint-cold",
+	OpeningRefused: "opening-refused",
 }
 
 func (r Reason) String() string {
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -59,6 +59,7 @@
 	registry.GaugeFunc("requests", func() int64 { return int64(f.usage().Running) })
 	registry.GaugeFunc("evacuated", f.evacuated.Load)
 	registry.GaugeFunc("requests.unanswered", f.unanswered.Load)
+	registerOverload(f, registry)
 	registry.RegisterTimer("requests.answer", f.answers)
 	registry.RegisterEvents(log)
 	return registry
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -58,6 +58,7 @@
 	firstHello time.Duration
 	// statement is what balancers state about the endpoint.
 	statement statement
+	refusals  event.Episode
 	leaving   bool
 	lastTick  time.Duration
 	lastSweep time.Duration
@@ -77,7 +78,7 @@
 func newState(log *event.Log, f *forwarder, seeds []flow.Address) *state {
 	now := clock.Now()
 	s := &state{
-		log: log, traffic: f, balancers: make(map[flow.Address]time.Duration), introductions: make(introductions),
+		log: log, traffic: f, balancers: make(map[flow.Address]time.Duration), introductions: make(introductions), refusals: newRefusals(),
 		lastTick: now, lastSweep: now, lastUsageAt: now,
 	}
 	for _, seed := range seeds {
@@ -154,6 +155,7 @@
 	}
 	s.lastTick = now
 	s.traffic.admitWaiting()
+	s.refusals.Observe(now, s.traffic.refusedOpenings(), s.log)
 	s.removeSilentBalancers(now)
 	s.reportSlow(now)
 	if now-s.lastReport >= s.reportInterval()-placement.ReportInterval/2 {
@@ -227,7 +229,7 @@
 		ProcessingTime: usage.ProcessingTime,
 		Interval:       s.reportInterval(), Silent: usage.Silent, Leaving: s.leaving,
 		FlowsKnown: s.traffic.flowsKnown(),
-	}}
+	}, ReadsClass: true}
 	if s.firstHello != 0 {
 		report.BalancersKnown = now - s.firstHello
 	}
--- a/packetbalancer/peers.go
+++ b/packetbalancer/peers.go
@@ -70,6 +70,7 @@
 	switch m := message.(type) {
 	case wire.Report:
 		f.survivors.record(now, m.BalancersKnown)
+		f.readsClassReceived(sender, m.ReadsClass)
 		f.reportReceived(now, sender, m.Usage)
 		if m.RoutesStated && m.FlowsKnown && f.table.Load().Agents[sender] != nil {
 			f.heldRoutes.Record(now, sender, m.Routes)
