Agents of unknown endpoints are asked to report to every balancer

Cause: after a loss of power, agents whose endpoints do not return introduce themselves to three seeds. The other balancers learn of them from the seeds, send them no hello message and so get no report: such an agent counts as one that may be restarting, and each lost flow waits for it until it is forgotten. Change: hello messages go to these agents too, without slots and without a statement on the endpoint. They are awaited like any agent that runs without its endpoint: 0.3 s from the start of the search.

--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -133,6 +133,8 @@
 
 // Hello informs an agent that the sender may send it flows.
 type Hello struct {
+	// Slots is how many requests the agent's endpoint works on at once, or 0 if that is not
+	// known.
 	Slots   int
 	Leaving bool
 	// EndpointStart is when the agent's endpoint started, by the endpoint's clock, and Clock
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -92,7 +92,9 @@
 func (f *forwarder) applyHello(now time.Duration, h wire.Hello) (confirmed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.flowTable.SetSlots(h.Slots)
+	if h.Slots > 0 { // a balancer that knows the endpoint only by this agent's reports states none
+		f.flowTable.SetSlots(h.Slots)
+	}
 	if f.flowTable.FlowsKnown(now) || !f.startOrder.EndpointIsNewer(now, time.Now().UnixMilli(), h.EndpointStart, h.Clock) {
 		return false
 	}
--- a/packetbalancer/agents.go
+++ b/packetbalancer/agents.go
@@ -38,17 +38,16 @@
 	}
 }
 
-// sendHello sends a hello message to an agent, if the slots of its endpoint are known.
+// sendHello sends a hello message to an agent.
 func (s *state) sendHello(endpoint *flow.Endpoint) {
-	if endpoint.Introduced {
-		return
-	}
 	interval, _ := s.contacts.requested(endpoint)
 	hello := wire.Hello{
 		Slots: endpoint.Slots, Leaving: s.leaving, EndpointStart: endpoint.StartedAt, Clock: time.Now().UnixMilli(),
 		Remote: endpoint.Remote, ReportInterval: interval,
 	}
-	s.addStatement(&hello, endpoint)
+	if !endpoint.Introduced {
+		s.addStatement(&hello, endpoint)
+	}
 	s.traffic.counters.SendToNode(s.traffic.peers, wire.Encode(hello), endpoint.Agent.AddrPort())
 }
 
--- a/packetbalancer/introduced_test.go
+++ b/packetbalancer/introduced_test.go
@@ -1,6 +1,7 @@
 package packetbalancer
 
 import (
+	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"cactustray/control/clock"
 	"cactustray/directory"
 	"cactustray/flow"
+	"cactustray/flow/wire"
 	"cactustray/placement"
 
 	"github.com/shoenig/test/must"
@@ -119,3 +121,20 @@
 	large.takeUp(now, unknown.agent)
 	must.MapEmpty(t, large.introduced)
 }
+
+// After a loss of power, agents whose endpoints did not return introduced themselves to a few
+// balancers. The others learned of them, got no reports, and waited for their answers for
+// seconds: each lost flow ended 2 to 4 s late.
+func TestIntroducedAgentsAreAskedToReport(t *testing.T) {
+	hellos := func(agents ...netip.AddrPort) int64 {
+		now := clock.Now()
+		s := startingState(now)
+		s.traffic.peers = new(net.UDPConn)
+		s.takeOverIntroduced(now, agents)
+		s.publish(now)
+		s.sendHellos(now)
+		count, _ := s.traffic.counters.Domains.Sent(wire.HelloKind, false)
+		return count
+	}
+	must.EqOp(t, hellos()+1, hellos(netip.MustParseAddrPort("10.0.0.9:7720")))
+}
