Limit on new flows to cold endpoints

Cause: an endpoint that has just started takes 1.6 times as long for a request, and got new flows at once by its load alone, as many as callers opened.

Change: the agent beside a cold endpoint limits new flows in any one-second window to cold-per-s times cold_excess plus cold_slack; further opening packets go to the alternate, wait, or go back if too many wait. Until the first statement of a balancer, and for a second after an agent starts beside an endpoint whose flows it does not know, the limit counts as used up. Balancers state rate and remaining cold time in hello messages, and place flows at a cold endpoint at their share of the rate, beginning at a random point. The earliest cold time stated counts, and heartbeats shorten it, since an entry is read some time after it was written. Rates between nodes are rounded instead of cut off.

--- a/directory/exchange/codec.go
+++ b/directory/exchange/codec.go
@@ -80,7 +80,7 @@
 	}
 	for _, s := range d.Services {
 		encoded.Services = append(encoded.Services, &directorypb.Service{
-			Name: s.Name, ColdUs: uint64(s.ColdTime.Microseconds()), ColdRateMilli: uint32(s.ColdRate * 1000), Connections: uint32(s.Connections),
+			Name: s.Name, ColdUs: uint64(s.ColdTime.Microseconds()), ColdRateMilli: thousandths(s.ColdRate), Connections: uint32(s.Connections),
 		})
 	}
 	return encoded
@@ -174,6 +174,15 @@
 	return decoded
 }
 
+// thousandths returns a rate in thousandths, rounded; one above 0 is at least 1, since 0 has another
+// meaning.
+func thousandths(rate float64) uint32 {
+	if !(rate > 0) {
+		return 0
+	}
+	return uint32(min(max(math.Round(rate*1000), 1), math.MaxUint32))
+}
+
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func microseconds(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/flow/agent_table.go
+++ b/flow/agent_table.go
@@ -166,6 +166,7 @@
 
 	// evacuated is true if the endpoint's failure domain is evacuated.
 	evacuated        bool
+	cold             coldLimit
 	pending          []pendingOpen
 	waiting          waitingOpenings
 	silence          silence
@@ -259,6 +260,9 @@
 	if t.isSaturated(now) && len(t.waiting.flows) < maxWaitingOpenings {
 		return t.wait(now, p, r)
 	}
+	if t.isColdLimitUsedUp(now) { // and too many opening packets wait
+		return Verdict{Action: Return, To: r.balancer, Reason: EndpointCold}
+	}
 	t.waiting.remove(p.Flow)
 	r.state = offered
 	t.store(p.Flow, r)
@@ -272,6 +276,9 @@
 	if t.silence.isSilent(now) || t.silence.trial && len(t.pending) > 0 {
 		return EndpointSilent, true
 	}
+	if t.isColdLimitUsedUp(now) {
+		return EndpointCold, true
+	}
 	return EndpointBusy, t.running >= t.slots && t.running > int(d.AlternateRunning)
 }
 
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -29,6 +29,9 @@
 	Zone string
 	// Evacuated is true if an order to evacuate the failure domain is in force.
 	Evacuated bool
+	// ColdRate is how many new flows a second the endpoint can take while it is cold, or 0 if
+	// that is not limited.
+	ColdRate float64
 	// hash is the hash of the agent's address, for the order in which a flow prefers
 	// endpoints.
 	hash uint64
--- a/flow/waiting.go
+++ b/flow/waiting.go
@@ -81,7 +81,8 @@
 }
 
 // isSaturated reports whether the endpoint has as many requests in progress, with those that
-// recently admitted flows are about to send, as it can start without a wait.
+// recently admitted flows are about to send, as it can start without a wait, or is cold and gets no
+// new flow now.
 func (t *AgentTable) isSaturated(now Timestamp) bool {
 	expired := 0
 	for expired < len(t.waiting.admitted) && now-t.waiting.admitted[expired].at > admissionTime {
@@ -94,11 +95,12 @@
 			load++
 		}
 	}
-	return load >= saturation*t.slots
+	return load >= saturation*t.slots || t.isColdLimitUsedUp(now)
 }
 
 // admit records that the opening packet of a flow goes to the endpoint.
 func (t *AgentTable) admit(now Timestamp, key Key) {
+	t.cold.record(now)
 	t.pending = append(t.pending, pendingOpen{key: key, due: now + AnswerTimeout})
 	t.waiting.admitted = append(t.waiting.admitted, admittedOpening{key: key, at: now})
 }
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -238,11 +238,20 @@
 	return &flowpb.Hello{
 		Slots: uint32(m.Slots), Leaving: m.Leaving, EndpointStartMs: m.EndpointStart, ClockMs: m.Clock,
 		Evacuated: m.Evacuated, Era: uint64(m.Position.Era), Revision: uint64(m.Position.Revision),
-		ColdLeftMs: uint32(max(m.ColdLeft, 0).Milliseconds()), ColdRateMilli: uint32(max(m.ColdRate, 0) * 1000),
+		ColdLeftMs: uint32(max(m.ColdLeft, 0).Milliseconds()), ColdRateMilli: thousandths(m.ColdRate),
 		Remote: m.Remote, ReportIntervalMs: uint32(max(m.ReportInterval, 0).Milliseconds()),
 	}
 }
 
+// thousandths returns a rate in thousandths, rounded; one above 0 is at least 1, since 0 has another
+// meaning.
+func thousandths(rate float64) uint32 {
+	if !(rate > 0) {
+		return 0
+	}
+	return uint32(min(max(math.Round(rate*1000), 1), math.MaxUint32))
+}
+
 func decodeHello(h *flowpb.Hello) Hello {
 	return Hello{
 		Slots: int(h.GetSlots()), Leaving: h.GetLeaving(), EndpointStart: h.GetEndpointStartMs(), Clock: h.GetClockMs(),
--- a/flow/wire/wire_test.go
+++ b/flow/wire/wire_test.go
@@ -22,7 +22,7 @@
 
 func TestMessagesRoundTrip(t *testing.T) {
 	for _, m := range []Message{
-		Hello{Slots: 4}, Hello{Leaving: true}, Hello{Slots: 2, EndpointStart: 1770858438937, Clock: 1770858439000},
+		Hello{Slots: 4}, Hello{ColdLeft: 1500 * time.Millisecond, ColdRate: 2.3}, Hello{ColdRate: 0.001}, Hello{Leaving: true}, Hello{Slots: 2, EndpointStart: 1770858438937, Clock: 1770858439000},
 		Report{Usage: placement.Usage{FlowsKnown: true}},
 		Queries{Flows: []flow.Query{{Flow: key, Acknowledged: 1 << 31}, {Flow: flow.Key{Caller: service, Service: caller}}}},
 		Answers{Held: []flow.Key{key}, Unsure: []flow.Key{key, key}}, Answers{Denied: []flow.Key{key}},
--- a/packetagent/statement.go
+++ b/packetagent/statement.go
@@ -25,6 +25,11 @@
 	// receivedAt is when a balancer last stated anything.
 	receivedAt time.Duration
 	evacuated  bool
+	// endpointStart is the start of the endpoint that the statement is about, coldUntil when it
+	// is no longer cold, and coldRate how many new flows a second it can take until then.
+	endpointStart int64
+	coldUntil     time.Duration
+	coldRate      float64
 }
 
 // apply applies settings.
@@ -45,11 +50,29 @@
 	if order > 0 || order == 0 && h.Evacuated {
 		s.evacuated = h.Evacuated
 	}
+	s.receiveCold(now, h, order)
 	if order > 0 {
 		s.position = h.Position
 	}
 }
 
+// receiveCold takes over until when the endpoint is cold; order compares the position of the hello
+// message with the one known. What a balancer states is too late by the time that the entry took
+// to reach it, so the earliest of what all state counts. A balancer that has started has it from
+// an entry that may be a second old.
+func (s *statement) receiveCold(now time.Duration, h wire.Hello, order int) {
+	until := now + h.ColdLeft
+	switch {
+	case h.EndpointStart == s.endpointStart && s.position != directory.Position{}:
+		s.coldUntil = min(s.coldUntil, until)
+	case order > 0 || order == 0 && h.EndpointStart > s.endpointStart:
+		s.endpointStart, s.coldUntil = h.EndpointStart, until
+	}
+	if order >= 0 {
+		s.coldRate = h.ColdRate
+	}
+}
+
 // isEvacuated reports whether the endpoint gets no new flows.
 func (s *statement) isEvacuated() bool { return s.hasEvacuations && s.evacuated }
 
@@ -57,6 +80,24 @@
 func (s *state) statementReceived(now time.Duration, m helloReceived) {
 	s.statement.receive(now, m.Hello)
 	s.applyStatement(now)
+	if m.Position != (directory.Position{}) {
+		s.traffic.setCold(s.statement.coldRate, s.statement.coldUntil)
+	}
+}
+
+// setCold makes the flow table limit new flows while the endpoint is cold, and delivers the opening
+// packets that waited for the first statement.
+func (f *forwarder) setCold(rate float64, until time.Duration) {
+	withFlows(f, func(t *flow.AgentTable) bool {
+		t.SetCold(rate, until)
+		return true
+	})
+	f.admitWaiting()
+}
+
+// coldLimitOf returns the limit of the settings, which have no rate.
+func coldLimitOf(p *settings.PacketSettings) flow.ColdLimit {
+	return flow.ColdLimit{Excess: p.ColdExcess, Slack: p.ColdSlack}
 }
 
 // applyStatement makes the traffic goroutines use the statement.
--- a/packetagent/statement_test.go
+++ b/packetagent/statement_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"cactustray/control/clock"
 	"cactustray/directory"
 	"cactustray/flow"
 	"cactustray/flow/wire"
@@ -99,3 +100,49 @@
 	s.helloReceived(time.Minute, helloReceived{Hello: stated(1, 11, false), balancer: flow.AddressOf(localAddr(balancer))})
 	must.EqOp(t, 0, f.evacuated.Load())
 }
+
+// The earliest of what balancers state counts as the end of the cold time: each learned of it late.
+// A new start of the endpoint begins another one.
+func TestColdTimeIsTheEarliestStated(t *testing.T) {
+	var s statement
+	receive := func(now time.Duration, revision directory.Revision, start int64, left time.Duration, rate float64) {
+		hello := stated(1, revision, false)
+		hello.EndpointStart, hello.ColdLeft, hello.ColdRate = start, left, rate
+		s.receive(now, hello)
+	}
+	receive(time.Minute, 10, 5000, 2*time.Second, 8)
+	must.EqOp(t, time.Minute+2*time.Second, s.coldUntil)
+	must.EqOp(t, 8, s.coldRate)
+	// A balancer that has just started has an entry that was written a while ago.
+	receive(time.Minute+time.Second, 12, 5000, 1900*time.Millisecond, 8)
+	must.EqOp(t, time.Minute+2*time.Second, s.coldUntil)
+	// One with an older directory may know the entry best, but not the rate.
+	receive(time.Minute+time.Second, 9, 5000, 800*time.Millisecond, 3)
+	must.EqOp(t, time.Minute+1800*time.Millisecond, s.coldUntil)
+	must.EqOp(t, 8, s.coldRate)
+	// It does not know the endpoint's next start yet.
+	receive(2*time.Minute, 20, 125_000, 2*time.Second, 6.5)
+	receive(2*time.Minute, 19, 5000, 0, 8)
+	must.EqOp(t, 2*time.Minute+2*time.Second, s.coldUntil)
+	must.EqOp(t, 6.5, s.coldRate)
+}
+
+// The limit reaches the flow table with the hello messages; balancers of older builds, which state
+// nothing, neither set nor end it.
+func TestHelloLimitsFlowsOfColdEndpoint(t *testing.T) {
+	endpoint := listenLoopback(t)
+	f := startBusyForwarder(t, "orders", localAddr(endpoint))
+	f.flowTable.SetColdLimit(flow.ColdLimit{Excess: 1, Slack: 0.5})
+	s := newState(f.log, f, nil)
+	hello := stated(1, 10, false)
+	hello.Slots, hello.EndpointStart, hello.ColdLeft, hello.ColdRate = 1000, 5000, time.Hour, 0.6
+	from := flow.AddressOf(localAddr(listenLoopback(t)))
+	s.helloReceived(clock.Now(), helloReceived{Hello: hello, balancer: from})
+	s.helloReceived(clock.Now(), helloReceived{Hello: wire.Hello{Slots: 1000}, balancer: from})
+	open := func(port uint16) flow.Reason {
+		key := flow.Key{Caller: flow.Address{IP: [4]byte{100, 64, 0, 9}, Port: port}}
+		return f.flowTable.FromBalancer(clock.Now()+2*time.Second, flow.Packet{Flow: key, Opening: true}, flow.Delivery{}, nil).Reason
+	}
+	must.EqOp(t, flow.Opened, open(1))
+	must.EqOp(t, flow.OpeningWaits, open(2))
+}
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -78,6 +78,7 @@
 		flowTable:  flow.NewAgentTable(clock.Now(), initialSlots, p.FlowLifetime(), p.FirstStart),
 	}
 	f.stopNanos.Store(int64(p.StopTimeout()))
+	f.flowTable.SetColdLimit(coldLimitOf(p))
 	return f, nil
 }
 
@@ -354,6 +355,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.flowTable.SetLifetime(p.FlowLifetime())
+	f.flowTable.SetColdLimit(coldLimitOf(p))
 }
 
 // stopTime returns how long a graceful stop may take.
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -234,7 +234,7 @@
 
 // apply applies changed settings, except addresses, which need a restart.
 func (s *state) apply(changed *settings.Settings) {
-	before := s.evacuatedZones()
+	before := s.settings.Packets
 	s.seeds, s.drainLimit = changed.Packets.SeedAddresses(), changed.Packets.DrainLimit()
 	applied, packets := *s.settings, *s.settings.Packets
 	packets.FlowSeconds = changed.Packets.FlowSeconds
@@ -244,7 +244,7 @@
 	s.settings = &applied
 	s.traffic.apply(changed.Packets)
 	s.log.Emit(EventSettings, event.Fields{"seeds": len(s.seeds), "flow_seconds": changed.Packets.FlowSeconds, "stop_ms": changed.Packets.StopMillis})
-	s.publishEvacuations(clock.Now(), before)
+	s.publishSettings(clock.Now(), before)
 }
 
 // updateMetrics updates the values that the metrics read.
--- a/packetbalancer/evacuation.go
+++ b/packetbalancer/evacuation.go
@@ -1,12 +1,13 @@
 package packetbalancer
 
 import (
-	"slices"
 	"time"
 
+	"cactustray/control/clock"
 	"cactustray/event"
 	"cactustray/flow"
 	"cactustray/flow/wire"
+	"cactustray/settings"
 )
 
 // loggedEvacuations has the failure domains whose evacuation was logged, and whether the directory
@@ -27,9 +28,12 @@
 	return s.directory.EvacuatedZones()
 }
 
-// publishEvacuations publishes a routing table if changed settings have changed what is evacuated.
-func (s *state) publishEvacuations(now time.Duration, before []string) {
-	if s.directory.Known() && !slices.Equal(before, s.evacuatedZones()) {
+// publishSettings publishes a routing table if changed settings say otherwise which endpoints get
+// new flows. before are the settings that were in force.
+func (s *state) publishSettings(now time.Duration, before *settings.PacketSettings) {
+	p := s.settings.Packets
+	isSame := p.EvacuateMillis == before.EvacuateMillis && p.ColdExcess == before.ColdExcess && p.ColdSlack == before.ColdSlack
+	if s.directory.Known() && !isSame {
 		s.publish(now)
 		s.sendHellos(now)
 	}
@@ -47,6 +51,7 @@
 // which position.
 func (s *state) addStatement(hello *wire.Hello, endpoint *flow.Endpoint) {
 	hello.Evacuated, hello.Position = s.isEvacuated(endpoint.Zone), s.directory.Position()
+	hello.ColdLeft, hello.ColdRate = max(endpoint.ColdUntil-clock.Now(), 0), endpoint.ColdRate
 }
 
 // zoneUsage counts what a routing table has in an evacuated failure domain.
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -24,6 +24,8 @@
 	hasDraining bool
 	// hasFormer is true if routes may have flows at former services.
 	hasFormer bool
+	// rates has the ColdRate of each service; it is nil until it is needed.
+	rates map[string]float64
 }
 
 func newTableBuilder(now time.Duration, s *state) *tableBuilder {
@@ -139,8 +141,9 @@
 	service := b.service(e.Service)
 	endpoint := flow.NewEndpoint(agent, service, placement.Candidate{
 		AgentLoad: load, Slots: e.Slots, Remote: e.Zone != b.state.settings.Zone,
-		ColdUntil: e.WarmAt, AddedAt: e.FirstSeen,
+		ColdUntil: e.WarmAt, AddedAt: e.FirstSeen, ColdInterval: b.coldInterval(e.Service),
 	})
+	endpoint.ColdRate = b.coldRates()[e.Service]
 	endpoint.StartedAt = e.Incarnation
 	endpoint.Zone, endpoint.Evacuated = e.Zone, b.state.isEvacuated(e.Zone)
 	endpoint.Unregistered, endpoint.ConfirmedFrom = e.MissedReturn(b.now), e.ConfirmedFrom()
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -68,6 +68,7 @@
 	flowsKnown     atomic.Bool
 	// placed is the number of flows placed here since the last report.
 	placed atomic.Int64
+	pace   pace
 }
 
 // Usage is one report of an endpoint's load.
@@ -147,6 +148,9 @@
 	ColdUntil time.Duration
 	// AddedAt is when this process added the endpoint.
 	AddedAt time.Duration
+	// ColdInterval is the interval at which this process places flows at the endpoint while it
+	// is cold, or 0 if that is not limited.
+	ColdInterval time.Duration
 }
 
 // status ranks candidates: a candidate with a lower status is preferred, whatever
@@ -156,6 +160,8 @@
 const (
 	usable status = iota
 	unreported
+	// paced candidates are cold, and got as many flows from this process as their interval allows.
+	paced
 	suspected
 )
 
@@ -168,8 +174,14 @@
 		if l.silent.Load() {
 			return suspected
 		}
+		if c.isPaced(now) {
+			return paced
+		}
 		return usable
 	case l.ReportedAt() == 0 && now-c.AddedAt < firstReportTimeout:
+		if c.isPaced(now) {
+			return paced
+		}
 		return unreported
 	default:
 		return suspected
@@ -211,6 +223,7 @@
 	first, second = -1, -1
 	var best, next rank
 	for i, c := range candidates {
+		c.beginPace(random)
 		if exclude != nil && exclude(i) {
 			continue
 		}
@@ -228,6 +241,7 @@
 	}
 	if first >= 0 {
 		candidates[first].AgentLoad.placed.Add(1)
+		candidates[first].countPace(now)
 	}
 	return first, second
 }
