Soak: a failure domain is evacuated and returned to service

Cause: the soak had one failure domain, so no run showed whether evacuations hold while processes are killed, links cut and endpoints replaced.

Change: with Size.Evacuations (--evacuate) three endpoints are in another failure domain; an operation evacuates it for 8 s in every 12 s. A new property: no flow opens there from 5 s after the order until it is withdrawn.

--- a/standin/cmd/standin/soak.go
+++ b/standin/cmd/standin/soak.go
@@ -19,6 +19,7 @@
 	Endpoints int           `default:"7"`
 	Planned   bool          `help:"Draw planned work alone, under which no request may fail."`
 	Restores  bool          `help:"Add restores of the store from copies of some seconds before."`
+	Evacuate  bool          `help:"Evacuate a failure domain and return it to service."`
 	Moves     bool          `help:"Add moves of a route, restarts in turn and kills of all balancers."`
 	Plan      string        `type:"existingfile" help:"Run this plan instead of drawing plans from seeds."`
 	Keep      string        `type:"existingdir" default:"." help:"Folder for the plan, settings and logs of a run with violations."`
@@ -69,7 +70,7 @@
 		plan, err := soak.LoadPlan(c.Plan)
 		return []soak.Plan{plan}, err
 	}
-	size := soak.Size{Balancers: c.Balancers, Endpoints: c.Endpoints, Length: c.Length, PlannedOnly: c.Planned, Restores: c.Restores, Moves: c.Moves}
+	size := soak.Size{Balancers: c.Balancers, Endpoints: c.Endpoints, Length: c.Length, PlannedOnly: c.Planned, Restores: c.Restores, Moves: c.Moves, Evacuations: c.Evacuate}
 	var plans []soak.Plan
 	for seed := c.First; seed < c.First+c.Seeds; seed++ {
 		plans = append(plans, soak.Draw(seed, size))
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -15,6 +15,9 @@
 	maxDrainDelay = 3 * time.Second
 	// maxRouteDelay is how long a change of the desired state may take to apply.
 	maxRouteDelay = 3 * time.Second
+	// maxEvacuationDelay is how long after an order an evacuated failure domain may still get
+	// new flows.
+	maxEvacuationDelay = 5 * time.Second
 	// undisturbedTime is how long a machine must have been free of disturbing faults before
 	// the two limits above apply to it.
 	undisturbedTime = 4 * time.Second
@@ -42,6 +45,7 @@
 	NoResetOfHeldFlow        = "no flow is reset that its endpoint holds"
 	PlannedWorkBreaksNothing = "planned work breaks nothing"
 	DrainingGetsNoNewFlows   = "a draining endpoint gets no new flows"
+	EvacuatedGetsNoNewFlows  = "an evacuated failure domain gets no new flows"
 	RoutesFollow             = "routes follow the desired state"
 	RecoversAfterFaults      = "flows and services work again after faults"
 	KeepsRunning             = "no daemon ends by itself"
@@ -59,6 +63,7 @@
 		c.checkReset(a)
 		c.checkPlanned(a)
 		c.checkDrain(a)
+		c.checkEvacuation(a)
 		c.checkRoute(a)
 		c.checkMove(a)
 		c.checkRecovery(a)
@@ -139,6 +144,22 @@
 	}
 }
 
+// checkEvacuation checks that from maxEvacuationDelay after an order until it is withdrawn no flow
+// opens at an endpoint of the failure domain. Only a loss of the registry, or of balancers that
+// read it, excuses one: it is in force with endpoints and agents that start.
+func (c *checker) checkEvacuation(a Attempt) {
+	e, known := c.endpoints[a.Endpoint]
+	if !known || !slices.Contains(remoteHosts, e.Host) {
+		return
+	}
+	for _, order := range c.Evacuations {
+		isInForce := a.Opened > order.Began+maxEvacuationDelay && a.Opened < order.Ended
+		if isInForce && c.undisturbed(order.Began, a.Opened, a.BalancerHost, 0) {
+			c.add(EvacuatedGetsNoNewFlows, "%s at %s, %v after the order", a.ID, e.Name, a.Opened-order.Began)
+		}
+	}
+}
+
 // checkRoute checks the extra route, which faults add and remove: from maxRouteDelay after a
 // change, no flow opens on the removed route, and none is refused on the added one, unless
 // faults disturbed it.
@@ -214,5 +235,5 @@
 // disturbs reports whether a fault suspends the drain and route limits of the machines that
 // it hits.
 func (s Span) disturbs() bool {
-	return !slices.Contains([]Kind{AddRoute, RemoveRoute, MoveRoute, ReplaceEndpoint, LapseEntry, FillEndpoint}, s.Kind)
+	return !slices.Contains([]Kind{AddRoute, RemoveRoute, MoveRoute, ReplaceEndpoint, LapseEntry, FillEndpoint, EvacuateZone}, s.Kind)
 }
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -56,6 +56,9 @@
 		"new flow at a drained endpoint": {DrainingGetsNoNewFlows, func(h *History) {
 			h.Attempts[1].Endpoint, h.Endpoints[2].Ended = "i-52", 0
 		}},
+		"new flow in an evacuated failure domain": {EvacuatedGetsNoNewFlows, func(h *History) {
+			h.Evacuations = []Interval{{Began: 6 * second, Ended: 15 * second}}
+		}},
 		"removed route opens": {RoutesFollow, func(h *History) { h.Attempts[2].Outcome = Answered }},
 		"added route refuses, while an endpoint's process is stopped": {RoutesFollow, func(h *History) {
 			h.Attempts[3].Outcome = RefusedOpening
@@ -112,6 +115,12 @@
 		"flow opened before its route moved": func(h *History) {
 			h.Attempts[4].Endpoint, h.Attempts[4].Opened = "i-50", 11*second
 		},
+		"evacuated failure domain, within the time limit": func(h *History) {
+			h.Evacuations = []Interval{{Began: 12*second - maxEvacuationDelay, Ended: 15 * second}}
+		},
+		"evacuated failure domain, after the order was withdrawn": func(h *History) {
+			h.Evacuations = []Interval{{Began: 2 * second, Ended: 11 * second}}
+		},
 		"added route, change still propagating": func(h *History) {
 			h.Attempts[3].Outcome, h.Attempts[3].Opened = RefusedOpening, 15*second
 		},
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -96,6 +96,11 @@
 		history: newHistory(), closers: []func(){release}, endpointCounts: make(map[string]int),
 		routes: map[netip.AddrPort]string{packets.OrdersAddress: "orders", packets.DrawingsAddress: "drawings"},
 	}
+	if plan.has(EvacuateZone) {
+		for _, host := range remoteHosts {
+			c.SetZone(host, remoteZone)
+		}
+	}
 	if plan.moves() {
 		c.routes[movingAddress] = "orders"
 	}
--- a/standin/soak/history.go
+++ b/standin/soak/history.go
@@ -64,6 +64,9 @@
 	Service string
 }
 
+// Interval is a span of time.
+type Interval struct{ Began, Ended time.Duration }
+
 // Exit is the unrequested exit of a daemon.
 type Exit struct{ Host, Code int }
 
@@ -85,7 +88,9 @@
 	RouteChanges []RouteChange
 	// RouteMoves are the moves of the moving route, which leads to orders before.
 	RouteMoves []RouteMove
-	Exits      []Exit
+	// Evacuations are the times at which remoteZone was evacuated.
+	Evacuations []Interval
+	Exits       []Exit
 	// SlowStops lists the hosts whose daemon did not stop within maxStopTime.
 	SlowStops []int
 	Endpoints []EndpointRecord
@@ -154,6 +159,16 @@
 	})
 }
 
+func (h *history) recordEvacuation(begins bool) {
+	h.record(func(now time.Duration) {
+		if begins {
+			h.recorded.Evacuations = append(h.recorded.Evacuations, Interval{Began: now, Ended: forever})
+		} else {
+			h.recorded.Evacuations[len(h.recorded.Evacuations)-1].Ended = now
+		}
+	})
+}
+
 func (h *history) recordExit(host, code int) {
 	h.record(func(time.Duration) { h.recorded.Exits = append(h.recorded.Exits, Exit{Host: host, Code: code}) })
 }
--- a/standin/soak/inject.go
+++ b/standin/soak/inject.go
@@ -33,6 +33,12 @@
 		c.injectRouteChange(f)
 	case MoveRoute:
 		c.moveRoute()
+	case EvacuateZone:
+		packets.Evacuate(c.store, remoteZone, true)
+		c.history.recordEvacuation(true)
+		time.Sleep(f.For)
+		c.history.recordEvacuation(false)
+		packets.Evacuate(c.store, remoteZone, false)
 	default:
 		return c.injectEndpointFault(f)
 	}
@@ -184,6 +190,12 @@
 	c.history.recordMove(next)
 }
 
+// remoteZone is the failure domain of remoteHosts, one endpoint of each service at the least.
+const remoteZone = "b"
+
+// remoteHosts are the hosts in remoteZone if the plan has evacuations.
+var remoteHosts = []int{packets.EndpointHost, packets.EndpointHost + 1, packets.DrawingsHost}
+
 func (c *cluster) injectEndpointFault(f Fault) error {
 	m := c.machines[f.Host]
 	m.mu.Lock()
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -68,6 +68,9 @@
 	// by SIGKILL at once. Plans have them only if Size.Moves is set.
 	MoveRoute     Kind = "move-route"
 	KillBalancers Kind = "kill-balancers"
+	// EvacuateZone evacuates the remote failure domain and returns it to service after the
+	// fault's duration. Plans have it only if Size.Evacuations is set.
+	EvacuateZone Kind = "evacuate-zone"
 )
 
 // target is what a kind of fault hits.
@@ -102,6 +105,7 @@
 	ReplaceEndpoint: {endpoint, true, 3}, ReuseAddress: {endpoint, false, 1},
 	AddRoute: {noTarget, true, 2}, RemoveRoute: {noTarget, true, 2},
 	MoveRoute: {noTarget, true, 0}, KillBalancers: {noTarget, false, 0},
+	EvacuateZone: {noTarget, true, 0},
 }
 
 // Planned reports whether the kind is planned work.
@@ -138,6 +142,9 @@
 	// Moves adds moves of a route to the plan, and restarts of balancers in turn and of agents;
 	// unless PlannedOnly is set, also kills of all balancers.
 	Moves bool
+	// Evacuations moves two endpoints of each service to another failure domain, which the plan
+	// evacuates now and then.
+	Evacuations bool
 }
 
 const (
@@ -160,6 +167,10 @@
 	killBalancersInterval = 6 * time.Second
 	rollInterval          = 4 * time.Second
 	rollPause             = 1200 * time.Millisecond
+	// evacuationInterval is the time between the begins of two evacuations, evacuationTime how
+	// long each lasts: longer than it may take to be in force.
+	evacuationInterval = 12 * time.Second
+	evacuationTime     = maxEvacuationDelay + 3*time.Second
 	// seriesShare is the share of the faults that are repeated, as a series of two or three.
 	seriesShare     = 0.3
 	maxSeriesLength = 3
@@ -193,6 +204,9 @@
 	if size.Moves {
 		plan.addMoves(seed, size.PlannedOnly)
 	}
+	for at := firstFaultAt; size.Evacuations && at < size.Length; at += evacuationInterval {
+		plan.Faults = append(plan.Faults, Fault{Kind: EvacuateZone, At: at, For: evacuationTime})
+	}
 	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
@@ -236,11 +250,14 @@
 	}
 }
 
-// moves reports whether the plan moves the moving route.
-func (p Plan) moves() bool {
-	return slices.ContainsFunc(p.Faults, func(f Fault) bool { return f.Kind == MoveRoute })
+// has reports whether the plan has faults of a kind.
+func (p Plan) has(kind Kind) bool {
+	return slices.ContainsFunc(p.Faults, func(f Fault) bool { return f.Kind == kind })
 }
 
+// moves reports whether the plan moves the moving route.
+func (p Plan) moves() bool { return p.has(MoveRoute) }
+
 // drawable returns the kinds that a plan may have, in a fixed order, each as often as its
 // weight.
 func drawable(plannedOnly bool) []Kind {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -113,6 +113,15 @@
 	must.SliceEmpty(t, runPlan(t, Draw(4, moves)).Violations)
 }
 
+func TestPropertiesHoldWhileZoneIsEvacuated(t *testing.T) {
+	t.Parallel()
+	evacuated := short
+	evacuated.Length, evacuated.Evacuations = 10*time.Second, true
+	must.SliceEmpty(t, runPlan(t, Draw(5, evacuated)).Violations)
+	evacuated.PlannedOnly = true
+	must.SliceEmpty(t, runPlan(t, Draw(6, evacuated)).Violations)
+}
+
 func TestRegressions(t *testing.T) {
 	for _, r := range regressions {
 		t.Run(r.name, func(t *testing.T) {
