e2e: a balancer that the registry does not answer follows an evacuation

Cause: no test with real processes had a balancer that gets an order only from another one. Change: one of the two balancers of TestPacketEvacuation has an unreachable registry when the order is written.

--- a/standin/e2e/evacuation_test.go
+++ b/standin/e2e/evacuation_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"encoding/json"
 	"errors"
 	"net/netip"
 	"syscall"
@@ -31,7 +32,7 @@
 }
 
 // From an order on, no new flow reaches the evacuated failure domain: not through a balancer that
-// starts, not while the registry does not answer, not after the registry was restored from a copy
+// the registry does not answer, or one that starts, not while the registry does not answer, not after the registry was restored from a copy
 // without the order, and not through an agent that starts. Open flows continue, and callers of a
 // service without an endpoint elsewhere are refused at once. After the order is withdrawn, all is
 // as before.
@@ -44,6 +45,15 @@
 		return c.openedInZone() > 4
 	})
 	feeds = append(feeds, c.openFeed(drawingsAddress))
+	// The second balancer reaches no registry, and learns of the order from the first.
+	cutOff := c.Settings(balancerHost + 1)
+	cutOff.Packets.Registry = c.Address(packets.StoreHost+1, "store")
+	raw, err := json.Marshal(cutOff)
+	must.NoError(t, err)
+	c.signal(balancerHost+1, syscall.SIGKILL)
+	_ = c.daemons[c.IP(balancerHost+1)].Wait()
+	c.runWith(balancerHost+1, raw)
+	c.await(func() bool { return c.router.Check() == 2 })
 	copied := c.store.Copy()
 	packets.Evacuate(c.store, "b", true)
 	c.awaitBalancers("failure domain evacuated", `"zone":"b"`)
