--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -33,6 +33,9 @@
 	Accepts bool
 	// Distant is true if the agent does not report to this balancer, by this balancer's choice.
 	Distant bool
+	// ColdRate is how many new flows a second the endpoint can take while it is cold, or 0 if
+	// that is not limited.
+	ColdRate float64
 	// hash is the hash of the agent's address, for the order in which a flow prefers
 	// endpoints.
 	hash uint64
