Split routes overflow to a service with free slots; refusals only for the only copy

Cause: flows of a split route waited for a slot of the service that the weights give while another service of the route had free ones. Change: a flow of a known class goes to another service of the route with a weight above 0 if no endpoint of its own has a free slot, with a probability of the free slots there to all slots here; copies and returned packets stay with the service. The class, without which nothing is refused, is stated only for packets that no other agent can have, and openings are refused only in their first 100 ms. Metric placements.overflow. Result: flow, packetbalancer, packetagent, placement, event pass, among them the new random test with classes, a split route and saturated endpoints. The simulation of existing tests gained the class in deliveries and, for the new test only, saturated endpoints; its checks are unchanged.

--- a/flow/agent_table_endpoint.go
+++ b/flow/agent_table_endpoint.go
@@ -131,7 +131,9 @@
 func (t *AgentTable) redirectOverdue(now Timestamp, key Key, r flowRecord) (v Verdict, ok bool) {
 	switch {
 	case !r.otherAgent.IsZero():
-		v = t.forward(now, key, r.balancer, r.otherAgent, r.class, EndpointSilent)
+		// The endpoint may still accept the flow: without a class, the alternate does not refuse
+		// it.
+		v = t.forward(now, key, r.balancer, r.otherAgent, Class{}, EndpointSilent)
 	case r.hops > 0:
 		v = Verdict{Action: Return, To: r.balancer, Reason: EndpointSilent, Balancer: r.balancer}
 	default:
--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -88,6 +88,9 @@
 	AlternateRunning uint8
 	// Crosses is true if a new flow goes to another failure domain.
 	Crosses bool
+	// Overflow is true if a new flow goes to another service of the route's split than the one
+	// that its weights give, since that has no free slot.
+	Overflow bool
 	// Class is the class of a new flow's requests; it may be unknown. StatesClass is true if
 	// the agents that may receive the opening packet read it.
 	Class       Class
@@ -102,7 +105,7 @@
 // packet may have to be resent.
 func (a *Assignments) FromCaller(now Timestamp, packet Packet, routing *RoutingTable, datagram []byte) Decision {
 	if packet.Opening {
-		return a.open(now, packet, routing, datagram).withClass(routing, packet.Flow)
+		return a.open(now, packet, routing, datagram).withClass(now, routing, packet.Flow, true)
 	}
 	known, ok := a.flows[packet.Flow]
 	switch {
@@ -139,7 +142,7 @@
 	if route == nil {
 		return Decision{SendReset: now-routing.CurrentAt() < maxRoutingTableAge, Reset: resetOf(packet), Reason: UnknownAddress}
 	}
-	d := a.place(now, packet, route, route.Service(packet.Flow), known)
+	d := a.place(now, packet, route, a.serviceFor(now, route, packet.Flow, known), known)
 	a.openings.add(now, packet, d.To, routing, datagram)
 	if d.To.IsZero() && ok && !known.ended {
 		return a.repeat(routing, known)
@@ -188,7 +191,7 @@
 	known.tried[known.triedCount] = endpoint.Agent
 	known.triedCount++
 	a.flows[packet.Flow] = known
-	d := Decision{To: endpoint.Agent, Tag: service.Tag, Reason: Opened, Crosses: endpoint.Remote}
+	d := Decision{To: endpoint.Agent, Tag: service.Tag, Reason: Opened, Crosses: endpoint.Remote, Overflow: service != route.Service(packet.Flow)}
 	if second >= 0 {
 		other := service.Accepting[second]
 		d.Alternate = other.Agent
@@ -247,7 +250,7 @@
 		return Decision{Reason: UnknownAddress}
 	}
 	known.recordFailure(agent, d.Silent)
-	return a.place(now, packet, route, route.Service(packet.Flow), known).withClass(routing, packet.Flow)
+	return a.place(now, packet, route, a.serviceFor(now, route, packet.Flow, known), known).withClass(now, routing, packet.Flow, false)
 }
 
 // recordFailure records that an endpoint gave the opening packet back or left it
--- a/flow/overload.go
+++ b/flow/overload.go
@@ -18,6 +18,9 @@
 	// maxClasses bounds the classes that an agent tells apart; further ones count as
 	// unknown. Operators have a few.
 	maxClasses = 16
+	// refusalAge is how old an opening may be that is refused. Its caller sends a copy after
+	// firstCopyDelay, and the opening itself may have been on its way for a part of that.
+	refusalAge = firstCopyDelay / 2
 	// hopelessInterval is how often the waiting openings are checked for those that cannot
 	// be served within their limit.
 	hopelessInterval = 10 * time.Millisecond
@@ -203,7 +206,7 @@
 		wait := time.Duration(ahead[class]) * o.work(now, class) / time.Duration(max(o.slots, 1))
 		if now+wait+o.timeToAnswer(now, class)-w.begun <= class.Limit {
 			ahead[class]++
-		} else if now-w.begun < firstCopyDelay {
+		} else if now-w.begun < refusalAge {
 			hopeless = append(hopeless, w)
 		}
 	}
--- a/flow/overload_replay_test.go
+++ b/flow/overload_replay_test.go
@@ -444,7 +444,7 @@
 }
 
 // A class that requests many times what the endpoints can do must leave the others their
-// guaranteed share, and callers that cannot be served must hear so at once.
+// guaranteed share.
 func TestFloodOfOneClassLeavesOthersTheirShare(t *testing.T) {
 	kinds := slices.Clone(outageKinds)
 	kinds[1].rate *= 8
--- a/flow/resend.go
+++ b/flow/resend.go
@@ -99,7 +99,7 @@
 		known := a.flows[stored.packet.Flow]
 		placed := routing.Agents[stored.agent]
 		route := routing.Routes[stored.packet.Flow.Service]
-		if route == nil || route.Service(stored.packet.Flow) != endpoint.Service {
+		if route == nil || !route.mayPlace(stored.packet.Flow, endpoint.Service) {
 			return false // the route has moved
 		}
 		if placed == nil || placed.Service != endpoint.Service || known.agent != stored.agent || !known.matchesService(placed) {
@@ -110,7 +110,7 @@
 			d = a.place(now, stored.packet, route, endpoint.Service, known)
 		}
 		if !d.To.IsZero() {
-			resends = append(resends, Resend{Packet: stored.packet, Decision: d.withClass(routing, stored.packet.Flow), Datagram: stored.datagram})
+			resends = append(resends, Resend{Packet: stored.packet, Decision: d.withClass(now, routing, stored.packet.Flow, false), Datagram: stored.datagram})
 		}
 		return true
 	})
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -24,6 +24,8 @@
 	callers   []*simCaller
 	queue     []message
 	lossy     bool
+	// saturated is true if endpoints may be saturated, so that openings wait at agents.
+	saturated bool
 	packets   []Packet
 }
 
@@ -180,7 +182,11 @@
 	}
 	from := Address{IP: [4]byte{10, 1, 0, byte(b + 1)}, Port: 7}
 	if !d.To.IsZero() {
-		s.toAgent(d.To, p, Delivery{Balancer: from, Alternate: d.Alternate, Hops: hops})
+		delivery := Delivery{Balancer: from, Alternate: d.Alternate, Hops: hops}
+		if d.StatesClass {
+			delivery.Class = d.Class
+		}
+		s.toAgent(d.To, p, delivery)
 	}
 	for _, agent := range d.SearchAgents {
 		s.toAgent(agent, p, Delivery{Balancer: from, Search: true, Hops: hops})
@@ -206,7 +212,7 @@
 	case Deliver:
 		s.toEndpoint(a, p)
 	case ForwardToAgent:
-		s.toAgent(v.To, p, Delivery{Balancer: balancer, Hops: v.Hops})
+		s.toAgent(v.To, p, Delivery{Balancer: balancer, Hops: v.Hops, Class: v.Class})
 	case Return:
 		s.enqueue(fmt.Sprintf("%v returned by %v", p.Flow, a.address), func() {
 			s.applyDecision(b, p, s.balancers[b].Returned(s.now, p, a.address, Delivery{Hops: v.Hops, Silent: v.Reason == EndpointSilent}, s.table, s.datagram(p)), v.Hops)
@@ -379,6 +385,9 @@
 		for _, u := range a.flowTable.Tick(s.now) {
 			s.applyVerdict(a, Packet{Flow: u.Flow, Opening: true}, u.Verdict.Balancer, u.Verdict)
 		}
+		if s.saturated {
+			s.admitWaiting(a)
+		}
 		if s.draw("report", 3) > 0 {
 			s.report(a)
 		}
@@ -396,7 +405,11 @@
 			}
 		}
 	}
-	load.Report(s.now, placement.Usage{FlowsKnown: a.flowTable.FlowsKnown(s.now)})
+	usage := placement.Usage{FlowsKnown: a.flowTable.FlowsKnown(s.now)}
+	if s.saturated {
+		usage.Running = s.draw("running", 4)
+	}
+	load.Report(s.now, usage)
 	if a.flowTable.startedAt < a.endpoint.startedAt {
 		a.flowTable.ConfirmComplete()
 	}
--- a/packetbalancer/crossing.go
+++ b/packetbalancer/crossing.go
@@ -19,9 +19,14 @@
 	// outOfRoom counts the crossing flows of routes with a known class: they stay in the
 	// failure domain while it has room.
 	outOfRoom atomic.Int64
+	// overflow counts the flows that left the service that the weights of the route give.
+	overflow atomic.Int64
 }
 
 func (p *placements) count(d flow.Decision) {
+	if d.Reason == flow.Opened && d.Overflow {
+		p.overflow.Add(1)
+	}
 	switch {
 	case d.Reason != flow.Opened:
 	case !d.Crosses:
@@ -37,6 +42,7 @@
 func (p *placements) register(registry *metrics.Registry) {
 	registry.GaugeFunc("placements.own", p.own.Load)
 	registry.GaugeFunc("placements.crossing", p.crossing.Load)
+	registry.GaugeFunc("placements.overflow", p.overflow.Load)
 }
 
 // newCrossing returns the episode in which flows leave the failure domain for lack of room.
