--- a/flow/overload.go
+++ b/flow/overload.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -18,6 +19,9 @@
 	// maxClasses bounds the classes that an agent tells apart; further ones count as
 	// unknown. Operators have a few.
 	maxClasses = 16
+	// classExpiry is after how long without a delivery a class is removed if there are too
+	// many, as after changes of the desired state.
+	classExpiry = 10 * time.Second
 	// refusalAge is how old an opening may be that is refused. Its caller sends a copy after
 	// firstCopyDelay, and the opening itself may have been on its way for a part of that.
 	refusalAge = firstCopyDelay / 2
@@ -182,6 +186,9 @@
 }
 
 func (o *classOrder) delivered(now Timestamp, class Class) {
+	if len(o.classes) >= maxClasses && o.classes[class] == nil {
+		maps.DeleteFunc(o.classes, func(_ Class, u *classUse) bool { return now-u.usedAt > classExpiry })
+	}
 	u := o.use(class)
 	u.used, u.usedAt = u.usedNow(now)+max(o.work(now, class), time.Millisecond).Seconds(), now
 }
--- a/flow/overload_test.go
+++ b/flow/overload_test.go
@@ -138,4 +138,9 @@
 		agent.waiting.order.delivered(now, Class{Goal: Timestamp(i+1) * time.Millisecond, Limit: time.Minute})
 	}
 	must.LessEq(t, maxClasses+1, len(order.classes))
+	// A desired state with other goals must not be without classes for ever.
+	must.False(t, order.key(lowClass).IsKnown())
+	now += classExpiry + 1
+	order.delivered(now, lowClass)
+	must.True(t, order.key(lowClass).IsKnown())
 }
--- a/flow/split.go
+++ b/flow/split.go
@@ -1,6 +1,10 @@
 package flow
 
-import "slices"
+import (
+	"slices"
+
+	"cactustray/placement"
+)
 
 // weightOf returns the weight of a service in the route.
 func (r *Route) weightOf(service *Service) (weight uint32) {
@@ -17,23 +21,15 @@
 	return service == r.Service(key) || r.Class.IsKnown() && r.weightOf(service) > 0
 }
 
-// slots returns the slots of the service's healthy endpoints, as counted by HasFreeSlot, that
-// are free, and the slots of all.
-func (s *Service) slots(now Timestamp) (free, all int64) {
-	for _, c := range s.Candidates {
-		all += int64(c.Slots)
-		if c.HasFreeSlot(now) {
-			free += int64(c.Slots) - c.AgentLoad.Running()
-		}
-	}
-	return free, all
+// hasFreeSlot reports whether an endpoint of the service has a free slot.
+func (s *Service) hasFreeSlot(now Timestamp) bool {
+	return slices.ContainsFunc(s.Candidates, func(c *placement.Candidate) bool { return c.HasFreeSlot(now) })
 }
 
 // serviceFor returns the service at which a new flow is placed: that of the route's split,
-// unless it has no free slot and another one with a weight has. Then flows go there with a
-// probability of its free slots to the slots of the first, so that balancers with the same
-// reports do not fill it many times over. A flow that was placed before stays with its service.
-// Routes of an unknown class are split by weight alone.
+// unless no endpoint of it has a free slot and one of another service with a weight has. A flow
+// that was placed before stays with its service. Routes of an unknown class are split by
+// weight alone.
 func (a *Assignments) serviceFor(now Timestamp, route *Route, key Key, known assignment) *Service {
 	service := route.Service(key)
 	if service == nil || !route.Class.IsKnown() || len(route.Shares) < 2 {
@@ -46,15 +42,11 @@
 		}
 		return service
 	}
-	free, all := service.slots(now)
-	if free > 0 {
+	if service.hasFreeSlot(now) {
 		return service
 	}
 	for _, share := range route.Shares {
-		if share.Weight == 0 || share.Service == service {
-			continue
-		}
-		if free, _ := share.Service.slots(now); free > 0 && a.random.Float64()*float64(all) < float64(free) {
+		if share.Weight > 0 && share.Service != service && share.Service.hasFreeSlot(now) {
 			return share.Service
 		}
 	}
