Await distant agents of services that a route may have left

Cause: a distant agent does not report although it lives, so a search took it for one without power after 0.3 s, and could have reset a flow that its endpoint holds. Change: it is awaited for 1 s, and until 0.3 s after the last query. Result: TestDistantAgentOfAssumedServiceIsAwaited; all tests of flow/ pass.

--- a/flow/distant.go
+++ b/flow/distant.go
@@ -40,6 +40,12 @@
 	return e.AgentLoad.Alive(now) || e.Distant && s.queried[e.Agent] && now-s.sentAt < reportTimeout
 }
 
+// awaitsDistant reports whether a distant agent of an assumed service has had too little time to
+// answer: it has not been queried, not several times, or only just.
+func (s *search) awaitsDistant(now Timestamp, agent Address) bool {
+	return !s.queried[agent] || now-s.startedAt < agentStartTime || now-s.sentAt < assumedTimeout
+}
+
 // hasDistant reports whether the route has services with distant agents.
 func (r *Route) hasDistant() bool {
 	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service.hasDistant })
--- a/flow/distant_test.go
+++ b/flow/distant_test.go
@@ -174,3 +174,37 @@
 	}
 	service.KeepInTouch(func(*Endpoint) bool { return s.draw("in touch", 3) == 0 })
 }
+
+// A distant agent of a service that the route may have left does not report, although it lives
+// and may hold the flow: it is queried several times before the search goes on without it, as
+// without one whose machine lost power.
+func TestDistantAgentOfAssumedServiceIsAwaited(t *testing.T) {
+	routing, _ := testRoutingTable(1)
+	now := 10 * time.Second
+	assumed := &Service{Name: "drawings", Tag: 3}
+	endpoint := NewEndpoint(agentAt(100), assumed, placement.Candidate{AgentLoad: new(placement.AgentLoad)})
+	endpoint.Distant, assumed.hasDistant, assumed.Holders = true, true, []*Endpoint{endpoint}
+	routing.Agents[endpoint.Agent] = endpoint
+	routing.Routes[serviceAddress].Assumed = []*Service{assumed}
+	a := newTestAssignments()
+	packet := Packet{Flow: callerKey(1), Data: 900}
+	present := routing.Agents[agentAt(0)].AgentLoad
+	present.Report(now, placement.Usage{FlowsKnown: true})
+	must.Len(t, 1, a.FromCaller(now, packet, routing, []byte("data")).QueryAgents)
+	d := decisionOf(a.Denied(now, packet.Flow, agentAt(0), routing))
+	must.Eq(t, []Address{endpoint.Agent}, d.QueryAgents)
+	queries := 1
+	start, ended := now, time.Duration(0)
+	for ; now < start+2*time.Second && ended == 0; now += 20 * time.Millisecond {
+		present.Report(now, placement.Usage{FlowsKnown: true})
+		retried, _ := a.RetrySearches(now, routing)
+		for _, r := range retried {
+			queries += len(r.Decision.QueryAgents)
+			if r.Decision.SendReset {
+				ended = now - start
+			}
+		}
+	}
+	must.EqOp(t, distantQueries, queries)
+	must.Between(t, agentStartTime, ended, 2*time.Second)
+}
--- a/flow/search.go
+++ b/flow/search.go
@@ -296,6 +296,8 @@
 	switch {
 	case alive && load.FlowsKnown():
 		return true
+	case endpoint.Distant && s.awaitsDistant(now, endpoint.Agent):
+		return true
 	case endpoint.Introduced && !alive:
 		return true // another balancer knows it, or it is restarting
 	case endpoint.Unregistered:
