--- a/flow/search.go
+++ b/flow/search.go
@@ -299,6 +299,8 @@
 		return true
 	case !alive && routing.excludesFlows(endpoint, route):
 		return false
+	case endpoint.Distant && s.awaitsDistant(now, endpoint.Agent):
+		return true
 	case endpoint.Introduced && !alive:
 		return true // another balancer knows it, or it is restarting
 	case endpoint.Unregistered:
