Searches of many agents are sent in bulk

Cause: after a loss of power a lost flow costs a query of every agent, and a small balancer is busy with a datagram for nearly each flow and agent; once answers take longer than 200 ms, whole packets go to every agent. Change: searches of more than 24 agents, and all after 8 lost flows in a row, collect their queries; one datagram for each agent has 4 bytes a flow, and agents name only flows that they may hold (BulkQuery, BulkAnswer, Report.bulk_queries, fields 20 to 22). After n datagrams there is a pause of n ms, 100 ms at most.

--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -47,6 +47,7 @@
 type Assignments struct {
 	flows    map[Key]assignment
 	searches searches
+	bulk     bulkQueries
 	openings openings
 	lifetime time.Duration
 	random   *rand.Rand
@@ -55,7 +56,7 @@
 // NewAssignments returns an empty table; lifetime is the maximum lifetime of a flow.
 func NewAssignments(lifetime time.Duration, random *rand.Rand) *Assignments {
 	return &Assignments{
-		flows: make(map[Key]assignment), searches: newSearches(), lifetime: lifetime, random: random,
+		flows: make(map[Key]assignment), searches: newSearches(), bulk: newBulkQueries(random.Uint64()), lifetime: lifetime, random: random,
 	}
 }
 
@@ -75,6 +76,8 @@
 	SearchAgents []Address
 	QueryAgents  []Address
 	Query        Query
+	// BulkQueried is how many agents the search queries in bulk; FlushBulk returns the queries.
+	BulkQueried int
 	// Continued is true if the search has already queried or sent the packet to agents.
 	Continued bool
 	// Tag is the tag of the service whose endpoint gets the packet, or 0 if it is not
@@ -211,6 +214,9 @@
 // Found records that a flow is at an agent of the service with the tag, and returns the
 // datagrams that the agent has yet to receive.
 func (a *Assignments) Found(now Timestamp, key Key, agent Address, tag uint16) [][]byte {
+	if a.searches.flows[key] != nil {
+		a.bulk.lost = 0
+	}
 	waiting := a.searches.endAt(key, agent)
 	known := a.flows[key]
 	known.agent, known.tag, known.lastSeen, known.ended = agent, tag, now, false
--- a/flow/retry.go
+++ b/flow/retry.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		route := routing.Routes[key.Service]
-		if now < s.retryAt || route == nil || s.packet == nil {
+		if now < s.retryAt || s.bulkQueued > 0 || route == nil || s.packet == nil {
 			continue
 		}
 		s.retries++
@@ -42,12 +42,20 @@
 
 func (a *Assignments) retry(now Timestamp, key Key, s *search, route *Route, routing *RoutingTable) Decision {
 	d := Decision{Reason: Searched, Continued: true, Query: Query{Flow: key, Acknowledged: s.acknowledged}}
+	var bulk []Address
 	for _, agent := range s.remaining(route.holders) {
 		load := routing.Agents[agent].AgentLoad
 		if asked := s.queried[agent] || s.received[agent]; asked && load.Alive(now) && load.FlowsKnown() {
 			d.QueryAgents = append(d.QueryAgents, agent)
+			if load.BulkQueries() {
+				bulk = append(bulk, agent)
+			}
 		}
 	}
+	if len(bulk) > 0 && a.bulk.usesBulk(len(bulk)) {
+		s.bulkUnanswered = 0
+		return a.sendSearch(now, key, s, route, routing, bulk)
+	}
 	if len(d.QueryAgents) > 0 {
 		if !a.searches.spend(now, len(d.QueryAgents)*querySize) {
 			return Decision{Reason: SearchWaits}
--- a/flow/search.go
+++ b/flow/search.go
@@ -57,6 +57,9 @@
 	received map[Address]bool
 	// wave is the last wave of agents that was queried.
 	wave wave
+	// bulkQueued and bulkUnanswered count the agents whose bulk queries have yet to be sent and
+	// answered.
+	bulkQueued, bulkUnanswered int
 	// waiting are the packets that wait until the flow's agent is found.
 	waiting [][]byte
 }
@@ -181,7 +184,7 @@
 }
 
 // searches reports whether the decision continues a search.
-func (d Decision) searches() bool { return len(d.SearchAgents)+len(d.QueryAgents) > 0 }
+func (d Decision) searches() bool { return len(d.SearchAgents)+len(d.QueryAgents)+d.BulkQueried > 0 }
 
 // sendSearch continues a search at agents, if the rate of searches allows it. An agent that
 // knows all flows of its endpoint is queried; one that does not is sent the packet. An agent
@@ -189,23 +192,31 @@
 // are sent the packet if the caller sends it again.
 func (a *Assignments) sendSearch(now Timestamp, key Key, s *search, route *Route, routing *RoutingTable, to []Address) Decision {
 	d := Decision{Reason: Searched, Continued: s.sentAt != 0, Tag: routeTag(route), Query: Query{Flow: key, Acknowledged: s.acknowledged}}
+	var bulk []Address
 	for _, agent := range to {
 		load := routing.Agents[agent].AgentLoad
 		alive := load.Alive(now)
 		switch {
+		case alive && load.FlowsKnown() && load.BulkQueries() && a.bulk.usesBulk(len(to)):
+			bulk = append(bulk, agent)
 		case alive && load.FlowsKnown() && !s.queried[agent]:
 			d.QueryAgents = append(d.QueryAgents, agent)
 		case alive || s.transmissions > 1:
 			d.SearchAgents = append(d.SearchAgents, agent)
 		}
 	}
+	d.BulkQueried = len(bulk)
 	if !d.searches() {
 		return d
 	}
-	if !a.searches.spend(now, len(d.QueryAgents)*querySize+len(d.SearchAgents)*(len(s.packet)+searchOverhead)) {
+	if !a.searches.spend(now, len(bulk)*bulkQuerySize+len(d.QueryAgents)*querySize+len(d.SearchAgents)*(len(s.packet)+searchOverhead)) {
 		return Decision{Reason: SearchWaits}
 	}
 	s.sentAt = now
+	a.bulk.add(now, key, s, bulk)
+	for _, agent := range bulk {
+		s.queried[agent] = true
+	}
 	for _, agent := range d.QueryAgents {
 		s.queried[agent] = true
 	}
@@ -242,11 +253,18 @@
 // agents of a wave have denied it, the next wave is queried with the returned datagram;
 // once every agent has, the flow ends.
 func (a *Assignments) Denied(now Timestamp, key Key, agent Address, routing *RoutingTable) (Decision, []byte) {
-	s, route := a.searches.flows[key], routing.Routes[key.Service]
+	s := a.searches.flows[key]
 	if s == nil {
 		return Decision{Reason: NotHeld}, nil
 	}
 	s.denied[agent] = true
+	return a.continueAfterDenial(now, key, s, routing)
+}
+
+// continueAfterDenial queries the next wave once all agents of the last have denied the flow,
+// and ends the flow once every agent has.
+func (a *Assignments) continueAfterDenial(now Timestamp, key Key, s *search, routing *RoutingTable) (Decision, []byte) {
+	route := routing.Routes[key.Service]
 	if route != nil && s.wave < route.lastWave() && s.packet != nil && !s.mayAnswer(now, key, route, routing) {
 		if d := a.queryNextWave(now, key, s, route, routing); d.searches() {
 			return d, s.packet
@@ -323,6 +341,7 @@
 		return Decision{Reason: NoEndpoint}
 	}
 	a.searches.end(key)
+	a.bulk.lost++
 	a.flows[key] = assignment{ended: true, lastSeen: now}
 	return Decision{SendReset: true, Reset: Reset{Flow: key, Acknowledged: s.acknowledged}, Reason: NobodyHolds}
 }
--- a/flow/simulation_search_test.go
+++ b/flow/simulation_search_test.go
@@ -94,6 +94,7 @@
 	for _, agents := range []int{2, preferenceThreshold + 1} {
 		rapid.Check(t, func(t *rapid.T) {
 			s := newSimulation(t, agents, 2)
+			s.bulk = rapid.Bool().Draw(t, "bulk")
 			other := &Service{Name: "drawings", Tag: 3}
 			s.addAgents(other, 2)
 			s.table.Routes[serviceAddress].Former = []*Service{other}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -25,6 +25,10 @@
 	queue     []message
 	lossy     bool
 	packets   []Packet
+	// started counts the balancers that were started.
+	started uint64
+	// bulk is true if balancers query agents in bulk, as after many lost flows.
+	bulk bool
 }
 
 type simAgent struct {
@@ -77,7 +81,7 @@
 	s.addAgents(service, agents)
 	s.table.Routes[serviceAddress] = &Route{Shares: []Share{{Service: service, Weight: 1}}, Weight: 1}
 	for range balancers {
-		s.balancers = append(s.balancers, newTestAssignments())
+		s.balancers = append(s.balancers, s.newBalancer())
 	}
 	return s
 }
@@ -104,6 +108,12 @@
 	return NewAssignments(simFlowLifetime, rand.New(rand.NewPCG(1, 2)))
 }
 
+// newBalancer returns a balancer with random numbers of its own.
+func (s *simulation) newBalancer() *Assignments {
+	s.started++
+	return NewAssignments(simFlowLifetime, rand.New(rand.NewPCG(s.started, 2)))
+}
+
 func newSimEndpoint(seed uint32) *simEndpoint {
 	return &simEndpoint{
 		next: (seed + 1) << 24, halfOpen: make(map[Key]uint32), open: make(map[Key]bool), sequences: make(map[Key]uint32),
@@ -163,6 +173,9 @@
 func (s *simulation) toBalancer(p Packet) {
 	b := s.draw("balancer", len(s.balancers))
 	s.enqueue(fmt.Sprintf("%v opening=%v to balancer %d", p.Flow, p.Opening, b), func() {
+		if s.bulk {
+			s.balancers[b].bulk.lost = lostThreshold
+		}
 		s.applyDecision(b, p, s.balancers[b].FromCaller(s.now, p, s.table, s.datagram(p)), 0)
 	})
 }
@@ -188,6 +201,9 @@
 	for _, agent := range d.QueryAgents {
 		s.query(b, agent, d.Query)
 	}
+	if d.BulkQueried > 0 {
+		s.flushBulk(b)
+	}
 }
 
 func (s *simulation) toAgent(to Address, p Packet, d Delivery) {
@@ -345,7 +361,7 @@
 }
 
 func (s *simulation) restartBalancer() {
-	s.balancers[s.draw("restarted balancer", len(s.balancers))] = newTestAssignments()
+	s.balancers[s.draw("restarted balancer", len(s.balancers))] = s.newBalancer()
 }
 
 // restartAgent discards the agent's table; its endpoint continues to run.
@@ -396,7 +412,7 @@
 			}
 		}
 	}
-	load.Report(s.now, placement.Usage{FlowsKnown: a.flowTable.FlowsKnown(s.now)})
+	load.Report(s.now, placement.Usage{FlowsKnown: a.flowTable.FlowsKnown(s.now), BulkQueries: s.bulk})
 	if a.flowTable.startedAt < a.endpoint.startedAt {
 		a.flowTable.ConfirmComplete()
 	}
@@ -413,6 +429,7 @@
 // checks that the callers' flows can be reached.
 func runSimulation(t *rapid.T, agents, callers, steps int) {
 	s := newSimulation(t, agents, 2)
+	s.bulk = rapid.Bool().Draw(t, "bulk")
 	s.lossy = rapid.Bool().Draw(t, "lossy")
 	for range callers {
 		s.newCaller()
--- a/flow/wave.go
+++ b/flow/wave.go
@@ -35,6 +35,9 @@
 // queryNextWave queries the next wave that has agents left or, after the last wave, all
 // remaining agents again.
 func (a *Assignments) queryNextWave(now Timestamp, key Key, s *search, route *Route, routing *RoutingTable) Decision {
+	if s.wave == 0 && a.bulk.flowsAreLost() {
+		s.wave = route.lastWave()
+	}
 	for s.wave < route.lastWave() {
 		next := s.wave + 1
 		d := a.sendSearch(now, key, s, route, routing, s.remainingIn(next, key, route))
--- a/flow/wire/query.go
+++ b/flow/wire/query.go
@@ -51,3 +51,26 @@
 	}
 	return queries
 }
+
+const fingerprintSize = 4
+
+// BulkQuery asks an agent which of many flows its endpoint may hold, at most flow.MaxBulk.
+type BulkQuery flow.BulkQuery
+
+// BulkAnswer is an agent's answer to BulkQuery.
+type BulkAnswer flow.BulkAnswer
+
+func appendFingerprints(b []byte, fingerprints []flow.Fingerprint) []byte {
+	for _, f := range fingerprints {
+		b = binary.BigEndian.AppendUint32(b, uint32(f))
+	}
+	return b
+}
+
+func decodeFingerprints(b []byte) []flow.Fingerprint {
+	var fingerprints []flow.Fingerprint
+	for ; len(b) >= fingerprintSize; b = b[fingerprintSize:] {
+		fingerprints = append(fingerprints, flow.Fingerprint(binary.BigEndian.Uint32(b)))
+	}
+	return fingerprints
+}
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -220,6 +220,12 @@
 	case Answers:
 		answers := &flowpb.Answers{Held: appendKeys(nil, m.Held), Denied: appendKeys(nil, m.Denied), Unsure: appendKeys(nil, m.Unsure)}
 		return &flowpb.Notice{Kind: &flowpb.Notice_Answers{Answers: answers}}
+	case BulkQuery:
+		query := &flowpb.BulkQuery{Id: m.ID, Fingerprints: appendFingerprints(nil, m.Fingerprints)}
+		return &flowpb.Notice{Kind: &flowpb.Notice_BulkQuery{BulkQuery: query}}
+	case BulkAnswer:
+		answer := &flowpb.BulkAnswer{Id: m.ID, Complete: m.Complete, Held: appendKeys(nil, m.Held), Unsure: appendFingerprints(nil, m.Unsure)}
+		return &flowpb.Notice{Kind: &flowpb.Notice_BulkAnswer{BulkAnswer: answer}}
 	case DirectoryAnnouncement:
 		news := &flowpb.News{
 			Era: uint64(m.Era), Revision: uint64(m.Revision), Digest: m.Digest,
@@ -262,7 +268,7 @@
 		AnswerUs:   uint32(min(m.ProcessingTime.Microseconds(), math.MaxUint32)),
 		IntervalMs: uint32(m.Interval.Milliseconds()), FlowsKnown: m.FlowsKnown,
 		BalancersKnownMs: uint32(min(m.BalancersKnown.Milliseconds(), math.MaxUint32)), ReadsClass: m.ReadsClass,
-		RoutesStated: m.RoutesStated,
+		RoutesStated: m.RoutesStated, BulkQueries: m.BulkQueries,
 	}
 	for _, b := range m.Balancers[:min(len(m.Balancers), maxBalancers)] {
 		r.Balancers = appendAddress(r.Balancers, b)
@@ -316,6 +322,13 @@
 	case *flowpb.Notice_Answers:
 		a := kind.Answers
 		return Answers{Held: decodeKeys(a.GetHeld()), Denied: decodeKeys(a.GetDenied()), Unsure: decodeKeys(a.GetUnsure())}, nil
+	case *flowpb.Notice_BulkQuery:
+		return BulkQuery{ID: kind.BulkQuery.GetId(), Fingerprints: decodeFingerprints(kind.BulkQuery.GetFingerprints())}, nil
+	case *flowpb.Notice_BulkAnswer:
+		a := kind.BulkAnswer
+		return BulkAnswer{
+			ID: a.GetId(), Complete: a.GetComplete(), Held: decodeKeys(a.GetHeld()), Unsure: decodeFingerprints(a.GetUnsure()),
+		}, nil
 	case *flowpb.Notice_News:
 		news, err := decodeNews(kind.News)
 		if err != nil {
@@ -344,7 +357,7 @@
 		Silent: r.GetSilent(), Leaving: r.GetLeaving(), Failing: float64(r.GetFailingMilli()) / 1000,
 		ProcessingTime: time.Duration(r.GetAnswerUs()) * time.Microsecond,
 		Interval:       time.Duration(r.GetIntervalMs()) * time.Millisecond,
-		FlowsKnown:     r.GetFlowsKnown(),
+		FlowsKnown:     r.GetFlowsKnown(), BulkQueries: r.GetBulkQueries(),
 	}, BalancersKnown: time.Duration(r.GetBalancersKnownMs()) * time.Millisecond, ReadsClass: r.GetReadsClass(), RoutesStated: r.GetRoutesStated()}
 	for b := r.GetBalancers(); len(b) >= addressSize; b = b[addressSize:] {
 		m.Balancers = append(m.Balancers, decodeAddress(b))
--- a/flow/wire/wire_test.go
+++ b/flow/wire/wire_test.go
@@ -23,6 +23,10 @@
 func TestMessagesRoundTrip(t *testing.T) {
 	for _, m := range []Message{
 		Hello{Slots: 4}, Hello{Leaving: true}, Hello{Slots: 2, EndpointStart: 1770858438937, Clock: 1770858439000},
+		BulkQuery{ID: 1<<63 + 5, Fingerprints: []flow.Fingerprint{1, 1 << 31}},
+		BulkAnswer{ID: 7, Complete: true, Held: []flow.Key{{Caller: caller, Service: service}}, Unsure: []flow.Fingerprint{9}},
+		BulkAnswer{ID: 8},
+		Report{Usage: placement.Usage{FlowsKnown: true, BulkQueries: true}},
 		Report{Usage: placement.Usage{FlowsKnown: true}},
 		Queries{Flows: []flow.Query{{Flow: key, Acknowledged: 1 << 31}, {Flow: flow.Key{Caller: service, Service: caller}}}},
 		Answers{Held: []flow.Key{key}, Unsure: []flow.Key{key, key}}, Answers{Denied: []flow.Key{key}},
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -174,7 +174,7 @@
 		Flows: usage.Flows, Running: usage.Running + usage.Waiting, Mean: s.meanRunning(now, usage), Failing: usage.Failing,
 		ProcessingTime: usage.ProcessingTime,
 		Interval:       s.reportInterval(), Silent: usage.Silent, Leaving: s.leaving,
-		FlowsKnown: s.traffic.flowsKnown(),
+		FlowsKnown: s.traffic.flowsKnown(), BulkQueries: true,
 	}}
 	if s.firstHello != 0 {
 		report.BalancersKnown = now - s.firstHello
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -141,6 +141,9 @@
 		f.loop.Offer(helloReceived{Hello: m, balancer: flow.AddressOf(from)})
 	case wire.Queries:
 		f.answer(m, from)
+	case wire.BulkQuery:
+		answer := withFlows(f, func(t *flow.AgentTable) flow.BulkAnswer { return t.BulkQuery(clock.Now(), flow.BulkQuery(m)) })
+		f.counters.Send(f.peers, wire.Encode(wire.BulkAnswer(answer)), from)
 	}
 }
 
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -32,6 +32,7 @@
 	EventHistoryLost        = event.Define(3115, logrus.WarnLevel, "route history was lost")
 	EventOutlived           = event.Define(3116, logrus.WarnLevel, "agents outlived all balancers")
 	EventIntroduced         = event.Define(3117, logrus.InfoLevel, "agent of an unknown endpoint reported")
+	EventManyLost           = event.Define(3140, logrus.InfoLevel, "many flows are lost")
 	EventPaused             = event.Define(3107, logrus.WarnLevel, "packet balancer was paused")
 	EventFlowPlaced         = event.Define(3201, logrus.InfoLevel, "flow placed")
 	EventFlowSearched       = event.Define(3203, logrus.InfoLevel, "flow search sent to agents")
@@ -48,7 +49,7 @@
 		e = EventFlowEnded
 	case d.Reason == flow.Opened:
 		e = EventFlowPlaced
-	case len(d.SearchAgents)+len(d.QueryAgents) > 0 && !d.Continued:
+	case len(d.SearchAgents)+len(d.QueryAgents)+d.BulkQueried > 0 && !d.Continued:
 		e = EventFlowSearched
 	case d.Reason == flow.NoEndpoint || d.Reason == flow.UnknownAddress:
 		e = EventFlowUnplaced
--- a/packetbalancer/peers.go
+++ b/packetbalancer/peers.go
@@ -86,6 +86,8 @@
 		f.flowDenied(now, m.Flow, sender)
 	case wire.Answers:
 		f.answersReceived(now, m, sender)
+	case wire.BulkAnswer:
+		f.bulkAnswered(now, flow.BulkAnswer(m), sender)
 	case wire.DirectoryAnnouncement:
 		f.loop.Offer(announcementReceived{DirectoryAnnouncement: m, from: sender})
 	}
@@ -129,7 +131,7 @@
 
 // continueSearch carries out a decision on a search, if there is anything to do.
 func (f *forwarder) continueSearch(key flow.Key, c continued) {
-	if c.SendReset || len(c.SearchAgents)+len(c.QueryAgents) > 0 {
+	if c.Continues() {
 		f.execute(key, c.Decision, append(make([]byte, wire.EnvelopeSize), c.datagram...), 0)
 	}
 }
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -40,8 +40,12 @@
 	queries    *queryBatches
 	// retryScheduled is true while a timer runs for retrySearches.
 	retryScheduled atomic.Bool
-	loop           *control.Loop
-	log            *event.Log
+	// bulkScheduled is true while a timer runs for sendBulk.
+	bulkScheduled atomic.Bool
+	// manyLostLogged is when EventManyLost was last logged, or 0.
+	manyLostLogged atomic.Int64
+	loop          *control.Loop
+	log           *event.Log
 
 	mu          sync.Mutex
 	assignments *flow.Assignments
@@ -163,6 +167,9 @@
 	for _, agent := range d.QueryAgents {
 		f.queries.add(agent, d.Query)
 	}
+	if d.BulkQueried > 0 {
+		f.scheduleBulk()
+	}
 	if d.Reason == flow.Searched || d.Reason == flow.SearchWaits {
 		f.scheduleRetry()
 	}
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -66,6 +66,7 @@
 	silent         atomic.Bool
 	leaving        atomic.Bool
 	flowsKnown     atomic.Bool
+	bulkQueries    atomic.Bool
 	// placed is the number of flows placed here since the last report.
 	placed atomic.Int64
 }
@@ -89,6 +90,8 @@
 	Leaving bool
 	// FlowsKnown is true if the agent knows every flow that its endpoint holds.
 	FlowsKnown bool
+	// BulkQueries is true if the agent answers bulk queries.
+	BulkQueries bool
 }
 
 // Report stores an agent's report, received at now. Intervals below ReportInterval
@@ -102,6 +105,7 @@
 	l.silent.Store(u.Silent)
 	l.leaving.Store(u.Leaving)
 	l.flowsKnown.Store(u.FlowsKnown)
+	l.bulkQueries.Store(u.BulkQueries)
 	l.placed.Store(0)
 	l.interval.Store(int64(max(u.Interval, ReportInterval)))
 	l.reportedAt.Store(int64(max(now, 1)))
@@ -134,6 +138,9 @@
 // last report.
 func (l *AgentLoad) FlowsKnown() bool { return l.flowsKnown.Load() }
 
+// BulkQueries reports whether the agent answers bulk queries, by its last report.
+func (l *AgentLoad) BulkQueries() bool { return l.bulkQueries.Load() }
+
 // Candidate is an endpoint that may get a new flow.
 type Candidate struct {
 	AgentLoad *AgentLoad
