--- a/flow/retry.go
+++ b/flow/retry.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		route := routing.Routes[key.Service]
-		if now < s.retryAt || route == nil || s.packet == nil {
+		if now < s.retryAt || s.bulkQueued > 0 || route == nil || s.packet == nil {
 			continue
 		}
 		s.retries++
@@ -42,13 +42,23 @@
 
 func (a *Assignments) retry(now Timestamp, key Key, s *search, route *Route, routing *RoutingTable) Decision {
 	d := Decision{Reason: Searched, Continued: true, Query: Query{Flow: key, Acknowledged: s.acknowledged}}
+	var bulk []Address
 	for _, agent := range s.remaining(route.holders) {
 		endpoint := routing.Agents[agent]
-		knows := endpoint.AgentLoad.Alive(now) && endpoint.AgentLoad.FlowsKnown() || s.queriesDistant(endpoint)
+		load := endpoint.AgentLoad
+		reports := load.Alive(now) && load.FlowsKnown()
+		knows := reports || s.queriesDistant(endpoint)
 		if asked := s.queried[agent] || s.received[agent]; asked && knows {
 			d.QueryAgents = append(d.QueryAgents, agent)
+			if reports && load.BulkQueries() {
+				bulk = append(bulk, agent)
+			}
 		}
 	}
+	if len(bulk) > 0 && a.bulk.usesBulk(len(bulk)) {
+		s.bulkUnanswered = 0
+		return a.sendSearch(now, key, s, route, routing, bulk)
+	}
 	if len(d.QueryAgents) > 0 {
 		if !a.searches.spend(now, len(d.QueryAgents)*querySize) {
 			return Decision{Reason: SearchWaits}
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -37,6 +37,7 @@
 	EventEvacuationUnknown  = event.Define(3122, logrus.WarnLevel, "order to evacuate an unknown failure domain")
 	EventContactWidth       = event.Define(3130, logrus.InfoLevel, "another number of agents of other failure domains in touch")
 	EventContactInterval    = event.Define(3131, logrus.InfoLevel, "another interval of reports requested of other failure domains")
+	EventManyLost           = event.Define(3140, logrus.InfoLevel, "many flows are lost")
 	EventPaused             = event.Define(3107, logrus.WarnLevel, "packet balancer was paused")
 	EventFlowPlaced         = event.Define(3201, logrus.InfoLevel, "flow placed")
 	EventFlowSearched       = event.Define(3203, logrus.InfoLevel, "flow search sent to agents")
@@ -55,7 +56,7 @@
 		e = EventFlowEnded
 	case d.Reason == flow.Opened:
 		e = EventFlowPlaced
-	case len(d.SearchAgents)+len(d.QueryAgents) > 0 && !d.Continued:
+	case len(d.SearchAgents)+len(d.QueryAgents)+d.BulkQueried > 0 && !d.Continued:
 		e = EventFlowSearched
 	case d.Reason == flow.NoEndpoint || d.Reason == flow.UnknownAddress:
 		e = EventFlowUnplaced
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -67,6 +67,7 @@
 	leaving        atomic.Bool
 	flowsKnown     atomic.Bool
 	readsClass     atomic.Bool
+	bulkQueries    atomic.Bool
 	// placed is the number of flows placed here since the last report.
 	placed atomic.Int64
 	pace   pace
@@ -91,6 +92,8 @@
 	Leaving bool
 	// FlowsKnown is true if the agent knows every flow that its endpoint holds.
 	FlowsKnown bool
+	// BulkQueries is true if the agent answers bulk queries.
+	BulkQueries bool
 }
 
 // Report stores an agent's report, received at now. Intervals below ReportInterval
@@ -104,6 +107,7 @@
 	l.silent.Store(u.Silent)
 	l.leaving.Store(u.Leaving)
 	l.flowsKnown.Store(u.FlowsKnown)
+	l.bulkQueries.Store(u.BulkQueries)
 	l.placed.Store(0)
 	l.interval.Store(int64(max(u.Interval, ReportInterval)))
 	l.reportedAt.Store(int64(max(now, 1)))
@@ -146,6 +150,9 @@
 // ReadsClass reports whether the agent reads the classes of opening packets.
 func (l *AgentLoad) ReadsClass() bool { return l.readsClass.Load() }
 
+// BulkQueries reports whether the agent answers bulk queries, by its last report.
+func (l *AgentLoad) BulkQueries() bool { return l.bulkQueries.Load() }
+
 // Candidate is an endpoint that may get a new flow.
 type Candidate struct {
 	AgentLoad *AgentLoad
