Agents that are not certain of a flow get no further bulk queries

Cause: an agent that was restarted since its last report answers a bulk query as incomplete and the separate query as unsure; the packet for its endpoint was then replaced by another bulk query, and so on until its next report. Change: a search queries such an agent by key, then sends it the packet.

--- a/flow/bulk.go
+++ b/flow/bulk.go
@@ -194,6 +194,15 @@
 	return datagrams
 }
 
+// querySeparately records that bulk queries do not show whether the agent holds the flow: repeating
+// them would go on without end while its last report says that it knows all flows.
+func (s *search) querySeparately(agent Address) {
+	if s.separate == nil {
+		s.separate = make(map[Address]bool)
+	}
+	s.separate[agent] = true
+}
+
 // bulkSent records that a bulk query with the search's flow is sent.
 func (s *search) bulkSent(now Timestamp) {
 	s.bulkQueued--
@@ -225,6 +234,7 @@
 		case slices.Contains(answer.Held, f.key):
 			held = append(held, f.key)
 		case !answer.Complete || mayHold[f.key.Fingerprint()]:
+			f.search.querySeparately(agent)
 			query := Query{Flow: f.key, Acknowledged: f.search.acknowledged}
 			d := Decision{Reason: Searched, Continued: true, QueryAgents: []Address{agent}, Query: query}
 			next = append(next, f.resend(d))
--- a/flow/bulk_test.go
+++ b/flow/bulk_test.go
@@ -83,6 +83,11 @@
 			must.Len(t, 1, next)
 			must.Eq(t, []Address{datagrams[0].Agent}, next[0].Decision.QueryAgents)
 			must.MapEmpty(t, a.searches.flows[key].denied)
+			// An agent that was restarted since its last report gets the packet, not another query.
+			d, datagram := a.Unsure(now, key, datagrams[0].Agent, routing)
+			must.EqOp(t, 0, d.BulkQueried)
+			must.Eq(t, []Address{datagrams[0].Agent}, d.SearchAgents)
+			must.EqOp(t, "data", string(datagram))
 		})
 	}
 }
--- a/flow/retry.go
+++ b/flow/retry.go
@@ -47,7 +47,7 @@
 		load := routing.Agents[agent].AgentLoad
 		if asked := s.queried[agent] || s.received[agent]; asked && load.Alive(now) && load.FlowsKnown() {
 			d.QueryAgents = append(d.QueryAgents, agent)
-			if load.BulkQueries() {
+			if load.BulkQueries() && !s.separate[agent] {
 				bulk = append(bulk, agent)
 			}
 		}
--- a/flow/search.go
+++ b/flow/search.go
@@ -60,6 +60,8 @@
 	// bulkQueued and bulkUnanswered count the agents whose bulk queries have yet to be sent and
 	// answered.
 	bulkQueued, bulkUnanswered int
+	// separate are the agents that are certain of the flow only by its key or its packet.
+	separate map[Address]bool
 	// waiting are the packets that wait until the flow's agent is found.
 	waiting [][]byte
 }
@@ -197,7 +199,7 @@
 		load := routing.Agents[agent].AgentLoad
 		alive := load.Alive(now)
 		switch {
-		case alive && load.FlowsKnown() && load.BulkQueries() && a.bulk.usesBulk(len(to)):
+		case alive && load.FlowsKnown() && load.BulkQueries() && !s.separate[agent] && a.bulk.usesBulk(len(to)):
 			bulk = append(bulk, agent)
 		case alive && load.FlowsKnown() && !s.queried[agent]:
 			d.QueryAgents = append(d.QueryAgents, agent)
@@ -280,6 +282,7 @@
 	if s == nil || route == nil || s.packet == nil || routing.Agents[agent] == nil || !s.queried[agent] {
 		return Decision{Reason: NotHeld}, nil
 	}
+	s.querySeparately(agent)
 	return a.sendSearch(now, key, s, route, routing, []Address{agent}), s.packet
 }
 
