Merge: agents that are not certain of a flow get no further bulk queries

Cause: distant agents and bulk queries both note which agents answered unsure. Change: both notes stand. Result: tests of flow, placement, packetbalancer, packetagent, contact, directory, platform and settings pass.

--- a/flow/retry.go
+++ b/flow/retry.go
@@ -50,7 +50,7 @@
 		knows := reports || s.queriesDistant(endpoint)
 		if asked := s.queried[agent] || s.received[agent]; asked && knows {
 			d.QueryAgents = append(d.QueryAgents, agent)
-			if reports && load.BulkQueries() {
+			if reports && load.BulkQueries() && !s.separate[agent] {
 				bulk = append(bulk, agent)
 			}
 		}
