--- a/hedging/replay_test.go
+++ b/hedging/replay_test.go
@@ -105,6 +105,26 @@
 	return last
 }
 
+// clockwork applies events in the order of virtual time.
+type clockwork struct {
+	now    time.Time
+	events simEvents
+	order  int
+}
+
+func (c *clockwork) after(d time.Duration, apply func()) {
+	c.order++
+	heap.Push(&c.events, simEvent{at: c.now.Add(d), order: c.order, apply: apply})
+}
+
+func (c *clockwork) run(until time.Time) {
+	for c.now.Before(until) {
+		e := heap.Pop(&c.events).(simEvent)
+		c.now = e.at
+		e.apply()
+	}
+}
+
 type simEndpoint struct {
 	state    *State
 	snapshot *Snapshot
@@ -116,12 +136,10 @@
 // endpoints; queued ones go to any endpoint with a free slot, as the slot exchange of
 // package admission arranges.
 type replay struct {
+	clockwork
 	load      load
 	policy    policy
 	random    *rand.Rand
-	now       time.Time
-	events    simEvents
-	order     int
 	endpoints [replayEndpoints]*simEndpoint
 	latencies []time.Duration
 	// useful and wasted are the slot times of winners and of other copies.
@@ -144,13 +162,8 @@
 
 var replayStart = time.Unix(1_000_000, 0)
 
-func (r *replay) after(d time.Duration, apply func()) {
-	r.order++
-	heap.Push(&r.events, simEvent{at: r.now.Add(d), order: r.order, apply: apply})
-}
-
 func runReplay(l load, p policy, settings Settings) *replay {
-	r := &replay{load: l, policy: p, random: rand.New(rand.NewPCG(2, 2)), now: replayStart}
+	r := &replay{load: l, policy: p, random: rand.New(rand.NewPCG(2, 2)), clockwork: clockwork{now: replayStart}}
 	for i := range r.endpoints {
 		r.endpoints[i] = &simEndpoint{state: NewState(settings), free: replaySlots}
 	}
@@ -169,11 +182,7 @@
 		r.after(100*time.Millisecond, tick)
 	}
 	r.after(0, tick)
-	for r.now.Before(replayStart.Add(replayTime)) {
-		e := heap.Pop(&r.events).(simEvent)
-		r.now = e.at
-		e.apply()
-	}
+	r.run(replayStart.Add(replayTime))
 	slices.Sort(r.latencies)
 	return r
 }
