Request hedging between agents: second copies, their budget and settings

Cause: a straggler of a backend server delays its caller although other endpoints have free slots. Change: the agent that received an idempotent request without a key offers a second copy to a peer of another failure domain once the answer has not begun within the 0.95 quantile of its class. The peer runs it at once or refuses it, within hedge_percent and hedge_free_percent of its settings. Answers are held back (up to 64 KiB) while the other copy may still answer; the loser is cancelled and its slot freed. A request whose earlier attempt lost its answer is no longer reported as not run if the deadline passes before the next attempt is sent. Off by default.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -59,11 +59,13 @@
 	// NoRetry: the answer was lost and the request must not run again. It may
 	// have run.
 	NoRetry
+	// NoCopy: the request is a second copy, and no slot is free for it.
+	NoCopy
 )
 
 var refusalNames = [...]string{
 	"none", "queue_full", "deadline_passed", "draining", "cancelled",
-	"too_many_feeds", "reservation_expired", "no_retry",
+	"too_many_feeds", "reservation_expired", "no_retry", "no_copy",
 }
 
 func (r Refusal) String() string { return refusalNames[r] }
@@ -81,6 +83,8 @@
 	// Idempotent is true if the request may run again after its answer was
 	// lost.
 	Idempotent bool
+	// Copy is true for the second copy of a request that another agent owns.
+	Copy bool
 }
 
 // Decision is the decision on one request. If Refusal is not None, the request
--- a/admission/frontend/frontend.go
+++ b/admission/frontend/frontend.go
@@ -14,6 +14,7 @@
 
 	"cactustray/admission"
 	"cactustray/control"
+	"cactustray/hedging"
 	"cactustray/ticket"
 )
 
@@ -67,6 +68,10 @@
 	Client   *http.Client
 	// Peers is the client for the other agents of the service.
 	Peers *http.Client
+	// Hedging holds what is needed to offer second copies.
+	Hedging *atomic.Pointer[hedging.Snapshot]
+	// Copies counts the second copies that this agent offers.
+	Copies CopyCounters
 
 	nextID atomic.Uint64
 }
--- /dev/null
+++ b/admission/frontend/hedge.go
@@ -0,0 +1,261 @@
+package frontend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"cactustray/admission"
+	"cactustray/hedging"
+	"cactustray/ticket"
+	"cactustray/trace"
+)
+
+// heldSize is how much of an answer is held back while the other copy may still answer, in
+// bytes.
+const heldSize = 64 << 10
+
+// CopyCounters counts the second copies that an agent offers.
+type CopyCounters struct {
+	// Offered are the offers to peers, Won the copies whose answer a caller got.
+	Offered atomic.Int64
+	Won     atomic.Int64
+	// CancelledLate are the copies, first or second, whose answer had begun when they were
+	// cancelled, so that their work was in vain.
+	CancelledLate atomic.Int64
+}
+
+// classOf returns the class of a request: its method and the first segment of its path.
+func classOf(r *http.Request) hedging.Class {
+	segment, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return hedging.Class(r.Method + " /" + segment)
+}
+
+// mayHaveCopies reports whether two copies of a request may run: it is idempotent, a job,
+// has no key, and its whole body can be sent twice.
+func mayHaveCopies(tk *ticket.Ticket, r *http.Request) bool {
+	return isIdempotent(tk, r) && !tk.IsFeed(r.URL.Path) && r.Header.Get(KeyHeader) == "" &&
+		r.ContentLength >= 0 && r.ContentLength <= replayLimit
+}
+
+// hedgeDelay returns how long the first copy may wait for its answer before a second is
+// offered. ok is false if the request gets no second copy. Only the agent that received the
+// request from its caller offers one.
+func (j *job) hedgeDelay() (delay time.Duration, ok bool) {
+	if j.request.Copy || j.request.Reservation != 0 || !mayHaveCopies(j.tk, j.in) {
+		return 0, false
+	}
+	return j.h.snapshot().Delay(classOf(j.in), time.Until(j.request.Deadline))
+}
+
+func (h *Handler) snapshot() *hedging.Snapshot {
+	if h.Hedging == nil {
+		return nil
+	}
+	return h.Hedging.Load()
+}
+
+// isRefusal reports whether an answer is a refusal or failure of the backend server.
+func isRefusal(response *http.Response) bool {
+	return response.StatusCode >= http.StatusInternalServerError || response.StatusCode == http.StatusTooManyRequests
+}
+
+// reportAnswer reports how long the backend server took to answer an ordinary request.
+func (j *job) reportAnswer(response *http.Response, took time.Duration) {
+	if j.request.Copy || j.request.Kind != admission.Job || isRefusal(response) || j.h.snapshot() == nil {
+		return
+	}
+	j.h.Loop.Offer(hedging.Answered{Class: classOf(j.in), Took: took})
+}
+
+// held is the answer of a copy as far as it was read, or its failure.
+type held struct {
+	copy   hedging.Copy
+	ending hedging.Ending
+	opened
+}
+
+// hold reads the answer of a copy, as far as it is held back.
+func hold(c hedging.Copy, o opened) held {
+	h := held{copy: c, opened: o}
+	if o.response == nil {
+		h.ending = endingOf(o.failed)
+		return h
+	}
+	read, err := io.ReadAll(io.LimitReader(o.response.Body, heldSize+1))
+	switch {
+	case err == nil && len(read) > heldSize:
+		h.ending = hedging.Long
+	case err != nil || !isFramed(o.response):
+		h.ending = hedging.Lost
+		h.opened = opened{failed: result{outcome: unknown, detail: "answer broken off"}}
+		_ = o.response.Body.Close()
+		return h
+	case isRefusal(o.response):
+		h.ending = hedging.Refused
+	default:
+		h.ending = hedging.Whole
+	}
+	o.response.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(read), o.response.Body), o.response.Body}
+	return h
+}
+
+func endingOf(failed result) hedging.Ending {
+	if failed.outcome == notRun {
+		return hedging.NotRun
+	}
+	return hedging.Lost
+}
+
+// attemptHedged sends the request once as decided, and a second copy to a peer if the
+// answer does not begin within the delay.
+func (j *job) attemptHedged(ctx context.Context, d admission.Decision, delay time.Duration) result {
+	firstContext, cancel := context.WithCancel(ctx)
+	defer cancel()
+	began := make(chan opened, 1)
+	go func() { began <- j.open(firstContext, d) }()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case o := <-began:
+		return j.answer(o)
+	case <-timer.C:
+		return j.race(ctx, d, began, cancel)
+	}
+}
+
+// race sends a second copy and returns the result of the copy that wins. Answers are held
+// back while the other copy may still answer.
+func (j *job) race(ctx context.Context, d admission.Decision, began <-chan opened, cancelFirst context.CancelFunc) result {
+	secondContext, cancelSecond := context.WithCancel(ctx)
+	defer cancelSecond()
+	var firstBegan, secondBegan atomic.Bool
+	ended := make(chan held, 2)
+	second := make(chan held, 1)
+	go func() { second <- hold(hedging.Second, j.openSecond(secondContext, d, &secondBegan)) }()
+	var race hedging.Race
+	var copies [2]held
+	select {
+	case s := <-second:
+		if s.response == nil {
+			j.answerLost = j.answerLost || s.ending == hedging.Lost
+			return j.answer(<-began) // no other answer can come: nothing is held back
+		}
+		ended <- s
+	case o := <-began:
+		firstBegan.Store(o.response != nil)
+		go func() { ended <- hold(hedging.First, o) }()
+		began = nil
+	}
+	for {
+		var h held
+		select {
+		case h = <-ended:
+		case h = <-second:
+		case o := <-began:
+			firstBegan.Store(o.response != nil)
+			go func() { ended <- hold(hedging.First, o) }()
+			began = nil
+			continue
+		}
+		copies[h.copy] = h
+		winner, decided := race.End(h.copy, h.ending)
+		if !decided {
+			continue
+		}
+		switch {
+		case copies[winner].response == nil: // both have failed; the request may run again
+			j.answerLost = j.answerLost || race.Ended(hedging.Second) == hedging.Lost
+			return copies[hedging.First].failed
+		case winner == hedging.First:
+			cancelSecond()
+			j.h.countLate(secondBegan.Load())
+		default:
+			cancelFirst()
+			j.finish(result{}) // frees the slot of the first copy
+			j.h.countLate(firstBegan.Load())
+			j.h.Copies.Won.Add(1)
+		}
+		return j.answer(copies[winner].opened)
+	}
+}
+
+func (h *Handler) countLate(began bool) {
+	if began {
+		h.Copies.CancelledLate.Add(1)
+	}
+}
+
+// openSecond offers the second copy of a request to peers, one after the other until one
+// admits it, and returns the begin of the answer.
+func (j *job) openSecond(ctx context.Context, d admission.Decision, began *atomic.Bool) opened {
+	first := d.Peer
+	self := ticket.EndpointKeyOf(j.tk.Service, j.h.Endpoint)
+	tried := []ticket.EndpointKey{self}
+	if first == 0 {
+		first = self
+	}
+	failed := result{outcome: notRun, detail: "no peer for a second copy"}
+	for range hedging.MaxOffers {
+		peer, ok := j.h.snapshot().Choose(first, zoneOf(j.tk, first), tried, rand.Uint64())
+		if !ok || ctx.Err() != nil {
+			break
+		}
+		tried = append(tried, peer.Key)
+		o := j.offer(ctx, peer.Key)
+		if o.response != nil {
+			began.Store(true)
+			return o
+		}
+		failed = o.failed
+		if failed.outcome != notRun {
+			break
+		}
+	}
+	return opened{failed: failed}
+}
+
+// offer sends a second copy to a peer, which refuses it at once or runs it.
+func (j *job) offer(ctx context.Context, peer ticket.EndpointKey) opened {
+	address, ok := j.h.addressOf(peer)
+	if !ok {
+		return opened{failed: result{outcome: notRun, detail: "peer not known"}}
+	}
+	ctx, span := trace.Start(ctx, "agent.copy")
+	defer span.End()
+	j.h.Copies.Offered.Add(1)
+	response, failed := forward(j.outboundRequest(ctx), j.h.Peers, address, CopyPrefix)
+	message := hedging.Offered{Peer: peer, Class: classOf(j.in), Verdict: hedging.NoRoom}
+	if response != nil {
+		message.Verdict, message.Delay = takeAdmission(response.Header)
+	}
+	if ctx.Err() == nil { // a cancelled copy says nothing about the peer
+		j.h.Loop.Offer(message)
+	}
+	if response == nil {
+		return opened{failed: failed}
+	}
+	if message.Verdict != hedging.Admitted {
+		_ = response.Body.Close()
+		return opened{failed: result{outcome: notRun, detail: "second copy refused by a peer"}}
+	}
+	return checkOutcome(response)
+}
+
+// zoneOf returns the failure domain of an endpoint, or "" if the ticket does not list it.
+func zoneOf(tk *ticket.Ticket, key ticket.EndpointKey) string {
+	for _, e := range tk.Endpoints {
+		if ticket.EndpointKeyOf(tk.Service, e.Name) == key {
+			return e.Zone
+		}
+	}
+	return ""
+}
--- a/admission/frontend/job.go
+++ b/admission/frontend/job.go
@@ -50,6 +50,9 @@
 		retryMessage := j.retryMessage(ctx, r, decision)
 		if retryMessage == nil {
 			j.finish(r)
+			if r.outcome == notRun && j.answerLost {
+				r.outcome = unknown
+			}
 			return r
 		}
 		decision, err = j.awaitDecision(ctx, retryMessage)
@@ -103,38 +106,69 @@
 	if ctx.Err() != nil {
 		return result{outcome: notRun, detail: admission.DeadlinePassed.String()}
 	}
+	ctx, span := trace.Start(ctx, spanOf(d))
+	defer span.End()
+	if delay, ok := j.hedgeDelay(); ok {
+		return j.attemptHedged(ctx, d, delay)
+	}
+	return j.answer(j.open(ctx, d))
+}
+
+func spanOf(d admission.Decision) string {
+	if d.Peer == 0 {
+		return "agent.backend"
+	}
+	return "agent.hand_over"
+}
+
+// opened is the begin of an answer, or the outcome of an attempt that got none.
+type opened struct {
+	response *http.Response
+	failed   result
+}
+
+// open sends the request once and returns the begin of the answer.
+func (j *job) open(ctx context.Context, d admission.Decision) opened {
 	if d.Peer == 0 {
-		return j.runOnBackend(ctx)
+		return j.openBackend(ctx)
 	}
 	address, ok := j.h.addressOf(d.Peer)
 	if !ok {
-		return result{outcome: notRun, detail: "peer not known"}
+		return opened{failed: result{outcome: notRun, detail: "peer not known"}}
 	}
-	ctx, span := trace.Start(ctx, "agent.hand_over")
-	defer span.End()
 	out := j.outboundRequest(ctx)
 	out.Header.Set(reservationHeader, strconv.FormatUint(uint64(d.Reservation), 10))
-	return j.forwardToPeer(out, address)
+	return j.openPeer(out, address)
 }
 
-// runOnBackend sends the request to the backend server once.
-func (j *job) runOnBackend(ctx context.Context) result {
-	ctx, span := trace.Start(ctx, "agent.backend")
-	defer span.End()
+// answer copies an answer to the caller.
+func (j *job) answer(o opened) result {
+	if o.response == nil {
+		return o.failed
+	}
+	defer o.response.Body.Close()
+	return result{outcome: copyResponse(j.out, o.response)}
+}
+
+// openBackend sends the request to the backend server once.
+func (j *job) openBackend(ctx context.Context) opened {
 	out := j.outboundRequest(ctx)
 	trace.ToBackend(ctx, out.Header)
 	out.URL.Scheme = "http"
 	out.URL.Host = j.h.Backend.String()
+	started := time.Now()
 	response, sent, err := send(j.h.Client, out)
 	if err != nil && !sent {
-		return result{outcome: notRun, detail: "backend server not reached", backendUnreachable: ctx.Err() == nil}
+		return opened{failed: result{outcome: notRun, detail: "backend server not reached", backendUnreachable: ctx.Err() == nil}}
 	}
 	if err != nil {
-		return result{outcome: unknown, detail: "answer of the backend server lost"}
+		return opened{failed: result{outcome: unknown, detail: "answer of the backend server lost"}}
+	}
+	for _, name := range []string{OutcomeHeader, admissionHeader, delayHeader} { // set by agents only
+		response.Header.Del(name)
 	}
-	defer response.Body.Close()
-	response.Header.Del(OutcomeHeader) // set by agents only
-	return result{outcome: copyResponse(j.out, response)}
+	j.reportAnswer(response, time.Since(started))
+	return opened{response: response}
 }
 
 // outboundRequest returns the request to send to a backend server or to an
@@ -154,32 +188,41 @@
 	return out
 }
 
-// forwardToPeer forwards a request to the peer that reserved a slot for it, and
-// copies the answer of the peer's backend server to the caller.
-func (j *job) forwardToPeer(out *http.Request, address netip.AddrPort) result {
-	response, failed := forward(out, j.h.Peers, address)
+// openPeer forwards a request to the peer that reserved a slot for it, and returns the
+// begin of the answer of the peer's backend server.
+func (j *job) openPeer(out *http.Request, address netip.AddrPort) opened {
+	response, failed := forward(out, j.h.Peers, address, PeerPrefix)
 	if response == nil {
-		return failed
+		return opened{failed: failed}
 	}
-	defer response.Body.Close()
+	return checkOutcome(response)
+}
+
+// checkOutcome returns the answer of a peer's backend server, or the outcome that the peer
+// reports instead of one.
+func checkOutcome(response *http.Response) opened {
+	failed := result{}
 	switch response.Header.Get(OutcomeHeader) {
 	case OutcomeNotRun:
-		return result{outcome: notRun, detail: "refused by a peer"}
+		failed = result{outcome: notRun, detail: "refused by a peer"}
 	case OutcomeUnknown:
-		return result{outcome: unknown, detail: "answer lost beyond a peer"}
+		failed = result{outcome: unknown, detail: "answer lost beyond a peer"}
+	default:
+		return opened{response: response}
 	}
-	return result{outcome: copyResponse(j.out, response)}
+	_ = response.Body.Close()
+	return opened{failed: failed}
 }
 
-// forward sends a request to another agent. If the response is nil, the result
-// holds the outcome of the request.
-func forward(out *http.Request, client *http.Client, address netip.AddrPort) (*http.Response, result) {
+// forward sends a request to another agent, under a path prefix. If the response is nil,
+// the result holds the outcome of the request.
+func forward(out *http.Request, client *http.Client, address netip.AddrPort, prefix string) (*http.Response, result) {
 	trace.ToAgent(out.Context(), out.Header)
 	out.URL.Scheme = "https"
 	out.URL.Host = address.String()
-	out.URL.Path = PeerPrefix + out.URL.Path
+	out.URL.Path = prefix + out.URL.Path
 	if out.URL.RawPath != "" {
-		out.URL.RawPath = PeerPrefix + out.URL.RawPath
+		out.URL.RawPath = prefix + out.URL.RawPath
 	}
 	response, sent, err := send(client, out)
 	if err != nil && !sent {
--- a/admission/frontend/keyed.go
+++ b/admission/frontend/keyed.go
@@ -205,7 +205,7 @@
 	for _, departing := range k.departing {
 		out.Header.Add(departingHeader, nameOf(k.tk, departing))
 	}
-	response, failed := forward(out, k.h.Peers, address)
+	response, failed := forward(out, k.h.Peers, address, PeerPrefix)
 	switch {
 	case response != nil:
 		defer response.Body.Close()
--- a/admission/message.go
+++ b/admission/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cactustray/hedging"
 	"cactustray/ticket"
 )
 
@@ -23,6 +24,22 @@
 	BackendUnreachable bool
 }
 
+// CopyArrived asks the control goroutine to admit the second copy of a request that another
+// agent owns. It is decided at once.
+type CopyArrived struct {
+	Request
+	Class hedging.Class
+	// Reply must have a buffer for the one decision.
+	Reply chan<- CopyDecision
+}
+
+// CopyDecision is the decision on a second copy.
+type CopyDecision struct {
+	hedging.Admission
+	// Decision is set if the copy is admitted.
+	Decision Decision
+}
+
 // RequestCancelled reports to the control goroutine that the caller of a
 // request gave up or that the request's deadline passed while it waited for a
 // decision.
--- a/admission/state.go
+++ b/admission/state.go
@@ -216,7 +216,9 @@
 		return
 	}
 	s.jobs--
-	s.estimate.recordService(now.Sub(e.started))
+	if !e.Copy { // most copies are cancelled
+		s.estimate.recordService(now.Sub(e.started))
+	}
 }
 
 // insertByArrival inserts a request into the queue in the order of arrival.
--- a/agent/admission.go
+++ b/agent/admission.go
@@ -261,6 +261,7 @@
 		Endpoint: s.Agent.Endpoint,
 		Client:   frontend.NewBackendClient(),
 		Peers:    peers,
+		Hedging:  &p.hedging,
 	}
 }
 
@@ -270,11 +271,14 @@
 func peerHandler(loop *control.Loop, handler *frontend.Handler, tracer *trace.Tracer, next http.Handler) http.Handler {
 	path, exchange := handover.NewServer(loop).Handler()
 	exchange = identity.Require(exchange, identity.Agent)
+	copies := identity.Require(tracer.PeerRequests(http.HandlerFunc(handler.ServeCopy)), identity.Agent)
 	forwarded := identity.Require(tracer.PeerRequests(http.HandlerFunc(handler.ServePeer)), identity.Agent)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case strings.HasPrefix(r.URL.Path, frontend.PeerPrefix+"/"):
 			forwarded.ServeHTTP(w, r)
+		case strings.HasPrefix(r.URL.Path, frontend.CopyPrefix+"/"):
+			copies.ServeHTTP(w, r)
 		case strings.HasPrefix(r.URL.Path, path):
 			exchange.ServeHTTP(w, r)
 		default:
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -96,6 +96,8 @@
 	p.state = newState(s, owner, p.log, p.snapshots, p.reports, p.loads, handover.NewClient(running, p.loop, client))
 	p.state.usage = meter.NewUsage(p.traffic, p.loop.Busy)
 	p.state.admission.instruments = newInstruments(p.registry)
+	p.state.hedging.registry = p.registry
+	registerCopies(p.registry, &p.handler.Copies)
 	return nil
 }
 
--- a/agent/control.go
+++ b/agent/control.go
@@ -9,6 +9,7 @@
 	"cactustray/control"
 	"cactustray/control/meter"
 	"cactustray/event"
+	"cactustray/hedging"
 	"cactustray/liveness"
 	"cactustray/membership"
 	"cactustray/placement"
@@ -29,6 +30,8 @@
 	shared   datagram.SharedState
 	// tracer is set before traffic starts; nil records nothing.
 	tracer *trace.Tracer
+	// hedging is what is needed to offer second copies.
+	hedging atomic.Pointer[hedging.Snapshot]
 	// inFlight is the number of requests in progress.
 	inFlight atomic.Int64
 }
@@ -48,6 +51,7 @@
 	// already has in force.
 	ticketWaiters []ticket.WaitRequest
 	admission     *admissionState
+	hedging       *hedgingState
 	placement     *placement.State
 
 	published *published
@@ -68,6 +72,7 @@
 		draining:  newDraining(),
 		tickets:   ticket.NewRegister(),
 		admission: newAdmission(s, log, p, peers),
+		hedging:   newHedging(s, log, p),
 		placement: placement.NewState(owner.Endpoint),
 		published: p,
 		report:    reports,
@@ -95,7 +100,9 @@
 	case status.ReportRequested:
 		m.Reply <- s.statusReport(now, m)
 	default:
-		s.handleAdmission(now, message)
+		if !s.handleHedging(now, message) {
+			s.handleAdmission(now, message)
+		}
 	}
 }
 
@@ -108,6 +115,7 @@
 	s.tickReports(now, gap)
 	s.tickTicketWaiters(now)
 	s.publishLoads(now)
+	s.publishHedging(now)
 }
 
 func (s *state) statusReport(now time.Time, request status.ReportRequested) status.Report {
--- a/hedging/budget.go
+++ b/hedging/budget.go
@@ -9,6 +9,8 @@
 	// in 100 requests exceed Quantile; more than 20 in 100 do while the endpoint as a whole
 	// is slow.
 	maxSlowShare = 0.2
+	// endSlowShare is the share of slow requests below which copies run again.
+	endSlowShare = 0.1
 	// slowSmoothing is how many requests the share of slow ones is averaged over. When all
 	// requests become slow, the share exceeds maxSlowShare after 11 of them.
 	slowSmoothing = 64
@@ -23,6 +25,8 @@
 	copies    float64
 	work      time.Duration
 	slowShare float64
+	// slow is true while the endpoint as a whole is slow.
+	slow bool
 }
 
 // earn adds the share of a copy that an ordinary request pays for, and of the work.
@@ -32,7 +36,8 @@
 		value = 1
 	}
 	b.slowShare += (value - b.slowShare) / slowSmoothing
-	if b.slowShare > maxSlowShare {
+	b.slow = b.slowShare > maxSlowShare || b.slow && b.slowShare > endSlowShare
+	if b.slow {
 		b.copies, b.work = 0, min(0, b.work)
 		return
 	}
--- a/hedging/hedging.go
+++ b/hedging/hedging.go
@@ -58,6 +58,16 @@
 
 func (v Verdict) String() string { return verdictNames[v] }
 
+// ParseVerdict returns the verdict with the given name; an unknown name is Off.
+func ParseVerdict(name string) Verdict {
+	for v, known := range verdictNames {
+		if known == name {
+			return Verdict(v)
+		}
+	}
+	return Off
+}
+
 // Admission is the decision on a copy.
 type Admission struct {
 	Verdict Verdict
--- a/hedging/state.go
+++ b/hedging/state.go
@@ -116,6 +116,10 @@
 	return admission
 }
 
+// Slow returns whether the backend server as a whole is slow, so that no copies run, and the
+// recent share of its slow requests.
+func (s *State) Slow() (slow bool, share float64) { return s.budget.slow, s.budget.slowShare }
+
 // CopyEnded records that an admitted copy no longer runs, whether it was answered,
 // cancelled or has failed.
 func (s *State) CopyEnded(m CopyEnded) { s.budget.settle(m.Expected, m.Took) }
--- a/settings/check.go
+++ b/settings/check.go
@@ -25,6 +25,9 @@
 	// maxNameBytes is the length limit of the names of nodes, failure domains,
 	// services and endpoints.
 	maxNameBytes = 128
+	// maxHedgePercent is the largest limit of second copies: a quantile of 0.95 calls for 5
+	// in 100 requests, and for all requests of an endpoint that is slow.
+	maxHedgePercent = 50
 )
 
 const (
@@ -172,6 +175,7 @@
 	c.name("agent.endpoint", s.Agent.Endpoint)
 	c.address("agent.backend", s.Agent.Backend, allowedPeer)
 	c.tls("agent.caller_tls", s.Agent.CallerTLS)
+	c.hedging(s.Agent)
 	c.Require(len(s.Agent.Balancers) > 0, "agent.balancers", "none", "1 or more addresses")
 	for i, balancer := range s.Agent.Balancers {
 		field := fmt.Sprintf("agent.balancers[%d]", i)
@@ -180,6 +184,14 @@
 	}
 }
 
+// hedging checks the limits of second copies.
+func (c *checker) hedging(s *AgentSettings) {
+	c.Require(s.HedgePercent >= 0 && s.HedgePercent <= maxHedgePercent, "agent.hedge_percent", s.HedgePercent, "0 to 50; 0 means off")
+	c.Require(s.HedgeFreePercent >= 0 && s.HedgeFreePercent <= 100, "agent.hedge_free_percent", s.HedgeFreePercent, "0 to 100")
+	unused := s.HedgePercent == 0 && s.HedgeFreePercent > 0 && s.HedgeFreePercent <= 100
+	c.Require(!unused, "agent.hedge_free_percent", s.HedgeFreePercent, "nothing while agent.hedge_percent is 0")
+}
+
 // addressUse is an address and the field that it is set in.
 type addressUse struct {
 	field   string
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -93,6 +93,13 @@
 	Balancers []netip.AddrPort `json:"balancers"`
 	// CallerTLS has the certificate that is presented to callers.
 	CallerTLS TLS `json:"caller_tls"`
+	// HedgePercent is the most second copies of requests that the backend server runs, in
+	// 100 of its ordinary requests, and the most work for them in 100 of the work for those.
+	// 0 means that none are sent or run.
+	HedgePercent float64 `json:"hedge_percent,omitempty"`
+	// HedgeFreePercent is the share of the slots that must be free for the backend server
+	// to run a second copy.
+	HedgeFreePercent float64 `json:"hedge_free_percent,omitempty"`
 }
 
 // ReadError reports a settings file that could not be read.
