--- a/admission/frontend/body.go
+++ b/admission/frontend/body.go
@@ -29,6 +29,16 @@
 	return !b.tooLong
 }
 
+// isBuffered reports whether the whole body has been read and can be sent again. A body
+// that is being read at this moment counts as not yet read.
+func (b *body) isBuffered() bool {
+	if !b.mu.TryLock() { // Read holds the lock while it waits for the caller
+		return false
+	}
+	defer b.mu.Unlock()
+	return !b.tooLong && b.err == io.EOF
+}
+
 // reader returns a reader that starts at the beginning of the body, also if
 // earlier readers have read some of it.
 func (b *body) reader() io.ReadCloser { return &bodyReader{body: b} }
--- a/admission/frontend/hedge.go
+++ b/admission/frontend/hedge.go
@@ -37,10 +37,10 @@
 }
 
 // mayHaveCopies reports whether two copies of a request may run: it is idempotent, a job,
-// has no key, and its whole body can be sent twice.
+// has no key, and its body is not known to be too long to be sent twice.
 func mayHaveCopies(tk *ticket.Ticket, r *http.Request) bool {
 	return isIdempotent(tk, r) && !tk.IsFeed(r.URL.Path) && r.Header.Get(KeyHeader) == "" &&
-		r.ContentLength >= 0 && r.ContentLength <= replayLimit
+		r.ContentLength <= replayLimit
 }
 
 // hedgeDelay returns how long the first copy may wait for its answer before a second is
@@ -116,7 +116,8 @@
 }
 
 // attemptHedged sends the request once as decided, and a second copy to a peer if the
-// answer does not begin within the delay.
+// answer does not begin within the delay and the whole body has arrived. The length of the body
+// is often not known before: HTTP/3 requests without one don't say so in a header.
 func (j *job) attemptHedged(ctx context.Context, d admission.Decision, delay time.Duration) result {
 	firstContext, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -128,6 +129,9 @@
 	case o := <-began:
 		return j.answer(o)
 	case <-timer.C:
+		if j.in.ContentLength != 0 && !j.body.isBuffered() {
+			return j.answer(<-began)
+		}
 		return j.race(ctx, d, began, cancel)
 	}
 }
--- a/agent/hedging_test.go
+++ b/agent/hedging_test.go
@@ -155,6 +155,7 @@
 // get sends a request of a caller and returns its answer.
 func (a *testAgent) get(method, target, key, body string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, target, strings.NewReader(body))
+	r.ContentLength = -1 // as in a request over HTTP/3 without the header
 	r.Header.Set(frontend.TimeoutHeader, "1000")
 	if key != "" {
 		r.Header.Set(frontend.KeyHeader, key)
@@ -272,6 +273,25 @@
 	}
 }
 
+// The second copy has the whole body, also if its length was not known.
+func TestSecondCopyHasTheBody(t *testing.T) {
+	echo := func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+	hang := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the server notices cancellations after that
+		<-r.Context().Done()
+	}
+	agents := newTestAgents(t, nil, hang, echo)
+	for range 200 {
+		must.NoError(t, agents[0].loop.Send(t.Context(), hedging.Answered{Class: "PUT /drawing", Took: usualTime}))
+		must.NoError(t, agents[1].loop.Send(t.Context(), hedging.Answered{Class: "PUT /drawing", Took: usualTime}))
+	}
+	agents[0].awaitTick()
+	body := strings.Repeat("panels", 9<<10)
+	w := agents[0].get(http.MethodPut, "/drawing", "", body)
+	must.EqOp(t, body, w.Body.String())
+	must.EqOp(t, "b", w.Header().Get(frontend.EndpointHeader))
+}
+
 // A peer without a free slot refuses the copy at once; the caller gets the first copy's
 // answer.
 func TestPeerWithoutFreeSlotRefusesCopy(t *testing.T) {
--- a/hedging/budget.go
+++ b/hedging/budget.go
@@ -5,9 +5,9 @@
 const (
 	// maxSaved is the most copies that a budget can save up.
 	maxSaved = 5
-	// maxSlowShare is the share of slow requests above which no copies run. By definition, 5
-	// in 100 requests exceed Quantile; more than 20 in 100 do while the endpoint as a whole
-	// is slow.
+	// maxSlowShare is the share of slow requests above which no copies run. Of ordinary
+	// requests, 5 in 100 exceed Quantile; more than 20 in 100 exceed it by slowFactor while
+	// the endpoint as a whole is slow.
 	maxSlowShare = 0.2
 	// endSlowShare is the share of slow requests below which copies run again.
 	endSlowShare = 0.1
--- a/hedging/sketch.go
+++ b/hedging/sketch.go
@@ -20,8 +20,11 @@
 	minSamples = 60
 	// refreshInterval is the minimum time between two calculations of the same quantiles.
 	refreshInterval = time.Second
+	// slowFactor is how much longer than the reference a slow request takes. Without it, a
+	// class whose times hardly differ counts as slow when they rise by some percent.
+	slowFactor = 1.5
 	// referenceRise is how much the reference may rise in a minute, as a factor. A service
-	// that becomes 3 times slower counts as slow for 11 minutes, then as usual.
+	// that becomes 3 times slower counts as slow for 7 minutes, then as usual.
 	referenceRise = 1.1
 )
 
@@ -34,7 +37,7 @@
 	previous gometrics.Sample
 	began    time.Time
 	timing   Timing
-	// reference is the duration above which a request is slow. It follows Timing.Delay, but
+	// reference is the duration that slow requests exceed by slowFactor. It follows Timing.Delay, but
 	// rises slowly, so that a service which becomes slow as a whole is noticed.
 	reference time.Duration
 	computed  time.Time
--- a/hedging/state.go
+++ b/hedging/state.go
@@ -74,7 +74,7 @@
 	}
 	class := s.known(m.Class)
 	if timing, ok := s.timing(now, class); ok {
-		slow := m.Took > s.sketches[class].reference
+		slow := float64(m.Took) > slowFactor*float64(s.sketches[class].reference)
 		s.budget.earn(s.settings.Percent, m.Took, timing.Typical, slow)
 	}
 	if s.sketches[class] == nil {
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -23,6 +23,7 @@
 	mu       sync.Mutex
 	recorded map[string]int
 	draining bool
+	slowness time.Duration
 }
 
 // New returns a backend server that runs up to slots jobs concurrently.
@@ -59,7 +60,7 @@
 		return
 	}
 	defer s.releaseSlot()
-	if wait(r, millis(r, "work")) {
+	if wait(r, millis(r, "work")+s.currentSlowness()) {
 		fmt.Fprintln(w, s.name)
 	}
 }
@@ -95,6 +96,19 @@
 	s.draining = true
 }
 
+// SetSlowness makes each job take longer by d.
+func (s *Server) SetSlowness(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowness = d
+}
+
+func (s *Server) currentSlowness() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slowness
+}
+
 // acquireSlot acquires a slot and reports whether it did. If none is free or the server is
 // draining, it answers the request with 503.
 func (s *Server) acquireSlot(w http.ResponseWriter) bool {
