--- a/standin/packets/deployment.go
+++ b/standin/packets/deployment.go
@@ -51,6 +51,16 @@
 	// Translate has set another.
 	bound [2]byte
 	ports map[string]uint16
+	// Zones are the failure domains, to which machines belong in turn; if there are none, all
+	// belong to the same.
+	Zones []string
+}
+
+func (d *Deployment) zoneOf(host int) string {
+	if len(d.Zones) == 0 {
+		return zone
+	}
+	return d.Zones[host%len(d.Zones)]
 }
 
 // NewDeployment returns a deployment in the network 127.A.B.0/24, where A and B are the two
@@ -107,7 +117,7 @@
 	for i := range seeds {
 		p.Seeds = append(p.Seeds, d.Address(BalancerHost+i, "control").String())
 	}
-	s := &settings.Settings{Node: d.IP(host), Zone: zone, Packets: p, Metrics: d.Bound(host, "metrics")}
+	s := &settings.Settings{Node: d.IP(host), Zone: d.zoneOf(host), Packets: p, Metrics: d.Bound(host, "metrics")}
 	if host >= EndpointHost {
 		s.Role, p.Service = settings.PacketAgent, ServiceOf(host)
 		p.Endpoint, p.Outbound = d.Bound(host, "endpoint"), d.Bound(host, "outbound")
@@ -133,7 +143,7 @@
 // RegisterAs writes the registry entry of an endpoint with a given id and service.
 func (d *Deployment) RegisterAs(store *Store, id string, host int, service, state string, incarnation int) {
 	store.Put("servers/"+id, map[string]any{
-		"service": service, "address": d.Address(host, "endpoint").String(), "zone": zone, "version": "v1",
+		"service": service, "address": d.Address(host, "endpoint").String(), "zone": d.zoneOf(host), "version": "v1",
 		"capacity": slots, "state": state, "cold-left-ms": 0, "seq": store.NextSequence(), "born": incarnation,
 	})
 }
