Name the agent's contact events alike

Cause: a long name realigned the whole list of events. Change: EventContactBegun beside EventContactEnded. Result: tests of packetagent/ and cmd/cactustrayd pass.

--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -123,7 +123,7 @@
 		s.receivers.Request(m.balancer, m.ReportInterval)
 		switch {
 		case !known && s.receivers.IsSlow(m.balancer):
-			s.log.Emit(EventRemoteBalancerFound, event.Fields{"balancer": m.balancer.String(), "interval_ms": m.ReportInterval.Milliseconds()})
+			s.log.Emit(EventContactBegun, event.Fields{"balancer": m.balancer.String(), "interval_ms": m.ReportInterval.Milliseconds()})
 			s.reportSlow(now)
 		case !known:
 			s.log.Emit(EventBalancerFound, event.Fields{"balancer": m.balancer.String()})
