--- a/standin/packets/deployment.go
+++ b/standin/packets/deployment.go
@@ -55,6 +55,9 @@
 	ports map[string]uint16
 	// zones has the failure domains of machines that are not in zone.
 	zones map[int]string
+	// Zones are the failure domains to which the other machines belong in turn; if there are none,
+	// all of these belong to the same.
+	Zones []string
 }
 
 // NewDeployment returns a deployment in the network 127.A.B.0/24, where A and B are the two
@@ -93,7 +96,13 @@
 }
 
 // Zone returns the failure domain of a machine.
-func (d *Deployment) Zone(host int) string { return cmp.Or(d.zones[host], zone) }
+func (d *Deployment) Zone(host int) string {
+	turn := zone
+	if len(d.Zones) > 0 {
+		turn = d.Zones[host%len(d.Zones)]
+	}
+	return cmp.Or(d.zones[host], turn)
+}
 
 // IP returns the address of a machine.
 func (d *Deployment) IP(host int) string { return ip(d.net, host) }
