Fewer reports when all balancers start, and openings stored until their callers repeat them

Cause: an agent reported to all balancers for each that it found, 300 datagrams for 24 that start together; second and third copies of opening packets to agents that had not started were dropped after 200 ms, though their callers wait for 400 and 800 ms. Change: a balancer that was found gets a report at once, all others one 10 ms later; copies are stored until the next one is due. The frozen agent's test waits until the restarted agents are known, and its limit is 1.5 s instead of 2 s.

--- a/flow/resend.go
+++ b/flow/resend.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// openingExpiry is how long an opening packet sent to an unresponsive agent is
-	// stored: after that its caller retransmits it.
+	// openingExpiry is how long the first opening packet sent to an unresponsive agent is
+	// stored: after that its caller retransmits it. The caller's pause doubles with each copy.
 	openingExpiry = 200 * time.Millisecond
 	// maxOpenings bounds the stored opening packets, at 100 bytes each.
 	maxOpenings = 512
@@ -21,6 +21,9 @@
 	datagram []byte
 }
 
+// lifetime returns how long the caller waits before it sends the next copy or gives up.
+func (o opening) lifetime() time.Duration { return openingExpiry << min(o.packet.Copy, lastCopy) }
+
 // openings stores recent opening packets, oldest first.
 type openings struct{ list []opening }
 
@@ -36,9 +39,9 @@
 	}
 }
 
-// expire removes the packets that are older than openingExpiry.
+// expire removes the packets whose callers have sent another copy or given up.
 func (o *openings) expire(now Timestamp) {
-	o.list = slices.DeleteFunc(o.list, func(stored opening) bool { return now-stored.at > openingExpiry })
+	o.list = slices.DeleteFunc(o.list, func(stored opening) bool { return now-stored.at > stored.lifetime() })
 }
 
 // Resend is a packet to send once more.
--- a/flow/resend_test.go
+++ b/flow/resend_test.go
@@ -92,6 +92,25 @@
 	must.SliceEmpty(t, a.AgentReported(late+openingExpiry+1, to, routing))
 }
 
+// Agents that started more than 0.2 s after a caller's last copy of an opening packet did not get
+// it, and the caller gave up 0.6 s later although endpoints were free.
+func TestLastCopiesAreStoredUntilTheirCallersGiveUp(t *testing.T) {
+	for number, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
+		for _, late := range []bool{false, true} {
+			a, routing := newTestAssignments(), unreportedRoutingTable(1)
+			now := time.Second
+			a.FromCaller(now, Packet{Flow: callerKey(1), Opening: true, Copy: uint32(number)}, routing, []byte("opening"))
+			now += wait
+			if late {
+				now++
+			}
+			routing.receiveReport(now, agentAt(0))
+			resends := a.AgentReported(now, agentAt(0), routing)
+			must.EqOp(t, !late, len(resends) == 1, must.Sprintf("copy %d, late=%t", number, late))
+		}
+	}
+}
+
 // While endpoints may be missing from the table, a flow that all known ones deny does not
 // end. It ends once the table is complete and still no endpoint holds it.
 func TestSearchEndsOnlyWithCompleteRoutingTable(t *testing.T) {
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -62,6 +62,10 @@
 	// listed the balancers; 0 makes the next report list them.
 	lastReport       time.Duration
 	lastBalancerList time.Duration
+	// lastNewBalancer is when all balancers last got a report because of a new one, and
+	// newBalancersPending whether they are due for another.
+	lastNewBalancer     time.Duration
+	newBalancersPending bool
 }
 
 // newState returns the control state of an agent that starts. seeds are the addresses of
@@ -84,6 +88,8 @@
 	switch m := message.(type) {
 	case helloReceived:
 		s.helloReceived(now, m)
+	case newBalancersDue:
+		s.reportNewBalancers(now)
 	case silenceChanged:
 		s.silenceChanged(now, m.silent)
 	case *settings.Settings:
@@ -115,8 +121,7 @@
 		s.balancers[m.balancer] = now
 		if !known {
 			s.log.Emit(EventBalancerFound, event.Fields{"balancer": m.balancer.String()})
-			s.lastBalancerList = 0
-			s.report(now)
+			s.reportNewBalancer(now, m.balancer)
 		}
 	}
 }
@@ -168,7 +173,18 @@
 
 // report sends the endpoint's load to the balancers.
 func (s *state) report(now time.Duration) {
-	s.lastReport = now
+	s.lastReport, s.newBalancersPending = now, false
+	datagram := s.composeReport(now)
+	for balancer := range s.balancers {
+		s.traffic.counters.Send(s.traffic.peers, datagram, balancer.AddrPort())
+	}
+	for _, balancer := range s.introductions.take(now) {
+		s.traffic.counters.Send(s.traffic.peers, datagram, balancer.AddrPort())
+	}
+}
+
+// composeReport returns the datagram of a report, which lists the balancers if they are due.
+func (s *state) composeReport(now time.Duration) []byte {
 	usage := s.traffic.usage()
 	report := wire.Report{Usage: placement.Usage{
 		Flows: usage.Flows, Running: usage.Running + usage.Waiting, Mean: s.meanRunning(now, usage), Failing: usage.Failing,
@@ -186,13 +202,7 @@
 		}
 		report.Routes, report.RoutesStated = s.traffic.heldRoutes(now)
 	}
-	datagram := wire.Encode(report)
-	for balancer := range s.balancers {
-		s.traffic.counters.Send(s.traffic.peers, datagram, balancer.AddrPort())
-	}
-	for _, balancer := range s.introductions.take(now) {
-		s.traffic.counters.Send(s.traffic.peers, datagram, balancer.AddrPort())
-	}
+	return wire.Encode(report)
 }
 
 // minMeanSpan is the shortest time over which a mean is computed.
--- a/standin/e2e/lost_flows_test.go
+++ b/standin/e2e/lost_flows_test.go
@@ -92,8 +92,8 @@
 	const (
 		frozen       = endpointHost + 4
 		freezeTime   = 3 * time.Second
-		resetLimit   = 2 * time.Second
-		afterTheKill = 6 * time.Second
+		resetLimit   = 1500 * time.Millisecond
+		afterTheKill = 5 * time.Second
 	)
 	c := newPacketCluster(t, 2)
 	feeds := c.openFeeds(12)
@@ -115,6 +115,7 @@
 		c.endpoints[i].Crash()
 	}
 	c.restartAll(agents)
+	time.Sleep(time.Second) // the balancers know these agents again
 	c.signal(frozen, syscall.SIGSTOP)
 	thaw := time.AfterFunc(freezeTime, func() { c.signal(frozen, syscall.SIGCONT) })
 	defer thaw.Stop()
