--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -71,6 +71,10 @@
 	// listed the balancers; 0 makes the next report list them.
 	lastReport       time.Duration
 	lastBalancerList time.Duration
+	// lastNewBalancer is when all balancers last got a report because of a new one, and
+	// newBalancersPending whether they are due for another.
+	lastNewBalancer     time.Duration
+	newBalancersPending bool
 }
 
 // newState returns the control state of an agent that starts. seeds are the addresses of
@@ -93,6 +97,8 @@
 	switch m := message.(type) {
 	case helloReceived:
 		s.helloReceived(now, m)
+	case newBalancersDue:
+		s.reportNewBalancers(now)
 	case silenceChanged:
 		s.silenceChanged(now, m.silent)
 	case *settings.Settings:
@@ -131,8 +137,7 @@
 			s.reportSlow(now)
 		case !known:
 			s.log.Emit(EventBalancerFound, event.Fields{"balancer": m.balancer.String()})
-			s.lastBalancerList = 0
-			s.report(now)
+			s.reportNewBalancer(now, m.balancer)
 		}
 	}
 }
@@ -244,16 +249,8 @@
 
 // reportFast sends the endpoint's load to the balancers that request no other interval.
 func (s *state) reportFast(now time.Duration) {
-	s.lastReport, s.lastMean = now, s.meanRunning(now, s.traffic.usage())
-	report := s.currentReport(now)
-	if s.lastBalancerList == 0 || now-s.lastBalancerList >= balancerListInterval {
-		s.lastBalancerList = now
-		for balancer := range s.balancers {
-			report.Balancers = append(report.Balancers, balancer)
-		}
-		report.Routes, report.RoutesStated = s.traffic.heldRoutes(now)
-	}
-	datagram := wire.Encode(report)
+	s.lastReport, s.newBalancersPending = now, false
+	datagram := s.composeReport(now)
 	for balancer := range s.balancers {
 		if !s.receivers.IsSlow(balancer) {
 			s.traffic.counters.SendToNode(s.traffic.peers, datagram, balancer.AddrPort())
@@ -264,6 +261,21 @@
 	}
 }
 
+// composeReport returns the datagram of a report to balancers that request no other interval. It
+// lists the balancers if they are due.
+func (s *state) composeReport(now time.Duration) []byte {
+	s.lastMean = s.meanRunning(now, s.traffic.usage())
+	report := s.currentReport(now)
+	if s.lastBalancerList == 0 || now-s.lastBalancerList >= balancerListInterval {
+		s.lastBalancerList = now
+		for balancer := range s.balancers {
+			report.Balancers = append(report.Balancers, balancer)
+		}
+		report.Routes, report.RoutesStated = s.traffic.heldRoutes(now)
+	}
+	return wire.Encode(report)
+}
+
 // minMeanSpan is the shortest time over which a mean is computed.
 const minMeanSpan = placement.ReportInterval / 2
 
