cactustray check: offline check of tickets and desired states

Cause: a mistake in a configuration was found when nodes had refused it, or never: a route that another one hides, a goal above the time limit. Whether a ticket replaces the one in force moved from the client to package ticket.

--- a/cmd/cactustray/main.go
+++ b/cmd/cactustray/main.go
@@ -28,6 +28,7 @@
 	Config kong.ConfigFlag `help:"JSON file with values of flags." placeholder:"FILE"`
 	Debug  bool            `help:"Show the stack of a failure."`
 
+	Check       checkCommand                 `cmd:"" help:"Check a ticket or a desired state offline."`
 	Ticket      ticketCommands               `cmd:"" help:"Check and submit tickets."`
 	Status      statusCommand                `cmd:"" help:"Show the tickets in force on each node."`
 	Flows       flowsCommand                 `cmd:"" help:"Show open flows and requests of each node."`
--- a/cmd/cactustray/ticket.go
+++ b/cmd/cactustray/ticket.go
@@ -114,15 +114,8 @@
 // refusal returns *RefusedError if the nodes would not replace the ticket in force by
 // the next one, else nil.
 func refusal(inForce *ticket.Record, next ticket.Record) error {
-	if inForce == nil {
-		return nil
-	}
-	service := next.Ticket.Service
-	switch {
-	case next.Ticket.Number < inForce.Ticket.Number:
-		return &RefusedError{Service: service, Reason: "a newer ticket is in force"}
-	case next.Ticket.Number == inForce.Ticket.Number && next.Content != inForce.Content:
-		return &RefusedError{Service: service, Reason: "its number is in force with other content; use the next number"}
+	if reason := ticket.NotReplacing(inForce, next); reason != "" {
+		return &RefusedError{Service: next.Ticket.Service, Reason: reason}
 	}
 	return nil
 }
--- a/ticket/check.go
+++ b/ticket/check.go
@@ -67,3 +67,16 @@
 		names[e.Name] = true
 	}
 }
+
+// NotReplacing returns why nodes would not replace the ticket in force by the next one of the
+// service, or "" if they would. inForce is nil if there is none.
+func NotReplacing(inForce *Record, next Record) string {
+	switch {
+	case inForce == nil:
+	case next.Ticket.Number < inForce.Ticket.Number:
+		return "a newer ticket is in force"
+	case next.Ticket.Number == inForce.Ticket.Number && next.Content != inForce.Content:
+		return "its number is in force with other content; use the next number"
+	}
+	return ""
+}
