--- a/admission/invariant.go
+++ b/admission/invariant.go
@@ -7,7 +7,8 @@
 
 const (
 	// DispatchedOnce: only a queued request is dispatched or handed over, so
-	// that a request never has two attempts at the same time.
+	// that a request never has two attempts at the same time. A second copy (package
+	// hedging) is a request of its own, at another agent.
 	DispatchedOnce Invariant = "dispatched_once"
 	// RefusedNotRun: a request is refused for its wait only while it is queued,
 	// not while it is dispatched or handed over.
