Lost flows do not wait for agents whose endpoints do not run

Cause: machines that return after a loss of power without their endpoints have agents that no balancer knows but by their reports. Change: an endpoint that leaves four packets of unknown flows unanswered for 0.5 s counts as silent; flows do not wait for a silent endpoint that only its agent has introduced. Balancers do not take up from each other an agent that has reported to them and ceased to.

--- a/flow/agent_table.go
+++ b/flow/agent_table.go
@@ -309,6 +309,7 @@
 	r := flowRecord{state: trial, searched: d.Search, balancer: d.Balancer, hops: d.Hops, lastSeen: now}
 	begins := t.beginRequest(now, &r, p)
 	t.store(p.Flow, r)
+	t.silence.tried(now)
 	return Verdict{Action: Deliver, Reason: Tried, RequestBegins: begins}
 }
 
--- a/flow/assumed_test.go
+++ b/flow/assumed_test.go
@@ -152,6 +152,10 @@
 			e.AgentLoad.Report(now, placement.Usage{Interval: searchTimeout})
 			e.Introduced, e.Unregistered = true, true
 		},
+		"agent of an unknown endpoint that does not run was stopped": func(e *Endpoint) {
+			e.AgentLoad.Report(now-time.Second, placement.Usage{Silent: true})
+			e.Introduced, e.Unregistered = true, true
+		},
 		"endpoint has left, and its agent runs": func(e *Endpoint) {
 			e.AgentLoad.Report(now, placement.Usage{Interval: searchTimeout})
 			e.Unregistered = true
--- a/flow/search.go
+++ b/flow/search.go
@@ -322,6 +322,8 @@
 		return false
 	case endpoint.Distant && s.awaitsDistant(now, endpoint.Agent):
 		return true
+	case endpoint.Introduced && load.Silent():
+		return false // its endpoint does not run: it answers no packet of an unknown flow
 	case endpoint.Introduced && !alive:
 		return true // another balancer knows it, or it is restarting
 	case endpoint.Unregistered:
--- a/flow/silence_test.go
+++ b/flow/silence_test.go
@@ -68,3 +68,28 @@
 	must.EqOp(t, 1, len(a.Tick(a.now)))
 	must.False(t, a.Silent(a.now))
 }
+
+// After a loss of power, agents of machines whose endpoints did not return delivered thousands of
+// packets to nobody, and lost flows waited for them.
+func TestEndpointThatIgnoresUnknownFlowsIsSilent(t *testing.T) {
+	now := time.Minute
+	table := NewAgentTable(now, 2, time.Minute, false)
+	try := func(port int) {
+		v := table.FromBalancer(now, Packet{Flow: callerKey(port), Data: 100}, Delivery{Search: true}, nil)
+		must.EqOp(t, Tried, v.Reason)
+	}
+	for port := range minTrials {
+		try(port + 1)
+	}
+	must.False(t, table.Silent(now))
+	now += trialTimeout + time.Millisecond
+	must.True(t, table.Silent(now))
+
+	// A packet that the endpoint returns shows that it runs.
+	table.FromEndpoint(now, Packet{Flow: callerKey(1), Data: 100, ReturnedByEndpoint: true})
+	must.False(t, table.Silent(now))
+
+	// One long request is no sign.
+	try(9)
+	must.False(t, table.Silent(now+trialTimeout+time.Millisecond))
+}
--- a/flow/usage.go
+++ b/flow/usage.go
@@ -36,14 +36,16 @@
 func (t *AgentTable) RecordOutcome(now Timestamp, failed bool) { t.failureRate.ended(now, failed) }
 
 // Silent reports whether the endpoint leaves packets unanswered.
-func (t *AgentTable) Silent(now Timestamp) bool { return t.silence.isSilent(now) }
+func (t *AgentTable) Silent(now Timestamp) bool {
+	return t.silence.isSilent(now) || t.silence.ignoresTrials(now)
+}
 
 // Usage returns the load of the endpoint.
 func (t *AgentTable) Usage(now Timestamp) Usage {
 	t.account(now)
 	return Usage{
 		Flows: t.flowCount, Running: t.running, Waiting: len(t.waiting.flows), RunningTime: t.runningTime,
-		Silent: t.silence.isSilent(now), Failing: t.failureRate.now(now), ProcessingTime: t.processingTime.now(now),
+		Silent: t.Silent(now), Failing: t.failureRate.now(now), ProcessingTime: t.processingTime.now(now),
 	}
 }
 
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -160,6 +160,7 @@
 	}
 	s.lastTick = now
 	s.traffic.admitWaiting()
+	s.traffic.checkSilence()
 	s.refusals.Observe(now, s.traffic.refusedOpenings(), s.log)
 	s.removeSilentBalancers(now)
 	s.reportSlow(now)
--- a/packetbalancer/introduced.go
+++ b/packetbalancer/introduced.go
@@ -38,10 +38,14 @@
 	}
 }
 
-// takeOverIntroduced takes up the agents that have introduced themselves to another balancer.
+// takeOverIntroduced takes up the agents that have introduced themselves to another balancer,
+// unless they reported to this one and ceased to.
 func (s *state) takeOverIntroduced(now time.Duration, agents []netip.AddrPort) {
-	for _, agent := range agents {
-		s.takeUp(now, flow.AddressOf(agent))
+	for _, address := range agents {
+		agent := flow.AddressOf(address)
+		if load := s.loads[agent]; load == nil || load.ReportedAt() == 0 {
+			s.takeUp(now, agent)
+		}
 	}
 }
 
--- a/packetbalancer/introduced_test.go
+++ b/packetbalancer/introduced_test.go
@@ -138,3 +138,17 @@
 	}
 	must.EqOp(t, hellos()+1, hellos(netip.MustParseAddrPort("10.0.0.9:7720")))
 }
+
+// Balancers told each other of an agent that had ended for as long as one of them had taken it up
+// in the last seconds, so that each of them took it up again and again.
+func TestAgentThatCeasedToReportIsNotTakenUpAgain(t *testing.T) {
+	now := clock.Now()
+	s, unknown := startingState(now), flow.Address{IP: [4]byte{10, 0, 0, 9}, Port: 7720}
+	s.agentIntroduced(now, agentIntroduced{agent: unknown})
+	later := now + introductionLifetime
+	s.publish(later)
+	s.takeOverIntroduced(later, []netip.AddrPort{unknown.AddrPort()})
+	must.MapNotContainsKey(t, s.introduced, unknown)
+	s.agentIntroduced(later, agentIntroduced{agent: unknown})
+	must.MapContainsKey(t, s.introduced, unknown)
+}
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -139,6 +139,9 @@
 	return l.leaving.Load() && now-l.ReportedAt() > stoppedAfter
 }
 
+// Silent reports whether the endpoint does not answer its agent, by the agent's last report.
+func (l *AgentLoad) Silent() bool { return l.silent.Load() }
+
 // FlowsKnown reports whether the agent knows every flow that its endpoint holds, by its
 // last report.
 func (l *AgentLoad) FlowsKnown() bool { return l.flowsKnown.Load() }
