Lost flows wait a second at most for agents of unknown endpoints that cease to report

Change: a search awaits such an agent for the second in which an agent restarts. One that knew all its flows is awaited as before: it may be frozen. Result: TestUnknownAgentThatCeasedToReportIsAwaitedForItsRestart fails without the change; tests of flow and e2e Packet pass.

--- a/flow/assumed_test.go
+++ b/flow/assumed_test.go
@@ -185,3 +185,16 @@
 	must.Eq(t, []Address{agentAt(2)}, newSearch(now).remainingIn(formerWave, s.key, s.route))
 	must.Eq(t, []Address{agentAt(3)}, newSearch(now).remainingIn(assumedWave, s.key, s.route))
 }
+
+// Machines whose endpoints no registry lists were taken away after a loss of power. All lost flows
+// waited for their agents until these were forgotten, 3 s later.
+func TestUnknownAgentThatCeasedToReportIsAwaitedForItsRestart(t *testing.T) {
+	const now = time.Minute
+	after, ended := newAssumedSearch(t, now, 2*agentStartTime, func(e *Endpoint) {
+		e.AgentLoad.Report(now-500*time.Millisecond, placement.Usage{})
+		e.Introduced, e.Unregistered = true, true
+	}).endsAfter()
+	must.True(t, ended)
+	must.GreaterEq(t, agentStartTime, after)
+	must.LessEq(t, agentStartTime+maxRetryInterval, after)
+}
--- a/flow/search.go
+++ b/flow/search.go
@@ -27,7 +27,7 @@
 	// only assumed to have left, if nothing shows that its endpoint lives: many times the time
 	// of an answer.
 	assumedTimeout = 300 * time.Millisecond
-	// agentStartTime is how long an agent that is being restarted takes to report to a
+	// agentStartTime is how long an agent that is being restarted takes to report, also to a
 	// balancer that has just learned of its endpoint.
 	agentStartTime = time.Second
 	// defaultSearchRate limits searches, in bytes per second, unless the settings state
@@ -310,8 +310,9 @@
 // Invariant: an agent is awaited if it can deny the flow, if the registry shows that its
 // endpoint lives, if it has reported to a balancer and may be restarting, or if other agents
 // outlived all balancers, so that its machine did not lose power with theirs. Any other is
-// awaited while it may be starting, and for assumedTimeout. A silent agent that has excluded
-// flows of the route is not awaited.
+// awaited while it may be starting, and for assumedTimeout. One that did not know its flows and
+// whose endpoint only its reports showed is awaited for agentStartTime once they cease. A silent agent that has excluded flows of
+// the route is not awaited.
 func (s *search) awaitsAssumed(now Timestamp, endpoint *Endpoint, route Address, routing *RoutingTable) bool {
 	load := endpoint.AgentLoad
 	alive, inTime := load.Alive(now), now-s.startedAt < assumedTimeout
@@ -324,8 +325,10 @@
 		return true
 	case endpoint.Introduced && load.Silent():
 		return false // its endpoint does not run: it answers no packet of an unknown flow
+	case endpoint.Introduced && !alive && (load.ReportedAt() == 0 || load.FlowsKnown()):
+		return true // another balancer knows it, or it is frozen and holds flows
 	case endpoint.Introduced && !alive:
-		return true // another balancer knows it, or it is restarting
+		return now-s.startedAt < agentStartTime // it is restarting, or its machine has left
 	case endpoint.Unregistered:
 		return inTime
 	case endpoint.ConfirmedFrom != 0 && routing.CurrentAt() >= endpoint.ConfirmedFrom:
