End-to-end test of bulk queries, and unanswered ones expire also without further queries

Cause: bulk queries were tested without processes only; the queries of the last flush, with their searches, stayed in memory until the next flush. A draft that sent all 60 at once failed once: all searches had begun before the first ended, so none was in bulk.

--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -269,4 +269,5 @@
 		}
 	}
 	a.searches.sweep(now)
+	a.bulk.expire(now)
 }
--- a/flow/bulk.go
+++ b/flow/bulk.go
@@ -160,6 +160,15 @@
 	return a.bulk.lost
 }
 
+// expire removes the queries that were not answered in time.
+func (b *bulkQueries) expire(now Timestamp) {
+	for id, batch := range b.sent {
+		if now-batch.sentAt > bulkTimeout {
+			delete(b.sent, id)
+		}
+	}
+}
+
 // BulkDueAt returns when FlushBulk is due, or 0 if no bulk query is queued.
 func (a *Assignments) BulkDueAt() Timestamp { return a.bulk.dueAt }
 
@@ -169,11 +178,7 @@
 	if b.dueAt == 0 || now < b.dueAt {
 		return nil
 	}
-	for id, batch := range b.sent {
-		if now-batch.sentAt > bulkTimeout {
-			delete(b.sent, id)
-		}
-	}
+	b.expire(now)
 	var datagrams []BulkDatagram
 	for agent, queued := range b.queued {
 		queued = slices.DeleteFunc(queued, func(f bulkFlow) bool { return a.searches.flows[f.key] != f.search })
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -44,8 +44,8 @@
 	bulkScheduled atomic.Bool
 	// manyLostLogged is when EventManyLost was last logged, or 0.
 	manyLostLogged atomic.Int64
-	loop          *control.Loop
-	log           *event.Log
+	loop           *control.Loop
+	log            *event.Log
 
 	mu          sync.Mutex
 	assignments *flow.Assignments
--- a/standin/e2e/lost_flows_test.go
+++ b/standin/e2e/lost_flows_test.go
@@ -13,6 +13,7 @@
 
 	"cactustray/event"
 	"cactustray/packetagent"
+	"cactustray/packetbalancer"
 	"cactustray/standin/packets"
 
 	"github.com/shoenig/test/must"
@@ -124,6 +125,58 @@
 	must.Less(t, resetLimit, took[len(took)-1])
 }
 
+// Many lost flows are searched for in bulk, by balancers that know none of the flows. They are reset, and
+// flows that endpoints hold, which move to the same balancers meanwhile, continue.
+func TestPacketManyLostFlowsAreResetAndOthersContinue(t *testing.T) {
+	t.Parallel()
+	const (
+		lost       = 60
+		resetLimit = 2 * time.Second
+	)
+	c := newPacketCluster(t, 2)
+	feeds := c.openFeeds(lost)
+	var held []*packetFeed
+	for range 8 {
+		held = append(held, c.openFeed(drawingsAddress))
+	}
+	var balancers, agents []int
+	for i := range c.balancers {
+		balancers = append(balancers, balancerHost+i)
+	}
+	for i := range 4 {
+		agents = append(agents, endpointHost+i)
+		c.endpoints[i].Crash()
+	}
+	c.restartAll(agents)
+	for _, host := range agents {
+		c.register(host, "ready", int(time.Now().UnixMilli())) // the endpoint started after its agent
+	}
+	for _, host := range agents {
+		c.await(func() bool { return c.hasLogged(host, packetagent.EventFlowsKnown) })
+	}
+	c.restartAll(balancers)
+	c.await(func() bool { return c.router.Check() == len(balancers) })
+	time.Sleep(3 * time.Second) // flows end only once lapsed entries are registered again
+	var group errgroup.Group
+	group.Go(func() error {
+		for _, feed := range held {
+			if _, err := feed.Request(fmt.Sprint("r", requests.Add(1)), packetRequestTimeout); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	// Searches that begin before the first ones have ended are not in bulk.
+	requireResets(t, feeds[:lost/2], time.Now())
+	took := requireResets(t, feeds[lost/2:], time.Now())
+	must.NoError(t, group.Wait())
+	t.Logf("reset after %v to %v, median %v", took[0], took[len(took)-1], took[len(took)/2])
+	must.Less(t, resetLimit, took[len(took)-1])
+	must.True(t, slices.ContainsFunc(balancers, func(host int) bool { return c.hasLogged(host, packetbalancer.EventManyLost) }))
+	c.mustContinue(held)
+	c.mustUpholdInvariants()
+}
+
 // restartAll kills the daemons of all hosts before it starts any of them.
 func (c *packetCluster) restartAll(hosts []int) {
 	for _, host := range hosts {
