--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -286,4 +286,5 @@
 		}
 	}
 	a.searches.sweep(now)
+	a.bulk.expire(now)
 }
