Agents without second copies don't collect peers for them

Cause: each tick, 20 a second, listed the peers although hedge_percent is 0. Change: it returns at once. Result: tests of agent pass with -race.

--- a/agent/hedging.go
+++ b/agent/hedging.go
@@ -94,6 +94,9 @@
 // publishHedging publishes the endpoints that may get copies, with their last loads, and the
 // delays.
 func (s *state) publishHedging(now time.Time) {
+	if s.settings.Agent.HedgePercent == 0 {
+		return
+	}
 	if t := s.published.ticket.Load(); t != nil {
 		s.hedging.state.SetPeers(s.hedgingPeers(now, t))
 	}
