Agents of unknown endpoints that ceased to report are awaited once, not by each search

Cause: each search waited a second for such an agent, also those that began seconds after its last report. Change: the time of a restart counts from the agent's last report.

--- a/flow/assumed_test.go
+++ b/flow/assumed_test.go
@@ -189,12 +189,14 @@
 // Machines whose endpoints no registry lists were taken away after a loss of power. All lost flows
 // waited for their agents until these were forgotten, 3 s later.
 func TestUnknownAgentThatCeasedToReportIsAwaitedForItsRestart(t *testing.T) {
-	const now = time.Minute
-	after, ended := newAssumedSearch(t, now, 2*agentStartTime, func(e *Endpoint) {
-		e.AgentLoad.Report(now-500*time.Millisecond, placement.Usage{})
-		e.Introduced, e.Unregistered = true, true
-	}).endsAfter()
-	must.True(t, ended)
-	must.GreaterEq(t, agentStartTime, after)
-	must.LessEq(t, agentStartTime+maxRetryInterval, after)
+	const now, restart = time.Minute, agentStartTime + assumedTimeout
+	for _, silent := range []time.Duration{restart / 2, restart - 10*time.Millisecond, 2 * restart} {
+		after, ended := newAssumedSearch(t, now, 2*agentStartTime, func(e *Endpoint) {
+			e.AgentLoad.Report(now-silent, placement.Usage{})
+			e.Introduced, e.Unregistered = true, true
+		}).endsAfter()
+		must.True(t, ended)
+		must.GreaterEq(t, restart-silent, after)
+		must.LessEq(t, max(restart-silent, 0)+maxRetryInterval, after)
+	}
 }
--- a/flow/search.go
+++ b/flow/search.go
@@ -311,7 +311,7 @@
 // endpoint lives, if it has reported to a balancer and may be restarting, or if other agents
 // outlived all balancers, so that its machine did not lose power with theirs. Any other is
 // awaited while it may be starting, and for assumedTimeout. One that did not know its flows and
-// whose endpoint only its reports showed is awaited for agentStartTime once they cease. A silent agent that has excluded flows of
+// whose endpoint only its reports showed is awaited for the time of a restart once they cease. A silent agent that has excluded flows of
 // the route is not awaited.
 func (s *search) awaitsAssumed(now Timestamp, endpoint *Endpoint, route Address, routing *RoutingTable) bool {
 	load := endpoint.AgentLoad
@@ -328,7 +328,7 @@
 	case endpoint.Introduced && !alive && (load.ReportedAt() == 0 || load.FlowsKnown()):
 		return true // another balancer knows it, or it is frozen and holds flows
 	case endpoint.Introduced && !alive:
-		return now-s.startedAt < agentStartTime // it is restarting, or its machine has left
+		return now-load.ReportedAt() < agentStartTime+assumedTimeout // it may be restarting
 	case endpoint.Unregistered:
 		return inTime
 	case endpoint.ConfirmedFrom != 0 && routing.CurrentAt() >= endpoint.ConfirmedFrom:
