Reports of other failure domains stay slow while none has room

Cause: a balancer whose domain was out of room requested fast reports of the others, also while these had no room either, as after a loss of power; no flow could go there. Change: fast reports only while an endpoint in touch of another domain has a free slot, or the own domain has few endpoints.

--- a/contact/contact_test.go
+++ b/contact/contact_test.go
@@ -154,6 +154,21 @@
 	must.EqOp(t, Wider, s.Width(), must.Sprint("all domains are full: more agents add no room"))
 }
 
+// While no failure domain had room, as after a loss of power, all agents in touch reported at the
+// fast rate although no flow could go to them.
+func TestReportsStaySlowWhileNoDomainHasRoom(t *testing.T) {
+	s := NewService(0, "a")
+	full := Observation{LocalAccepting: 20, Usable: 28}
+	observeFor(s, 0, 10*time.Second, full)
+	must.EqOp(t, SlowInterval, s.Interval())
+	full.RemoteFree = 1
+	s.Observe(10*time.Second, full)
+	must.EqOp(t, FastInterval, s.Interval())
+	full.RemoteFree = 0
+	observeFor(s, 10*time.Second, 10*time.Second+3*slowDownInterval, full)
+	must.EqOp(t, SlowInterval, s.Interval())
+}
+
 // If too few of the agents in touch are usable, the subset grows step by step.
 func TestSubsetGrowsWithoutUsableEndpoints(t *testing.T) {
 	s := NewService(0, "a")
--- a/contact/service.go
+++ b/contact/service.go
@@ -156,9 +156,15 @@
 	}
 }
 
+// spills reports whether new flows go to other failure domains: the own one is out of room, and
+// others have some. While none has, fast reports would only cost bytes.
+func (o Observation) spills() bool {
+	return o.LocalAccepting < minLocal || o.isFull() && o.RemoteFree > 0
+}
+
 func (s *Service) adaptInterval(now time.Duration, o Observation) {
 	switch {
-	case o.isFull():
+	case o.spills():
 		s.interval, s.intervalAt = FastInterval, now
 	case s.interval != SlowInterval && now-s.intervalAt >= slowDownInterval:
 		if s.interval == FastInterval {
