--- a/admission/message.go
+++ b/admission/message.go
@@ -24,7 +24,7 @@
 	BackendUnreachable bool
 }
 
-// CopyArrived asks the control goroutine to admit the second copy of a request that another
+// CopyArrived requests that the control goroutine admit the second copy of a request that another
 // agent owns. It is decided at once.
 type CopyArrived struct {
 	Request
--- a/check/check.go
+++ b/check/check.go
@@ -110,7 +110,7 @@
 	return &r.Result, nil
 }
 
-// kindOf tells a ticket from a desired state by the keys that only one of them has.
+// kindOf distinguishes a ticket from a desired state by the keys that only one of them has.
 func kindOf(f File) (Kind, error) {
 	var members map[string]json.RawMessage
 	if err := json.Unmarshal(f.Text, &members); err != nil {
--- a/contact/contact_test.go
+++ b/contact/contact_test.go
@@ -185,7 +185,7 @@
 }
 
 // Agents that obey the request get hello messages as rarely as they report; one of an older
-// build, which forgets a balancer after 2 s, and one that has just been asked, get them as
+// build, which forgets a balancer after 2 s, and one that got a new request, get them as
 // before. A changed request is sent at once.
 func TestHellosFollowReports(t *testing.T) {
 	count := func(h *Hellos, from, to time.Duration, requested, reported time.Duration) (sent int) {
--- a/contact/hellos.go
+++ b/contact/hellos.go
@@ -19,7 +19,7 @@
 )
 
 // Hellos decides when a balancer sends hello messages to the agents of other failure domains
-// that it asked to report more rarely. The control goroutine owns it.
+// from which it requested rarer reports. The control goroutine owns it.
 type Hellos struct {
 	sent map[flow.Address]sentHello
 }
--- a/directory/dissemination.go
+++ b/directory/dissemination.go
@@ -14,7 +14,7 @@
 	// announcement, and relay it within theirs: at 3% loss, both datagrams are lost once in
 	// 1,100, and the reader repeats its announcement at most 0.7 s later.
 	relaysPerDomain = 2
-	// echoes is how many balancers of its own failure domain a balancer tells of a change that
+	// echoes is how many balancers of its own failure domain a balancer notifies of a change that
 	// it has from one of them. They reach those that the first announcement did not.
 	echoes = 3
 	// smallFleet is the largest number of other balancers that are all sent every
@@ -33,7 +33,7 @@
 //
 // Invariant: an announcement crosses failure domains once, and is relayed once: to the balancers
 // of the sender's failure domain and a few of each other, and from these within theirs. Each
-// balancer tells a few others of its domain, once, of a change that it has from one of them. A
+// balancer notifies a few others of its domain, once, of a change that it has from one of them. A
 // balancer of an unknown failure domain counts as one of the own: it gets every announcement and
 // relays none.
 type Dissemination struct {
@@ -130,7 +130,7 @@
 	d.relayed, d.relayedDigest, d.relayedAt = p, digest, now
 }
 
-// Introduce reports whether to send a balancer an announcement that tells it the failure domain
+// Introduce reports whether to send a balancer an announcement that states the failure domain
 // of this one: at first, while its own is not known, and if it is in another one and has sent
 // an announcement, since it may count this balancer as one of its own domain.
 func (d *Dissemination) Introduce(now time.Duration, peer netip.AddrPort, announced bool) bool {
--- a/directory/dissemination_test.go
+++ b/directory/dissemination_test.go
@@ -232,7 +232,7 @@
 	must.False(t, older.IsRemote(peerAt(1)))
 }
 
-// A balancer tells each other one its failure domain, once while that one's is not known, and
+// A balancer announces its failure domain to each other one, once while that one's is not known, and
 // again to one of another domain that announces to it.
 func TestBalancersTellTheirDomain(t *testing.T) {
 	d := NewDissemination(peerAt(0), "a")
--- a/flow/assumed_test.go
+++ b/flow/assumed_test.go
@@ -186,7 +186,7 @@
 	must.Eq(t, []Address{agentAt(3)}, newSearch(now).remainingIn(assumedWave, s.key, s.route))
 }
 
-// Machines whose endpoints no registry lists were taken away after a loss of power. All lost flows
+// Machines whose endpoints no registry lists were removed after a loss of power. All lost flows
 // waited for their agents until these were forgotten, 3 s later.
 func TestUnknownAgentThatCeasedToReportIsAwaitedForItsRestart(t *testing.T) {
 	const now, restart = time.Minute, agentStartTime + assumedTimeout
--- a/flow/bulk.go
+++ b/flow/bulk.go
@@ -41,7 +41,7 @@
 // Fingerprint returns the flow's fingerprint.
 func (k Key) Fingerprint() Fingerprint { return Fingerprint(k.hash()) }
 
-// BulkQuery asks an agent that knows all flows of its endpoint which of many flows it may hold.
+// BulkQuery queries an agent that knows all flows of its endpoint for which of many flows it may hold.
 type BulkQuery struct {
 	// ID is echoed in the answer.
 	ID           uint64
--- a/flow/overload.go
+++ b/flow/overload.go
@@ -16,7 +16,7 @@
 	// callerTime is how long a caller takes from the acceptance of its flow to its request,
 	// and the answer to reach it: two round trips of a few milliseconds.
 	callerTime = 10 * time.Millisecond
-	// maxClasses bounds the classes that an agent tells apart; further ones count as
+	// maxClasses bounds the classes that an agent distinguishes; further ones count as
 	// unknown. Operators have a few.
 	maxClasses = 16
 	// classExpiry is after how long without a delivery a class is removed if there are too
--- a/flow/wire/query.go
+++ b/flow/wire/query.go
@@ -54,7 +54,7 @@
 
 const fingerprintSize = 4
 
-// BulkQuery asks an agent which of many flows its endpoint may hold, at most flow.MaxBulk.
+// BulkQuery queries an agent for which of many flows its endpoint may hold, at most flow.MaxBulk.
 type BulkQuery flow.BulkQuery
 
 // BulkAnswer is an agent's answer to BulkQuery.
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -286,7 +286,7 @@
 	s.receivers.Remove(balancer)
 }
 
-// recordDomain tells the traffic counters whether a balancer is in another failure domain.
+// recordDomain sets for the traffic counters whether a balancer is in another failure domain.
 func (s *state) recordDomain(balancer flow.Address, remote bool) {
 	if s.remote[balancer] == remote {
 		return
--- a/packetbalancer/contacts.go
+++ b/packetbalancer/contacts.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// endContacts tells agents that they are no longer in touch, so that they do not look for this
+// endContacts notifies agents that they are no longer in touch, so that they do not look for this
 // balancer.
 func (s *state) endContacts() {
 	for _, agent := range s.contacts.dropped {
@@ -173,7 +173,7 @@
 	}
 }
 
-// recordDomains tells the traffic counters which nodes are in other failure domains.
+// recordDomains sets for the traffic counters which nodes are in other failure domains.
 func (s *state) recordDomains() {
 	remote := make(map[[4]byte]bool)
 	for agent, endpoint := range s.traffic.table.Load().Agents {
--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -229,7 +229,7 @@
 	s.announceTo(now, s.dissemination.AfterFetch(now, from, s.directory.Position(), s.directory.Digest(), s.schedule.Peers(now)))
 }
 
-// introduceTo tells a balancer the failure domain of this one, if that is due. announced is
+// introduceTo announces the failure domain of this balancer to another, if that is due. announced is
 // whether the balancer has sent an announcement.
 func (s *state) introduceTo(now time.Duration, peer netip.AddrPort, announced bool) {
 	if s.directory.Known() && s.dissemination.Introduce(now, peer, announced) {
--- a/packetbalancer/introduced_test.go
+++ b/packetbalancer/introduced_test.go
@@ -125,7 +125,7 @@
 // After a loss of power, agents whose endpoints did not return introduced themselves to a few
 // balancers. The others learned of them, got no reports, and waited for their answers for
 // seconds: each lost flow ended 2 to 4 s late.
-func TestIntroducedAgentsAreAskedToReport(t *testing.T) {
+func TestIntroducedAgentsGetHellos(t *testing.T) {
 	hellos := func(agents ...netip.AddrPort) int64 {
 		now := clock.Now()
 		s := startingState(now)
