The list of interface names has the span agent.hand_over again

Cause: the list is printed from the calls that start spans, and the name had moved out of such a call. Change: the call has the name. Result: tests of admission and trace pass; no name of the last list is missing.

--- a/admission/frontend/job.go
+++ b/admission/frontend/job.go
@@ -13,6 +13,8 @@
 	"cactustray/control"
 	"cactustray/ticket"
 	"cactustray/trace"
+
+	oteltrace "go.opentelemetry.io/otel/trace"
 )
 
 // job is one request that this agent handles, of either kind: admission.Job or
@@ -106,7 +108,7 @@
 	if ctx.Err() != nil {
 		return result{outcome: notRun, detail: admission.DeadlinePassed.String()}
 	}
-	ctx, span := trace.Start(ctx, spanOf(d))
+	ctx, span := startSpan(ctx, d)
 	defer span.End()
 	if delay, ok := j.hedgeDelay(); ok {
 		return j.attemptHedged(ctx, d, delay)
@@ -114,11 +116,12 @@
 	return j.answer(j.open(ctx, d))
 }
 
-func spanOf(d admission.Decision) string {
+// startSpan starts the span of an attempt.
+func startSpan(ctx context.Context, d admission.Decision) (context.Context, oteltrace.Span) {
 	if d.Peer == 0 {
-		return "agent.backend"
+		return trace.Start(ctx, "agent.backend")
 	}
-	return "agent.hand_over"
+	return trace.Start(ctx, "agent.hand_over")
 }
 
 // opened is the begin of an answer, or the outcome of an attempt that got none.
