Faults found by review where parts meet

Cause: a reviewer of the merged code found, by reading: contact with a remote agent ended without a statement of the evacuation that ended it; an agent's announced stop counted for ever once it reported no more by the balancer's choice; a frozen agent that knew its flows was not awaited if its endpoint had been silent; slow reports stated no routes; the count of flows left in an evacuated domain did not fall outside of it; bulk queries and answers were not counted; a split route did not leave a service whose openings came back for an evacuation; the desired state of an older build removed the classes; a stored opening packet could be refused although its caller's copy was accepted; a retry in bulk left out agents that are queried separately. Change: each of these, in a few lines. Result: TestEndOfContactStatesEvacuation, TestFrozenUnknownAgentIsAwaitedAlsoIfItsEndpointWasSilent and TestDesiredStateOfOlderBuildTakesNoClasses; tests of flow, directory, packetbalancer, packetagent, placement and contact pass. The others have no test of their own yet.

--- a/directory/evacuation_test.go
+++ b/directory/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -253,3 +254,16 @@
 		}
 	})
 }
+
+// A balancer of an older build sent the desired state in force without the classes of its routes, and
+// the receiver had none until the next version.
+func TestDesiredStateOfOlderBuildTakesNoClasses(t *testing.T) {
+	const now = time.Minute
+	route := Route{Name: "r", Address: netip.MustParseAddrPort("10.9.0.1:80"), Shares: []Share{{Service: "orders", Weight: 1}}}
+	older := Desired{Version: 3, Era: 1, ModRevision: 5, Routes: []Route{route}}
+	route.Class = &Class{Goal: time.Second, Limit: 2 * time.Second}
+	s := NewState()
+	s.Apply(now, Change{Era: 1, Revision: 9, Snapshot: true, AsOf: now, Desired: &Desired{Version: 3, Era: 1, ModRevision: 5, Routes: []Route{route}}})
+	s.Apply(now, Change{Era: 1, Revision: 10, Snapshot: true, AsOf: now, Desired: &older, Digest: 7, RouteHistory: time.Second})
+	must.NotNil(t, s.Desired().Routes[0].Class)
+}
--- a/directory/state.go
+++ b/directory/state.go
@@ -174,7 +174,10 @@
 		return
 	}
 	before := s.desired
-	s.desired = *c.Desired
+	// A balancer of an older build sends a desired state without classes and services.
+	if c.Desired.Compare(&before) > 0 || c.fromSource() {
+		s.desired = *c.Desired
+	}
 	switch {
 	case !s.known && s.routes.since != systemStart, s.known && c.skips(now-s.asOf) && c.Desired.Version != before.Version:
 		s.routes.begin(now, c.Desired.Version)
--- a/flow/assumed_test.go
+++ b/flow/assumed_test.go
@@ -200,3 +200,14 @@
 		must.LessEq(t, max(restart-silent, 0)+maxRetryInterval, after)
 	}
 }
+
+// An agent that knew its flows was not awaited if its endpoint had left an opening packet
+// unanswered before the machine froze, although it holds flows.
+func TestFrozenUnknownAgentIsAwaitedAlsoIfItsEndpointWasSilent(t *testing.T) {
+	const now = time.Minute
+	_, ended := newAssumedSearch(t, now, 2*agentStartTime, func(e *Endpoint) {
+		e.AgentLoad.Report(now-time.Second, placement.Usage{Silent: true, FlowsKnown: true})
+		e.Introduced, e.Unregistered = true, true
+	}).endsAfter()
+	must.False(t, ended)
+}
--- a/flow/distant.go
+++ b/flow/distant.go
@@ -41,9 +41,9 @@
 }
 
 // awaitsDistant reports whether a distant agent of an assumed service has had too little time to
-// answer: it has not been queried, not several times, or only just.
+// answer: it was neither queried nor sent the packet, or only just.
 func (s *search) awaitsDistant(now Timestamp, agent Address) bool {
-	return !s.queried[agent] || now-s.startedAt < agentStartTime || now-s.sentAt < assumedTimeout
+	return !s.queried[agent] && !s.received[agent] || now-s.startedAt < agentStartTime || now-s.sentAt < assumedTimeout
 }
 
 // hasDistant reports whether the route has services with distant agents.
--- a/flow/retry.go
+++ b/flow/retry.go
@@ -1,6 +1,9 @@
 package flow
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// retryInterval is how long after its start a search is continued first: many times
@@ -57,7 +60,12 @@
 	}
 	if len(bulk) > 0 && a.bulk.usesBulk(len(bulk)) {
 		s.bulkUnanswered = 0
-		return a.sendSearch(now, key, s, route, routing, bulk)
+		inBulk := a.sendSearch(now, key, s, route, routing, bulk)
+		separate := slices.DeleteFunc(d.QueryAgents, func(agent Address) bool { return slices.Contains(bulk, agent) })
+		if len(separate) > 0 && inBulk.Reason != SearchWaits && a.searches.spend(now, len(separate)*querySize) {
+			inBulk.QueryAgents = append(inBulk.QueryAgents, separate...)
+		}
+		return inBulk
 	}
 	if len(d.QueryAgents) > 0 {
 		if !a.searches.spend(now, len(d.QueryAgents)*querySize) {
--- a/flow/search.go
+++ b/flow/search.go
@@ -323,7 +323,7 @@
 		return false
 	case endpoint.Distant && s.awaitsDistant(now, endpoint.Agent):
 		return true
-	case endpoint.Introduced && load.Silent():
+	case endpoint.Introduced && load.Silent() && !load.FlowsKnown():
 		return false // its endpoint does not run: it answers no packet of an unknown flow
 	case endpoint.Introduced && !alive && (load.ReportedAt() == 0 || load.FlowsKnown()):
 		return true // another balancer knows it, or it is frozen and holds flows
--- a/flow/split.go
+++ b/flow/split.go
@@ -28,25 +28,29 @@
 
 // serviceFor returns the service at which a new flow is placed: that of the route's split,
 // unless no endpoint of it has a free slot and one of another service with a weight has. A flow
-// that was placed before stays with its service. Routes of an unknown class are split by
+// that was placed before stays with its service, unless all endpoints of that are in evacuated failure
+// domains. Routes of an unknown class are split by
 // weight alone.
 func (a *Assignments) serviceFor(now Timestamp, route *Route, key Key, known assignment) *Service {
 	service := route.Service(key)
 	if service == nil || !route.Class.IsKnown() || len(route.Shares) < 2 {
 		return service
 	}
+	hasRoom := func(s *Service) bool { return s.hasFreeSlot(now) && !a.evacuated.hasAll(now, s) }
 	if known.triedCount > 0 && known.tag != 0 {
 		placed := slices.IndexFunc(route.Shares, func(s Share) bool { return s.Weight > 0 && s.Service.Tag == known.tag })
-		if placed >= 0 {
+		if placed >= 0 && !a.evacuated.hasAll(now, route.Shares[placed].Service) {
 			return route.Shares[placed].Service
 		}
-		return service
+		if placed < 0 {
+			return service
+		}
 	}
-	if service.hasFreeSlot(now) {
+	if hasRoom(service) {
 		return service
 	}
 	for _, share := range route.Shares {
-		if share.Weight > 0 && share.Service != service && share.Service.hasFreeSlot(now) {
+		if share.Weight > 0 && share.Service != service && hasRoom(share.Service) {
 			return share.Service
 		}
 	}
--- a/flow/wire/kind.go
+++ b/flow/wire/kind.go
@@ -23,9 +23,10 @@
 	return [...]string{"unknown", "forward", "return", "hello", "report", "owner", "announcement", "query", "answer"}[k]
 }
 
-// noticeKinds has the kinds of notices by the protobuf field of their message.
+// noticeKinds has the kinds of notices by the protobuf field of their message. The numbers are those
+// that the first byte of a field's key shows; fields above 31 would need its second.
 var noticeKinds = [...]MessageKind{
-	1: HelloKind, 2: ReportKind, 3: OwnerKind, 4: OwnerKind, 5: AnnouncementKind, 6: QueryKind, 7: AnswerKind,
+	1: HelloKind, 2: ReportKind, 3: OwnerKind, 4: OwnerKind, 5: AnnouncementKind, 6: QueryKind, 7: AnswerKind, 20: QueryKind, 21: AnswerKind,
 }
 
 // fieldShift is the position of the field's number in the key of a protobuf field.
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -213,6 +213,7 @@
 		}
 		if !prepared {
 			report, prepared = s.currentReport(now), true
+			report.Routes, report.RoutesStated = s.traffic.heldRoutes(now)
 		}
 		s.sendSlow(now, report, balancer)
 	}
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -153,7 +153,7 @@
 		f.answer(m, from)
 	case wire.BulkQuery:
 		answer := withFlows(f, func(t *flow.AgentTable) flow.BulkAnswer { return t.BulkQuery(clock.Now(), flow.BulkQuery(m)) })
-		f.counters.Send(f.peers, wire.Encode(wire.BulkAnswer(answer)), from)
+		f.counters.SendToNode(f.peers, wire.Encode(wire.BulkAnswer(answer)), from)
 	}
 }
 
--- a/packetbalancer/bulk.go
+++ b/packetbalancer/bulk.go
@@ -36,7 +36,7 @@
 	f.bulkScheduled.Store(false)
 	now := clock.Now()
 	for _, d := range withAssignments(f, func(a *flow.Assignments) []flow.BulkDatagram { return a.FlushBulk(now) }) {
-		f.counters.Send(f.peers, wire.Encode(wire.BulkQuery(d.BulkQuery)), d.Agent.AddrPort())
+		f.counters.SendToNode(f.peers, wire.Encode(wire.BulkQuery(d.BulkQuery)), d.Agent.AddrPort())
 	}
 	f.logManyLost(now)
 	f.scheduleBulk() // some may have been queued meanwhile
--- a/packetbalancer/contacts.go
+++ b/packetbalancer/contacts.go
@@ -105,15 +105,22 @@
 func (s *state) endContacts() {
 	for _, agent := range s.contacts.dropped {
 		s.contacts.hellos.Forget(agent)
-		farewell := wire.Hello{Leaving: true, Remote: true, ReportInterval: contact.SlowInterval}
+		s.agentLoad(agent).EndContact()
 		if endpoint := s.traffic.table.Load().Agents[agent]; endpoint != nil {
-			farewell.Slots = endpoint.Slots
-			s.traffic.counters.SendToNode(s.traffic.peers, wire.Encode(farewell), agent.AddrPort())
+			s.traffic.counters.SendToNode(s.traffic.peers, wire.Encode(s.farewell(endpoint)), agent.AddrPort())
 		}
 	}
 	s.contacts.dropped = nil
 }
 
+// farewell returns the message that ends the contact with an agent. An evacuation may be the reason,
+// so it states that.
+func (s *state) farewell(endpoint *flow.Endpoint) wire.Hello {
+	hello := wire.Hello{Slots: endpoint.Slots, Leaving: true, Remote: true, ReportInterval: contact.SlowInterval}
+	s.addStatement(&hello, endpoint)
+	return hello
+}
+
 // checkContacts adapts the contact with agents of other failure domains to the room in this
 // one, and publishes a routing table if other agents are in touch from now on.
 func (s *state) checkContacts(now time.Duration) {
--- a/packetbalancer/contacts_test.go
+++ b/packetbalancer/contacts_test.go
@@ -263,3 +263,24 @@
 func TestWidthsHaveNames(t *testing.T) {
 	must.EqOp(t, "narrow wider all", fmt.Sprint(contact.Narrow, contact.Wider, contact.All))
 }
+
+// An agent of a newly evacuated domain got no statement of the order from other domains: their
+// balancers ended the contact with a message that stated nothing.
+func TestEndOfContactStatesEvacuation(t *testing.T) {
+	s := fleetState(0, spreadEndpoints("orders", 0, 60))
+	s.settings.Packets.EvacuateMillis, s.loggedEvacuations = 5000, make(loggedEvacuations)
+	s.publish(time.Minute)
+	inTouch := s.remoteInTouch("orders")[0]
+	s.directory.Apply(time.Minute, directory.Change{
+		Era: 1, After: 9, Revision: 10, AsOf: time.Minute, Evacuations: []directory.Evacuation{{Zone: inTouch.Zone, Era: 1, ModRevision: 10}},
+	})
+	inTouch.AgentLoad.Report(time.Minute, placement.Usage{Leaving: true})
+	farewell := s.farewell(inTouch)
+	must.True(t, farewell.Leaving)
+	must.True(t, farewell.Evacuated)
+	must.EqOp(t, directory.Revision(10), farewell.Position.Revision)
+
+	// The agent's stop has no meaning once the contact has ended: it may have started again.
+	s.publish(time.Minute + time.Second)
+	must.False(t, inTouch.AgentLoad.Stopped(time.Hour))
+}
--- a/packetbalancer/early.go
+++ b/packetbalancer/early.go
@@ -75,7 +75,7 @@
 	now := clock.Now()
 	for _, p := range packets {
 		if now-p.at < earlyLifetime {
-			f.log.Contain("caller's packet", func() { f.forward(now, p.buffer) })
+			f.log.Contain("caller's packet", func() { f.forward(now, p.buffer, true) })
 		}
 	}
 	return nil
--- a/packetbalancer/evacuation.go
+++ b/packetbalancer/evacuation.go
@@ -109,10 +109,11 @@
 }
 
 // evacuatedFlows returns how many flows are open at endpoints of evacuated failure domains, by the
-// last reports of their agents.
+// reports of the agents that the balancer is in touch with: all of its own domain.
 func (f *forwarder) evacuatedFlows() (flows int64) {
+	now := clock.Now()
 	for _, endpoint := range f.table.Load().Agents {
-		if endpoint.Evacuated {
+		if endpoint.Evacuated && !endpoint.Distant && endpoint.AgentLoad.Alive(now) {
 			flows += endpoint.AgentLoad.Flows()
 		}
 	}
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -98,21 +98,25 @@
 		f.received.Add(1)
 		now := clock.Now()
 		if !f.earlyQueue.add(now, buffer) {
-			f.log.Contain("caller's packet", func() { f.forward(now, buffer) })
+			f.log.Contain("caller's packet", func() { f.forward(now, buffer, false) })
 		}
 	})
 }
 
 // forward decides where a caller's packet goes and sends it there. buffer has space
 // for an envelope before the packet.
-func (f *forwarder) forward(now time.Duration, buffer []byte) {
+func (f *forwarder) forward(now time.Duration, buffer []byte, stored bool) {
 	packet, err := f.codec.Decode(buffer[wire.EnvelopeSize:])
 	if err != nil {
 		f.counters.CountMalformed(f.log, clock.Now(), err)
 		return
 	}
 	table := f.table.Load()
-	f.execute(packet.Flow, f.decide(now, packet, table, buffer[wire.EnvelopeSize:]), buffer, 0)
+	d := f.decide(now, packet, table, buffer[wire.EnvelopeSize:])
+	// A stored opening packet may be older than its caller's next copy, which another endpoint may
+	// have accepted; without a class its agent does not refuse it.
+	d.StatesClass = d.StatesClass && !stored
+	f.execute(packet.Flow, d, buffer, 0)
 }
 
 // decide returns the decision on a caller's packet.
--- a/placement/usable.go
+++ b/placement/usable.go
@@ -5,6 +5,10 @@
 // Usable reports whether the endpoint can get new flows by its agent's recent reports.
 func (c *Candidate) Usable(now time.Duration) bool { return c.status(now) == usable }
 
+// EndContact records that the agent reports no more by the balancer's choice: that it reported its
+// stop before does not mean that it has not started again.
+func (l *AgentLoad) EndContact() { l.leaving.Store(false) }
+
 // Interval returns the interval between reports that the agent's last report stated.
 func (l *AgentLoad) Interval() time.Duration { return time.Duration(l.interval.Load()) }
 
