--- a/flow/split_test.go
+++ b/flow/split_test.go
@@ -138,3 +138,25 @@
 	must.Len(t, 1, resends)
 	must.EqOp(t, d.To, resends[0].Decision.To)
 }
+
+// A balancer that knew from a returned opening packet alone that a service's only failure domain is
+// evacuated reset the caller, although the route's other service had room.
+func TestSplitRouteLeavesEvacuatedService(t *testing.T) {
+	class := Class{Goal: 300 * time.Millisecond, Limit: 1500 * time.Millisecond}
+	routing, route := splitTable(class, 10, 0, 0)
+	for i, share := range route.Shares {
+		for _, endpoint := range share.Service.Accepting {
+			endpoint.Zone = []string{"a", "b"}[i]
+		}
+	}
+	a, caller := newTestAssignments(), 0
+	for route.Service(callerKey(caller)) != route.Shares[0].Service {
+		caller++
+	}
+	p := Packet{Flow: callerKey(caller), Opening: true}
+	d := a.FromCaller(time.Second, p, routing, nil)
+	must.EqOp(t, route.Shares[0].Service.Tag, d.Tag)
+	d = a.Returned(time.Second, p, d.To, Delivery{Hops: 1, Evacuated: true}, routing, nil)
+	must.False(t, d.SendReset)
+	must.EqOp(t, route.Shares[1].Service.Tag, d.Tag)
+}
--- a/flow/wire/kind_test.go
+++ b/flow/wire/kind_test.go
@@ -31,6 +31,8 @@
 		{Encode(DirectoryAnnouncement{Digest: 7}), AnnouncementKind},
 		{Encode(Queries{Flows: []flow.Query{{Flow: key}}}), QueryKind},
 		{Encode(Answers{Held: []flow.Key{key}}), AnswerKind},
+		{Encode(BulkQuery{ID: 1 << 63, Fingerprints: []flow.Fingerprint{1}}), QueryKind},
+		{Encode(BulkAnswer{ID: 7}), AnswerKind},
 		{nil, UnknownKind},
 		{[]byte{byte(Notice)}, UnknownKind},
 		{[]byte{byte(Notice), 0xff}, UnknownKind},
