Hedging: a long answer decides the race at once

Cause: the begin of an answer longer than 64 KiB waited for the end of the other copy, so that the caller got it after the slower of both, and a truncated one if the other copy hung until the deadline. Change: Race.End decides on Long as on Whole. A refusal longer than 64 KiB is now Refused, not Long: it still waits for the other copy. A later break-off is the same as without copies.

--- a/admission/frontend/hedge.go
+++ b/admission/frontend/hedge.go
@@ -89,9 +89,9 @@
 	}
 	read, err := io.ReadAll(io.LimitReader(o.response.Body, heldSize+1))
 	switch {
-	case err == nil && len(read) > heldSize:
+	case err == nil && len(read) > heldSize && !isRefusal(o.response):
 		h.ending = hedging.Long
-	case err != nil || !isFramed(o.response):
+	case err != nil || len(read) <= heldSize && !isFramed(o.response):
 		h.ending = hedging.Lost
 		h.opened = opened{failed: result{outcome: unknown, detail: "answer broken off"}}
 		_ = o.response.Body.Close()
--- a/admission/frontend/hedge_test.go
+++ b/admission/frontend/hedge_test.go
@@ -84,6 +84,7 @@
 		{responseOf(429, 4, strings.NewReader("busy")), hedging.Refused, "busy"},
 		{responseOf(200, -1, strings.NewReader("half")), hedging.Lost, ""},
 		{responseOf(200, int64(len(long)), strings.NewReader(long)), hedging.Long, long},
+		{responseOf(503, int64(len(long)), strings.NewReader(long)), hedging.Refused, long},
 		{responseOf(200, 9, io.MultiReader(strings.NewReader("half"), brokenReader{})), hedging.Lost, ""},
 		{opened{failed: result{outcome: notRun}}, hedging.NotRun, ""},
 		{opened{failed: result{outcome: unknown}}, hedging.Lost, ""},
--- a/hedging/race.go
+++ b/hedging/race.go
@@ -23,10 +23,10 @@
 	NotRun
 	// Lost: the copy may have run, but no answer or only a part of it arrived.
 	Lost
-	// Refused: the whole answer has arrived and is a refusal or failure of the backend server.
+	// Refused: the answer is a refusal or failure of the backend server.
 	Refused
-	// Long: the answer is longer than what is held back for the race; its rest has not been
-	// read.
+	// Long: an answer whose rest has not been read, since it is longer than what is held back
+	// for the race.
 	Long
 	// Whole: the whole answer has arrived.
 	Whole
@@ -38,14 +38,14 @@
 
 // End records how a copy ended. decided is true if the caller gets the answer, or the
 // failure, of the winner; the other copy is then to be cancelled. While the other copy is
-// open, only a whole answer wins: a quick refusal or a broken answer waits for it, and so
-// does the begin of a long answer, since it might break off later. Of two long answers the
-// one that began first wins.
+// open, a quick refusal or a broken answer waits for it. A long answer does not: its caller
+// would get it after the slower of both copies. If it breaks off later, it is aborted as
+// without copies.
 func (r *Race) End(c Copy, ending Ending) (winner Copy, decided bool) {
 	r.endings[c] = ending
 	other := r.endings[c.other()]
 	switch {
-	case ending == Whole:
+	case ending >= Long:
 		return c, true
 	case other == Open:
 		return c, false
@@ -53,8 +53,6 @@
 		return c, true
 	case ending < other:
 		return c.other(), true
-	case ending == Long:
-		return c.other(), true
 	}
 	return First, true
 }
