Hedging: an answer streams once the other copy has failed

Cause: the answer of the first copy was held back until it was complete or 64 KiB long, although the second copy had been refused meanwhile. Change: hold reads in chunks and stops when the other copy has ended without an answer. The read in progress then goes on in its goroutine, and its chunk is the first of the rest. hold takes a channel for this; TestHoldTellsWholeAnswersFromOthers passes none.

--- a/admission/frontend/hedge.go
+++ b/admission/frontend/hedge.go
@@ -20,6 +20,9 @@
 // bytes.
 const heldSize = 64 << 10
 
+// chunkSize is how much of an answer that is held back is read at once, in bytes.
+const chunkSize = 8 << 10
+
 // CopyCounters counts the second copies that an agent offers.
 type CopyCounters struct {
 	// Offered are the offers to peers, Won the copies whose answer a caller got.
@@ -80,34 +83,94 @@
 	opened
 }
 
-// hold reads the answer of a copy, as far as it is held back.
-func hold(c hedging.Copy, o opened) held {
+// hold reads the answer of a copy, as far as it is held back. It stops early when alone is
+// closed, which says that the other copy has ended without an answer.
+func hold(c hedging.Copy, o opened, alone <-chan struct{}) held {
 	h := held{copy: c, opened: o}
 	if o.response == nil {
 		h.ending = endingOf(o.failed)
 		return h
 	}
-	read, err := io.ReadAll(io.LimitReader(o.response.Body, heldSize+1))
+	read, rest, err := readHeld(o.response.Body, alone)
 	switch {
-	case err == nil && len(read) > heldSize && !isRefusal(o.response):
-		h.ending = hedging.Long
-	case err != nil || len(read) <= heldSize && !isFramed(o.response):
+	case err != nil && err != io.EOF || err == io.EOF && !isFramed(o.response):
 		h.ending = hedging.Lost
 		h.opened = opened{failed: result{outcome: unknown, detail: "answer broken off"}}
 		_ = o.response.Body.Close()
 		return h
 	case isRefusal(o.response):
 		h.ending = hedging.Refused
+	case err == nil:
+		h.ending = hedging.Long
 	default:
 		h.ending = hedging.Whole
 	}
 	o.response.Body = struct {
 		io.Reader
 		io.Closer
-	}{io.MultiReader(bytes.NewReader(read), o.response.Body), o.response.Body}
+	}{io.MultiReader(bytes.NewReader(read), rest), o.response.Body}
 	return h
 }
 
+// readHeld reads up to heldSize bytes of a body, until alone is closed. The error is that of
+// the body, io.EOF at its end, or nil if the rest has not been read.
+func readHeld(body io.Reader, alone <-chan struct{}) (read []byte, rest io.Reader, err error) {
+	for len(read) <= heldSize {
+		next := readChunk(body)
+		select {
+		case c := <-next:
+			read = append(read, c.data...)
+			if c.err != nil {
+				return read, http.NoBody, c.err
+			}
+		case <-alone:
+			return read, io.MultiReader(&pendingChunk{next: next}, body), nil
+		}
+	}
+	return read, body, nil
+}
+
+// chunk is the result of one read.
+type chunk struct {
+	data []byte
+	err  error
+}
+
+// readChunk reads once, in a goroutine of its own: a read cannot be interrupted without
+// closing the body.
+func readChunk(body io.Reader) <-chan chunk {
+	next := make(chan chunk, 1)
+	go func() {
+		buffer := make([]byte, chunkSize)
+		n, err := body.Read(buffer)
+		next <- chunk{buffer[:n], err}
+	}()
+	return next
+}
+
+// pendingChunk is a reader of the chunk that a read in progress returns.
+type pendingChunk struct {
+	next <-chan chunk
+	chunk
+}
+
+func (p *pendingChunk) Read(b []byte) (int, error) {
+	if p.next != nil {
+		p.chunk, p.next = <-p.next, nil
+	}
+	n := copy(b, p.data)
+	p.data = p.data[n:]
+	switch {
+	case len(p.data) > 0:
+		return n, nil
+	case p.err != nil:
+		return n, p.err
+	case n == 0:
+		return 0, io.EOF // the caller goes on with the body
+	}
+	return n, nil
+}
+
 func endingOf(failed result) hedging.Ending {
 	if failed.outcome == notRun {
 		return hedging.NotRun
@@ -144,7 +207,11 @@
 	var firstBegan, secondBegan atomic.Bool
 	ended := make(chan held, 2)
 	second := make(chan held, 1)
-	go func() { second <- hold(hedging.Second, j.openSecond(secondContext, d, &secondBegan)) }()
+	// Closed when the first, or the second, copy has ended without an answer.
+	firstFailed, secondFailed := make(chan struct{}), make(chan struct{})
+	go func() {
+		second <- hold(hedging.Second, j.openSecond(secondContext, d, &secondBegan), firstFailed)
+	}()
 	var race hedging.Race
 	var copies [2]held
 	select {
@@ -156,7 +223,7 @@
 		ended <- s
 	case o := <-began:
 		firstBegan.Store(o.response != nil)
-		go func() { ended <- hold(hedging.First, o) }()
+		go func() { ended <- hold(hedging.First, o, secondFailed) }()
 		began = nil
 	}
 	for {
@@ -166,13 +233,16 @@
 		case h = <-second:
 		case o := <-began:
 			firstBegan.Store(o.response != nil)
-			go func() { ended <- hold(hedging.First, o) }()
+			go func() { ended <- hold(hedging.First, o, secondFailed) }()
 			began = nil
 			continue
 		}
 		copies[h.copy] = h
 		winner, decided := race.End(h.copy, h.ending)
 		if !decided {
+			if h.response == nil {
+				close([]chan struct{}{firstFailed, secondFailed}[h.copy])
+			}
 			continue
 		}
 		switch {
--- a/admission/frontend/hedge_test.go
+++ b/admission/frontend/hedge_test.go
@@ -90,7 +90,7 @@
 		{opened{failed: result{outcome: unknown}}, hedging.Lost, ""},
 	}
 	for i, c := range cases {
-		h := hold(hedging.Second, c.opened)
+		h := hold(hedging.Second, c.opened, nil)
 		must.EqOp(t, c.ending, h.ending, must.Sprint(i))
 		if h.response == nil {
 			must.EqOp(t, "", c.body)
@@ -105,3 +105,25 @@
 type brokenReader struct{}
 
 func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// An answer is no longer held back once the other copy has ended without one, also while a
+// read of it waits, and nothing of it is lost.
+func TestHoldStopsWhenTheOtherCopyHasFailed(t *testing.T) {
+	for _, end := range []error{nil, io.ErrUnexpectedEOF} {
+		body, out := io.Pipe()
+		alone := make(chan struct{})
+		done := make(chan held)
+		go func() { done <- hold(hedging.First, responseOf(200, 8, body), alone) }()
+		_, _ = io.WriteString(out, "half")
+		close(alone)
+		h := <-done
+		must.EqOp(t, hedging.Long, h.ending)
+		go func() {
+			_, _ = io.WriteString(out, "rest")
+			_ = out.CloseWithError(end)
+		}()
+		read, err := io.ReadAll(h.response.Body)
+		must.EqOp(t, end, err)
+		must.EqOp(t, "halfrest", string(read))
+	}
+}
--- a/agent/hedging_test.go
+++ b/agent/hedging_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -428,3 +429,42 @@
 		agents[1].awaitIdle()
 	}
 }
+
+// firstWrite is a response writer that tells when the first bytes of the body were written.
+type firstWrite struct {
+	*httptest.ResponseRecorder
+	wrote chan struct{}
+	once  sync.Once
+}
+
+func (w *firstWrite) Write(b []byte) (int, error) {
+	w.once.Do(func() { close(w.wrote) })
+	return w.ResponseRecorder.Write(b)
+}
+
+// An answer that is written slowly streams to its caller once the second copy has been
+// refused; it is not held back until it is complete.
+func TestSlowAnswerStreamsAfterRefusalOfTheSecondCopy(t *testing.T) {
+	streaming := make(chan struct{})
+	slowly := after(60*time.Millisecond, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-streaming:
+			_, _ = io.WriteString(w, "rest")
+		case <-r.Context().Done():
+		}
+	})
+	lateRefusal := func(http.HandlerFunc) http.HandlerFunc {
+		return after(150*time.Millisecond, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Cactustray-Copy", hedging.NoRoom.String())
+		})
+	}
+	agents := newTestAgents(t, lateRefusal, slowly, answerWith("second"))
+	r := httptest.NewRequest(http.MethodGet, "/drawing", http.NoBody)
+	r.Header.Set(frontend.TimeoutHeader, "1000")
+	w := &firstWrite{ResponseRecorder: httptest.NewRecorder(), wrote: streaming}
+	agents[0].handler.ServeHTTP(w, r) // aborts if nothing arrives before the deadline
+	must.EqOp(t, "halfrest", w.Body.String())
+	must.EqOp(t, 1, agents[0].handler.Copies.Offered.Load())
+}
