Hedging: a quick class no longer takes away the saved work

Cause: the saved work was cut to five typical times of the class just answered, so that each answer of a quick class cut it and a slow class never got a copy. Change: an answer never lowers the balance; above the limit of its class it adds nothing. Result: TestQuickClassLeavesTheBudgetOfSlowClass fails without the change (verdict budget instead of admitted). gofmt, go vet and go test -race of hedging, admission/... and agent pass.

--- a/hedging/budget.go
+++ b/hedging/budget.go
@@ -42,7 +42,9 @@
 		return
 	}
 	b.copies = min(maxSaved, b.copies+percent/100)
-	b.work = min(maxSaved*typical, b.work+time.Duration(percent/100*float64(took)))
+	// The limit is that of the class just answered; a quick class must not take away what a slow
+	// one has saved.
+	b.work = max(b.work, min(maxSaved*typical, b.work+time.Duration(percent/100*float64(took))))
 }
 
 // spend takes one copy with an expected work from the budget, if it has that.
--- a/hedging/hedging_test.go
+++ b/hedging/hedging_test.go
@@ -82,6 +82,21 @@
 	}
 }
 
+// Answers of a quick class don't take away the work that a slow class has saved, so that the
+// slow class gets copies too.
+func TestQuickClassLeavesTheBudgetOfSlowClass(t *testing.T) {
+	const slowClass Class = "GET /report"
+	s := NewState(testSettings)
+	now := replayStart
+	for range 500 {
+		now = answer(s, now, 3, 4*time.Millisecond)
+		s.Answered(now, Answered{Class: slowClass, Took: 400 * time.Millisecond})
+	}
+	now = answer(s, now, 50, 4*time.Millisecond)
+	must.EqOp(t, Admitted, s.Admit(now, slowClass, idle).Verdict)
+	must.EqOp(t, Admitted, s.Admit(now, testClass, idle).Verdict)
+}
+
 // While a backend server as a whole is slow, it runs no copies, also once its quantile has
 // followed; after some minutes the slower times count as usual.
 func TestNoCopiesWhileAllRequestsAreSlow(t *testing.T) {
