Hedging: failures of the first copy are reported as they were

Cause: a request whose first copy had not run and whose second copy was lost was retried without the retry budget, although the second may have run. When the second copy won, the message that frees the first one's slot did not say that the backend server was unreachable. Change: bothFailed returns unknown for the former; RetryRequested and Finished have BackendUnreachable of the first copy.

--- a/admission/frontend/hedge.go
+++ b/admission/frontend/hedge.go
@@ -216,9 +216,12 @@
 	var copies [2]held
 	select {
 	case s := <-second:
-		if s.response == nil {
-			j.answerLost = j.answerLost || s.ending == hedging.Lost
-			return j.answer(<-began) // no other answer can come: nothing is held back
+		if s.response == nil { // no other answer can come: nothing is held back
+			o := <-began
+			if o.response == nil {
+				return bothFailed(o.failed, s.ending)
+			}
+			return j.answer(o)
 		}
 		ended <- s
 	case o := <-began:
@@ -247,14 +250,13 @@
 		}
 		switch {
 		case copies[winner].response == nil: // both have failed; the request may run again
-			j.answerLost = j.answerLost || race.Ended(hedging.Second) == hedging.Lost
-			return copies[hedging.First].failed
+			return bothFailed(copies[hedging.First].failed, race.Ended(hedging.Second))
 		case winner == hedging.First:
 			cancelSecond()
 			j.h.countLate(secondBegan.Load())
 		default:
 			cancelFirst()
-			j.finish(result{}) // frees the slot of the first copy
+			j.finish(copies[hedging.First].failed) // frees the slot of the first copy
 			j.h.countLate(firstBegan.Load())
 			j.h.Copies.Won.Add(1)
 		}
@@ -262,6 +264,15 @@
 	}
 }
 
+// bothFailed returns the result of a request whose copies have both failed. It may have run
+// if one of them may have.
+func bothFailed(first result, second hedging.Ending) result {
+	if first.outcome == notRun && second == hedging.Lost {
+		first.outcome, first.detail = unknown, "answer of the second copy lost"
+	}
+	return first
+}
+
 func (h *Handler) countLate(began bool) {
 	if began {
 		h.Copies.CancelledLate.Add(1)
--- a/admission/frontend/hedge_test.go
+++ b/admission/frontend/hedge_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	"cactustray/admission"
 	"cactustray/control"
 	"cactustray/hedging"
+	"cactustray/ticket"
 
 	"github.com/shoenig/test/must"
 )
@@ -127,3 +129,99 @@
 		must.EqOp(t, "halfrest", string(read))
 	}
 }
+
+// recordMessages keeps the messages of traffic goroutines; it refuses retries.
+type recordMessages struct{ messages chan control.Message }
+
+func (r recordMessages) Handle(_ time.Time, message control.Message) {
+	r.messages <- message
+	switch m := message.(type) {
+	case admission.Arrived:
+		m.Reply <- admission.Decision{ID: m.ID}
+	case admission.RetryRequested:
+		m.Reply <- admission.Decision{ID: m.ID, Refusal: admission.NoRetry}
+	case admission.Returned:
+		m.Reply <- admission.Decision{ID: m.ID, Refusal: admission.DeadlinePassed}
+	}
+}
+
+func (recordMessages) Tick(time.Time, time.Duration) {}
+
+// hangFirst is a transport to a backend server that is found to be unreachable after a time.
+type hangFirst struct{ after time.Duration }
+
+func (h hangFirst) RoundTrip(*http.Request) (*http.Response, error) {
+	time.Sleep(h.after)
+	return nil, io.ErrUnexpectedEOF
+}
+
+// newHedgedJob returns a job that is offered to a peer after 1 ms, whose backend server is
+// found to be unreachable after a time, and the messages that the control goroutine gets.
+func newHedgedJob(t *testing.T, unreachableAfter time.Duration, peer http.HandlerFunc) (*job, chan control.Message) {
+	server := httptest.NewTLSServer(peer)
+	t.Cleanup(server.Close)
+	h, _ := newTestHandler(t, "127.0.0.1:1")
+	h.Client, h.Peers = &http.Client{Transport: hangFirst{unreachableAfter}}, server.Client()
+	key := ticket.EndpointKeyOf("orders", "orders-2")
+	h.Agents.Store(&Addresses{key: netip.MustParseAddrPort(server.Listener.Addr().String())})
+	state := hedging.NewState(hedging.Settings{Percent: 5})
+	state.SetPeers([]hedging.Peer{{Key: key}})
+	now := time.Now()
+	for range 100 {
+		state.Answered(now, hedging.Answered{Class: "GET /drawing", Took: time.Millisecond})
+	}
+	h.Hedging = new(atomic.Pointer[hedging.Snapshot])
+	h.Hedging.Store(state.Snapshot(now))
+	messages := make(chan control.Message, 10)
+	h.Loop = control.NewLoop(time.Second)
+	go func() { _ = h.Loop.Run(t.Context(), recordMessages{messages}) }()
+	j := h.newJob(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/drawing", http.NoBody), h.Ticket.Load())
+	j.request.Idempotent = true
+	j.body = newBody(http.NoBody)
+	return j, messages
+}
+
+// awaitMessage returns the next message of type M.
+func awaitMessage[M control.Message](t *testing.T, messages chan control.Message) M {
+	limit := time.After(5 * time.Second)
+	for {
+		select {
+		case message := <-messages:
+			if m, ok := message.(M); ok {
+				return m
+			}
+		case <-limit:
+			t.Fatal("no such message")
+		}
+	}
+}
+
+// loseAnswer admits a second copy and loses its answer.
+func loseAnswer(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(admissionHeader, hedging.Admitted.String())
+	w.Header().Set(OutcomeHeader, OutcomeUnknown)
+}
+
+// A request whose first copy has not run, but whose second may have, is only retried within
+// the retry budget, in whatever order they end; the backend server counts as unreachable.
+func TestRequestWithLostSecondCopyNeedsRetryBudget(t *testing.T) {
+	secondLast := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		loseAnswer(w, r)
+	}
+	for _, peer := range []http.HandlerFunc{loseAnswer, secondLast} {
+		j, messages := newHedgedJob(t, 50*time.Millisecond, peer)
+		must.EqOp(t, unknown, j.process(t.Context()).outcome)
+		must.True(t, awaitMessage[admission.RetryRequested](t, messages).BackendUnreachable)
+	}
+}
+
+// The backend server counts as unreachable also if the second copy was answered.
+func TestUnreachableBackendIsReportedWhenSecondCopyWins(t *testing.T) {
+	j, messages := newHedgedJob(t, 50*time.Millisecond, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		w.Header().Set(admissionHeader, hedging.Admitted.String())
+	})
+	must.EqOp(t, answered, j.process(t.Context()).outcome)
+	must.True(t, awaitMessage[admission.Finished](t, messages).BackendUnreachable)
+}
--- a/admission/frontend/job.go
+++ b/admission/frontend/job.go
@@ -96,7 +96,7 @@
 	if r.outcome == unknown && j.request.Idempotent {
 		j.answerLost = true
 		return func(reply decisionReply) control.Message {
-			return admission.RetryRequested{ID: d.ID, Reply: reply}
+			return admission.RetryRequested{ID: d.ID, BackendUnreachable: r.backendUnreachable, Reply: reply}
 		}
 	}
 	return nil
--- a/admission/message.go
+++ b/admission/message.go
@@ -94,8 +94,11 @@
 // request again after its answer was lost. A refusal means that it must not run
 // again.
 type RetryRequested struct {
-	ID    RequestID
-	Reply chan<- Decision
+	ID RequestID
+	// BackendUnreachable is true if this agent's backend server could not be reached, while a
+	// second copy may have run.
+	BackendUnreachable bool
+	Reply              chan<- Decision
 }
 
 // Claimed asks the control goroutine of a key's owner for the decision on a
--- a/agent/admission.go
+++ b/agent/admission.go
@@ -95,6 +95,7 @@
 		a.apply(now, a.queue.Return(now, m.ID, m.Attempt))
 	case admission.RetryRequested:
 		a.replies[m.ID] = m.Reply
+		a.backendUnreachable(now, m.BackendUnreachable)
 		a.apply(now, a.queue.Retry(now, m.ID))
 	case admission.RequestCancelled:
 		a.apply(now, a.queue.Cancel(now, m.ID))
