Hedging: classes without recent requests are given up

The names of classes were not bounded. Result: TestUnusedClassesAreDropped fails without the change (sketches remain).

--- a/admission/frontend/hedge.go
+++ b/admission/frontend/hedge.go
@@ -33,10 +33,13 @@
 	CancelledLate atomic.Int64
 }
 
-// classOf returns the class of a request: its method and the first segment of its path.
+// maxSegment bounds the path segment in a class, in bytes: callers choose it.
+const maxSegment = 64
+
+// classOf returns the class of a request: its method and the begin of the first segment of its path.
 func classOf(r *http.Request) hedging.Class {
 	segment, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	return hedging.Class(r.Method + " /" + segment)
+	return hedging.Class(r.Method + " /" + segment[:min(len(segment), maxSegment)])
 }
 
 // mayHaveCopies reports whether two copies of a request may run: it is idempotent, a job,
--- a/admission/frontend/hedge_test.go
+++ b/admission/frontend/hedge_test.go
@@ -225,3 +225,9 @@
 	must.EqOp(t, answered, j.process(t.Context()).outcome)
 	must.True(t, awaitMessage[admission.Finished](t, messages).BackendUnreachable)
 }
+
+// Callers cannot make the names of classes, which are kept, arbitrarily long.
+func TestClassNamesAreBounded(t *testing.T) {
+	r := httptest.NewRequest(http.MethodGet, "/"+strings.Repeat("x", 10*maxSegment)+"/7", http.NoBody)
+	must.EqOp(t, hedging.Class("GET /"+strings.Repeat("x", maxSegment)), classOf(r))
+}
--- a/hedging/hedging_test.go
+++ b/hedging/hedging_test.go
@@ -195,6 +195,21 @@
 	must.EqOp(t, maxClasses+1, len(s.sketches))
 }
 
+// Classes that are no longer requested make room for others: a burst of odd paths does not
+// keep a later class from having its own delay.
+func TestUnusedClassesAreDropped(t *testing.T) {
+	s := NewState(testSettings)
+	for i := range 2 * maxClasses {
+		s.Answered(replayStart, Answered{Class: Class(strconv.Itoa(i)), Took: time.Millisecond})
+	}
+	now := replayStart.Add(2 * windowTime)
+	s.Snapshot(now)
+	must.MapEmpty(t, s.sketches)
+	now = answer(s, now, minSamples, 40*time.Millisecond)
+	_, ok := s.Snapshot(now).Delay(testClass, time.Minute)
+	must.True(t, ok)
+}
+
 // Whatever order the two copies end in, one of them is the winner when one is whole or long or
 // both have ended, and the better of both is never given up. A long answer that waited for the
 // other copy would reach its caller after the slower of both.
--- a/hedging/sketch.go
+++ b/hedging/sketch.go
@@ -75,6 +75,12 @@
 	s.dirty = true
 }
 
+// isEmpty reports whether all durations are too old.
+func (s *sketch) isEmpty(now time.Time) bool {
+	s.age(now)
+	return s.current.Size()+s.previous.Size() == 0
+}
+
 // at returns the timing of the class. ok is false if too few durations are known.
 func (s *sketch) at(now time.Time) (timing Timing, ok bool) {
 	s.age(now)
--- a/hedging/state.go
+++ b/hedging/state.go
@@ -159,8 +159,10 @@
 	return snapshot
 }
 
-// forget removes what is too old to be used.
+// forget removes what is too old to be used. Classes without recent requests make room for
+// others, so that the first maxClasses don't keep all places.
 func (s *State) forget(now time.Time) {
+	maps.DeleteFunc(s.sketches, func(_ Class, known *sketch) bool { return known.isEmpty(now) })
 	maps.DeleteFunc(s.timings, func(_ peerClass, t peerTiming) bool { return now.Sub(t.at) > peerTimingLifetime })
 	maps.DeleteFunc(s.refused, func(_ ticket.EndpointKey, until time.Time) bool { return !now.Before(until) })
 }
