--- a/admission/frontend/hedge.go
+++ b/admission/frontend/hedge.go
@@ -20,6 +20,9 @@
 // bytes.
 const heldSize = 64 << 10
 
+// chunkSize is how much of an answer that is held back is read at once, in bytes.
+const chunkSize = 8 << 10
+
 // CopyCounters counts the second copies that an agent offers.
 type CopyCounters struct {
 	// Offered are the offers to peers, Won the copies whose answer a caller got.
@@ -30,10 +33,13 @@
 	CancelledLate atomic.Int64
 }
 
-// classOf returns the class of a request: its method and the first segment of its path.
+// maxSegment bounds the path segment in a class, in bytes: callers choose it.
+const maxSegment = 64
+
+// classOf returns the class of a request: its method and the begin of the first segment of its path.
 func classOf(r *http.Request) hedging.Class {
 	segment, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	return hedging.Class(r.Method + " /" + segment)
+	return hedging.Class(r.Method + " /" + segment[:min(len(segment), maxSegment)])
 }
 
 // mayHaveCopies reports whether two copies of a request may run: it is idempotent, a job,
@@ -73,6 +79,9 @@
 	j.h.Loop.Offer(hedging.Answered{Class: classOf(j.in), Took: took})
 }
 
+// panicked is the outcome of a copy whose goroutine panicked.
+var panicked = result{outcome: unknown, detail: "internal error of the agent"}
+
 // held is the answer of a copy as far as it was read, or its failure.
 type held struct {
 	copy   hedging.Copy
@@ -80,32 +89,102 @@
 	opened
 }
 
-// hold reads the answer of a copy, as far as it is held back.
-func hold(c hedging.Copy, o opened) held {
-	h := held{copy: c, opened: o}
+// hold reads the answer of a copy, as far as it is held back. It stops early when alone is
+// closed, which says that the other copy has ended without an answer.
+func (h *Handler) hold(c hedging.Copy, o opened, alone <-chan struct{}) held {
+	answer := held{copy: c, ending: hedging.Lost, opened: opened{failed: panicked}}
+	h.contain(func() { answer = h.holdBody(c, o, alone) })
+	return answer
+}
+
+func (h *Handler) holdBody(c hedging.Copy, o opened, alone <-chan struct{}) held {
+	answer := held{copy: c, opened: o}
 	if o.response == nil {
-		h.ending = endingOf(o.failed)
-		return h
+		answer.ending = endingOf(o.failed)
+		return answer
 	}
-	read, err := io.ReadAll(io.LimitReader(o.response.Body, heldSize+1))
+	read, rest, err := h.readHeld(o.response.Body, alone)
 	switch {
-	case err == nil && len(read) > heldSize:
-		h.ending = hedging.Long
-	case err != nil || !isFramed(o.response):
-		h.ending = hedging.Lost
-		h.opened = opened{failed: result{outcome: unknown, detail: "answer broken off"}}
+	case err != nil && err != io.EOF || err == io.EOF && !isFramed(o.response):
+		answer.ending = hedging.Lost
+		answer.opened = opened{failed: result{outcome: unknown, detail: "answer broken off"}}
 		_ = o.response.Body.Close()
-		return h
+		return answer
 	case isRefusal(o.response):
-		h.ending = hedging.Refused
+		answer.ending = hedging.Refused
+	case err == nil:
+		answer.ending = hedging.Long
 	default:
-		h.ending = hedging.Whole
+		answer.ending = hedging.Whole
 	}
 	o.response.Body = struct {
 		io.Reader
 		io.Closer
-	}{io.MultiReader(bytes.NewReader(read), o.response.Body), o.response.Body}
-	return h
+	}{io.MultiReader(bytes.NewReader(read), rest), o.response.Body}
+	return answer
+}
+
+// readHeld reads up to heldSize bytes of a body, until alone is closed. The error is that of
+// the body, io.EOF at its end, or nil if the rest has not been read.
+func (h *Handler) readHeld(body io.Reader, alone <-chan struct{}) (read []byte, rest io.Reader, err error) {
+	for len(read) <= heldSize {
+		next := h.readChunk(body)
+		select {
+		case c := <-next:
+			read = append(read, c.data...)
+			if c.err != nil {
+				return read, http.NoBody, c.err
+			}
+		case <-alone:
+			return read, io.MultiReader(&pendingChunk{next: next}, body), nil
+		}
+	}
+	return read, body, nil
+}
+
+// chunk is the result of one read.
+type chunk struct {
+	data []byte
+	err  error
+}
+
+// readChunk reads once, in a goroutine of its own: a read cannot be interrupted without
+// closing the body.
+func (h *Handler) readChunk(body io.Reader) <-chan chunk {
+	next := make(chan chunk, 1)
+	go func() {
+		buffer := make([]byte, chunkSize)
+		c := chunk{err: io.ErrUnexpectedEOF} // if the read panics, the answer is broken off
+		h.contain(func() {
+			n, err := body.Read(buffer)
+			c = chunk{buffer[:n], err}
+		})
+		next <- c
+	}()
+	return next
+}
+
+// pendingChunk is a reader of the chunk that a read in progress returns.
+type pendingChunk struct {
+	next <-chan chunk
+	chunk
+}
+
+func (p *pendingChunk) Read(b []byte) (int, error) {
+	if p.next != nil {
+		p.chunk, p.next = <-p.next, nil
+	}
+	n := copy(b, p.data)
+	p.data = p.data[n:]
+	switch {
+	case len(p.data) > 0:
+		return n, nil
+	case p.err != nil:
+		return n, p.err
+	case n == 0:
+		return 0, io.EOF // the caller goes on with the body
+	}
+	return n, nil
 }
 
 func endingOf(failed result) hedging.Ending {
@@ -122,7 +201,7 @@
 	firstContext, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := make(chan opened, 1)
-	go func() { began <- j.open(firstContext, d) }()
+	go func() { began <- j.h.contained(func() opened { return j.open(firstContext, d) }) }()
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
@@ -136,6 +215,22 @@
 	}
 }
 
+// contain runs f in a goroutine started here, where net/http contains no panics.
+func (h *Handler) contain(f func()) {
+	if h.Contain == nil {
+		f()
+		return
+	}
+	h.Contain("copy of a request", f)
+}
+
+// contained runs the begin of a copy. After a panic the copy counts as lost.
+func (h *Handler) contained(begin func() opened) opened {
+	o := opened{failed: panicked}
+	h.contain(func() { o = begin() })
+	return o
+}
+
 // race sends a second copy and returns the result of the copy that wins. Answers are held
 // back while the other copy may still answer.
 func (j *job) race(ctx context.Context, d admission.Decision, began <-chan opened, cancelFirst context.CancelFunc) result {
@@ -144,19 +239,27 @@
 	var firstBegan, secondBegan atomic.Bool
 	ended := make(chan held, 2)
 	second := make(chan held, 1)
-	go func() { second <- hold(hedging.Second, j.openSecond(secondContext, d, &secondBegan)) }()
+	// Closed when the first, or the second, copy has ended without an answer.
+	firstFailed, secondFailed := make(chan struct{}), make(chan struct{})
+	go func() {
+		o := j.h.contained(func() opened { return j.openSecond(secondContext, d, &secondBegan) })
+		second <- j.h.hold(hedging.Second, o, firstFailed)
+	}()
 	var race hedging.Race
 	var copies [2]held
 	select {
 	case s := <-second:
-		if s.response == nil {
-			j.answerLost = j.answerLost || s.ending == hedging.Lost
-			return j.answer(<-began) // no other answer can come: nothing is held back
+		if s.response == nil { // no other answer can come: nothing is held back
+			o := <-began
+			if o.response == nil {
+				return bothFailed(o.failed, s.ending)
+			}
+			return j.answer(o)
 		}
 		ended <- s
 	case o := <-began:
 		firstBegan.Store(o.response != nil)
-		go func() { ended <- hold(hedging.First, o) }()
+		go func() { ended <- j.h.hold(hedging.First, o, secondFailed) }()
 		began = nil
 	}
 	for {
@@ -166,25 +269,27 @@
 		case h = <-second:
 		case o := <-began:
 			firstBegan.Store(o.response != nil)
-			go func() { ended <- hold(hedging.First, o) }()
+			go func() { ended <- j.h.hold(hedging.First, o, secondFailed) }()
 			began = nil
 			continue
 		}
 		copies[h.copy] = h
 		winner, decided := race.End(h.copy, h.ending)
 		if !decided {
+			if h.response == nil {
+				close([]chan struct{}{firstFailed, secondFailed}[h.copy])
+			}
 			continue
 		}
 		switch {
 		case copies[winner].response == nil: // both have failed; the request may run again
-			j.answerLost = j.answerLost || race.Ended(hedging.Second) == hedging.Lost
-			return copies[hedging.First].failed
+			return bothFailed(copies[hedging.First].failed, race.Ended(hedging.Second))
 		case winner == hedging.First:
 			cancelSecond()
 			j.h.countLate(secondBegan.Load())
 		default:
 			cancelFirst()
-			j.finish(result{}) // frees the slot of the first copy
+			j.finish(copies[hedging.First].failed) // frees the slot of the first copy
 			j.h.countLate(firstBegan.Load())
 			j.h.Copies.Won.Add(1)
 		}
@@ -192,6 +297,15 @@
 	}
 }
 
+// bothFailed returns the result of a request whose copies have both failed. It may have run
+// if one of them may have.
+func bothFailed(first result, second hedging.Ending) result {
+	if first.outcome == notRun && second == hedging.Lost {
+		first.outcome, first.detail = unknown, "answer of the second copy lost"
+	}
+	return first
+}
+
 func (h *Handler) countLate(began bool) {
 	if began {
 		h.Copies.CancelledLate.Add(1)
--- a/hedging/hedging_test.go
+++ b/hedging/hedging_test.go
@@ -82,6 +82,21 @@
 	}
 }
 
+// Answers of a quick class don't take away the work that a slow class has saved, so that the
+// slow class gets copies too.
+func TestQuickClassLeavesTheBudgetOfSlowClass(t *testing.T) {
+	const slowClass Class = "GET /report"
+	s := NewState(testSettings)
+	now := replayStart
+	for range 500 {
+		now = answer(s, now, 3, 4*time.Millisecond)
+		s.Answered(now, Answered{Class: slowClass, Took: 400 * time.Millisecond})
+	}
+	now = answer(s, now, 50, 4*time.Millisecond)
+	must.EqOp(t, Admitted, s.Admit(now, slowClass, idle).Verdict)
+	must.EqOp(t, Admitted, s.Admit(now, testClass, idle).Verdict)
+}
+
 // While a backend server as a whole is slow, it runs no copies, also once its quantile has
 // followed; after some minutes the slower times count as usual.
 func TestNoCopiesWhileAllRequestsAreSlow(t *testing.T) {
@@ -180,8 +195,24 @@
 	must.EqOp(t, maxClasses+1, len(s.sketches))
 }
 
-// Whatever order the two copies end in, one of them is the winner when one is whole or both
-// have ended, and a whole answer is never given up for one that is not.
+// Classes that are no longer requested make room for others: a burst of odd paths does not
+// keep a later class from having its own delay.
+func TestUnusedClassesAreDropped(t *testing.T) {
+	s := NewState(testSettings)
+	for i := range 2 * maxClasses {
+		s.Answered(replayStart, Answered{Class: Class(strconv.Itoa(i)), Took: time.Millisecond})
+	}
+	now := replayStart.Add(2 * windowTime)
+	s.Snapshot(now)
+	must.MapEmpty(t, s.sketches)
+	now = answer(s, now, minSamples, 40*time.Millisecond)
+	_, ok := s.Snapshot(now).Delay(testClass, time.Minute)
+	must.True(t, ok)
+}
+
+// Whatever order the two copies end in, one of them is the winner when one is whole or long or
+// both have ended, and the better of both is never given up. A long answer that waited for the
+// other copy would reach its caller after the slower of both.
 func TestRaceDecidesOnce(t *testing.T) {
 	endings := []Ending{NotRun, Lost, Refused, Long, Whole}
 	for _, a := range endings {
@@ -189,7 +220,7 @@
 			for _, first := range []Copy{First, Second} {
 				var r Race
 				winner, decided := r.End(first, a)
-				must.EqOp(t, a == Whole, decided)
+				must.EqOp(t, a == Whole || a == Long, decided)
 				if !decided {
 					winner, decided = r.End(first.other(), b)
 				}
