--- a/directory/dissemination.go
+++ b/directory/dissemination.go
@@ -130,10 +130,10 @@
 	d.relayed, d.relayedDigest, d.relayedAt = p, digest, now
 }
 
-// Introduce reports whether to send a balancer an announcement that states the failure domain
+// StatesDomain reports whether to send a balancer an announcement that states the failure domain
 // of this one: at first, while its own is not known, and if it is in another one and has sent
 // an announcement, since it may count this balancer as one of its own domain.
-func (d *Dissemination) Introduce(now time.Duration, peer netip.AddrPort, announced bool) bool {
+func (d *Dissemination) StatesDomain(now time.Duration, peer netip.AddrPort, announced bool) bool {
 	if d.zones == nil || d.zone == "" || peer == d.self || d.zones[peer] != "" && !(announced && d.IsRemote(peer)) {
 		return false
 	}
--- a/directory/dissemination_test.go
+++ b/directory/dissemination_test.go
@@ -236,17 +236,17 @@
 // again to one of another domain that announces to it.
 func TestBalancersTellTheirDomain(t *testing.T) {
 	d := NewDissemination(peerAt(0), "a")
-	must.True(t, d.Introduce(time.Second, peerAt(1), false))
-	must.False(t, d.Introduce(2*time.Second, peerAt(1), false))
-	must.True(t, d.Introduce(time.Second+introductionInterval, peerAt(1), false))
-	must.False(t, d.Introduce(time.Second, peerAt(0), false), must.Sprint("itself"))
+	must.True(t, d.StatesDomain(time.Second, peerAt(1), false))
+	must.False(t, d.StatesDomain(2*time.Second, peerAt(1), false))
+	must.True(t, d.StatesDomain(time.Second+introductionInterval, peerAt(1), false))
+	must.False(t, d.StatesDomain(time.Second, peerAt(0), false), must.Sprint("itself"))
 	d.RecordZone(peerAt(1), "b")
-	must.False(t, d.Introduce(time.Minute, peerAt(1), false))
-	must.True(t, d.Introduce(time.Minute, peerAt(1), true))
-	must.False(t, d.Introduce(time.Minute+time.Second, peerAt(1), true))
+	must.False(t, d.StatesDomain(time.Minute, peerAt(1), false))
+	must.True(t, d.StatesDomain(time.Minute, peerAt(1), true))
+	must.False(t, d.StatesDomain(time.Minute+time.Second, peerAt(1), true))
 	d.RecordZone(peerAt(2), "a")
-	must.False(t, d.Introduce(time.Hour, peerAt(2), true))
+	must.False(t, d.StatesDomain(time.Hour, peerAt(2), true))
 	unknown := Dissemination{}
 	must.False(t, unknown.RecordZone(peerAt(1), "b"))
-	must.False(t, unknown.Introduce(time.Second, peerAt(1), true))
+	must.False(t, unknown.StatesDomain(time.Second, peerAt(1), true))
 }
--- a/flow/distant.go
+++ b/flow/distant.go
@@ -6,9 +6,9 @@
 // once. Balancers keep in touch with all agents of such a service.
 func (s *Service) IsSmall() bool { return len(s.Holders) <= preferenceThreshold }
 
-// KeepInTouch marks the endpoints whose agents do not report to this balancer by its choice.
-// They get no new flows, and searches query their agents after the others.
-func (s *Service) KeepInTouch(inTouch func(*Endpoint) bool) {
+// MarkDistant marks the endpoints whose agents are not in touch: they do not report to this balancer,
+// by its choice. They get no new flows, and searches query their agents after all that are in touch.
+func (s *Service) MarkDistant(inTouch func(*Endpoint) bool) {
 	for _, endpoint := range s.Holders {
 		if !inTouch(endpoint) {
 			endpoint.Distant, s.hasDistant = true, true
--- a/flow/distant_test.go
+++ b/flow/distant_test.go
@@ -20,7 +20,7 @@
 			endpoint.AgentLoad = new(placement.AgentLoad)
 		}
 	}
-	service.KeepInTouch(func(e *Endpoint) bool { return e.AgentLoad.ReportedAt() != 0 })
+	service.MarkDistant(func(e *Endpoint) bool { return e.AgentLoad.ReportedAt() != 0 })
 	return routing, service
 }
 
@@ -39,7 +39,7 @@
 	_, small := testRoutingTable(preferenceThreshold)
 	must.True(t, small.IsSmall())
 	before := small.Accepting
-	small.KeepInTouch(func(*Endpoint) bool { return true })
+	small.MarkDistant(func(*Endpoint) bool { return true })
 	must.Eq(t, before, small.Accepting)
 	must.False(t, small.hasDistant)
 }
@@ -172,7 +172,7 @@
 		endpoint.Distant = false
 		endpoint.Accept()
 	}
-	service.KeepInTouch(func(*Endpoint) bool { return s.draw("in touch", 3) == 0 })
+	service.MarkDistant(func(*Endpoint) bool { return s.draw("in touch", 3) == 0 })
 }
 
 // A distant agent of a service that the route may have left does not report, although it lives
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -69,7 +69,7 @@
 	// Evacuated is true if the service has no endpoint that accepts new flows, and would have
 	// one without the orders to evacuate failure domains.
 	Evacuated bool
-	// hasDistant is true if some of them are distant.
+	// hasDistant is true if some of Holders are distant.
 	hasDistant bool
 }
 
--- a/flow/search.go
+++ b/flow/search.go
@@ -310,9 +310,11 @@
 // Invariant: an agent is awaited if it can deny the flow, if the registry shows that its
 // endpoint lives, if it has reported to a balancer and may be restarting, or if other agents
 // outlived all balancers, so that its machine did not lose power with theirs. Any other is
-// awaited while it may be starting, and for assumedTimeout. One that did not know its flows and
-// whose endpoint only its reports showed is awaited for the time of a restart once they cease. A silent agent that has excluded flows of
-// the route is not awaited.
+// awaited while it may be starting, and for assumedTimeout.
+//
+// An agent that did not know its flows and whose endpoint only its reports showed is awaited for
+// the time of a restart once they cease, and not at all if its endpoint was silent. Nor is a silent
+// agent awaited that has stated that its endpoint holds no flow of the route.
 func (s *search) awaitsAssumed(now Timestamp, endpoint *Endpoint, route Address, routing *RoutingTable) bool {
 	load := endpoint.AgentLoad
 	alive, inTime := load.Alive(now), now-s.startedAt < assumedTimeout
--- a/flow/waiting.go
+++ b/flow/waiting.go
@@ -130,7 +130,8 @@
 }
 
 // AdmitWaiting returns the opening packets that the endpoint has room for, in the order of their
-// delivery, and the resets for those that cannot be served within their time limit. It is called after each packet of the endpoint and periodically.
+// delivery, and the resets for those that cannot be served within their time limit. It is called
+// after each packet of the endpoint and periodically.
 func (t *AgentTable) AdmitWaiting(now Timestamp) []AdmittedOpening {
 	if len(t.waiting.flows) == 0 {
 		return nil
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -351,7 +351,9 @@
 		wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: f.tag, Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
 		f.counters.SendToNode(f.peers, withClass(buffer, v.Class), v.To.AddrPort())
 	case flow.Return:
-		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops, Silent: v.Reason == flow.EndpointSilent, Evacuated: v.Reason == flow.Evacuated}})
+		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{
+			Balancer: balancer, Hops: v.Hops, Silent: v.Reason == flow.EndpointSilent, Evacuated: v.Reason == flow.Evacuated,
+		}})
 		f.counters.SendToNode(f.peers, buffer, v.To.AddrPort())
 	case flow.Deny:
 		f.counters.SendToNode(f.peers, wire.Encode(wire.Denied{Flow: key}), v.To.AddrPort())
--- a/packetbalancer/contacts.go
+++ b/packetbalancer/contacts.go
@@ -49,7 +49,7 @@
 		}
 		chosen, dropped := known.Update(b.now, c.remoteAgents(b.now, service, known))
 		c.dropped = append(c.dropped, dropped...)
-		service.KeepInTouch(func(e *flow.Endpoint) bool { return !e.Remote || chosen[e.Agent] })
+		service.MarkDistant(func(e *flow.Endpoint) bool { return !e.Remote || chosen[e.Agent] })
 	}
 	for name := range c.services {
 		if b.services[name] == nil {
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// helloInterval is the interval between hello messages to an agent. Agents
-	// report to the balancers that sent one within the last two seconds.
+	// helloInterval is the interval between hello messages to an agent of the own failure domain,
+	// or of a service with few endpoints. Such agents report to the balancers that sent one within
+	// the last two seconds; contact.Hellos has the times for the others.
 	helloInterval = 500 * time.Millisecond
 	// eagerHelloPeriod is how long after a change of the directory unresponsive
 	// agents get a hello message at each tick: machines that lost power together
@@ -135,8 +136,9 @@
 		directory: known, schedule: directory.NewReaderSchedule(s.Packets.AdvertisedPeer()),
 		history:       directory.NewHistorySchedule(s.Packets.AdvertisedPeer()),
 		dissemination: directory.NewDissemination(s.Packets.AdvertisedPeer(), s.Zone),
-		loads:         make(map[flow.Address]*placement.AgentLoad), loggedEvacuations: make(loggedEvacuations), introduced: make(map[flow.Address]time.Duration),
-		started: now, lastTick: now, fullRead: true, seeds: s.Packets.SeedAddresses(), drainLimit: s.Packets.DrainLimit(),
+		loads:         make(map[flow.Address]*placement.AgentLoad), introduced: make(map[flow.Address]time.Duration),
+		loggedEvacuations: make(loggedEvacuations),
+		started:           now, lastTick: now, fullRead: true, seeds: s.Packets.SeedAddresses(), drainLimit: s.Packets.DrainLimit(),
 		crossing: newCrossing(),
 		survey:   survey{queried: make(map[netip.AddrPort]bool), complete: s.Packets.FirstStart},
 	}
@@ -170,7 +172,7 @@
 	case reportReceived:
 		for _, b := range m.balancers {
 			s.schedule.RecordPeer(now, b.AddrPort())
-			s.introduceTo(now, b.AddrPort(), false)
+			s.stateDomainTo(now, b.AddrPort(), false)
 		}
 		if s.survey.agentReportedAt == 0 {
 			s.survey.agentReportedAt = now
--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -156,7 +156,7 @@
 	if s.dissemination.RecordZone(from, m.Zone) {
 		s.recordDomains()
 	}
-	s.introduceTo(now, from, true)
+	s.stateDomainTo(now, from, true)
 	if !s.directory.Confirm(m.Position, m.Digest, now-m.Age) {
 		s.contentDiffers = s.contentDiffers || m.Position == s.directory.Position()
 		s.fetch(m.Control.AddrPort())
@@ -229,10 +229,10 @@
 	s.announceTo(now, s.dissemination.AfterFetch(now, from, s.directory.Position(), s.directory.Digest(), s.schedule.Peers(now)))
 }
 
-// introduceTo announces the failure domain of this balancer to another, if that is due. announced is
+// stateDomainTo announces the failure domain of this balancer to another, if that is due. announced is
 // whether the balancer has sent an announcement.
-func (s *state) introduceTo(now time.Duration, peer netip.AddrPort, announced bool) {
-	if s.directory.Known() && s.dissemination.Introduce(now, peer, announced) {
+func (s *state) stateDomainTo(now time.Duration, peer netip.AddrPort, announced bool) {
+	if s.directory.Known() && s.dissemination.StatesDomain(now, peer, announced) {
 		s.announceTo(now, []netip.AddrPort{peer})
 	}
 }
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -65,14 +65,14 @@
 // While the route history is not known, as after a restart of all balancers, these are all
 // services.
 func (b *tableBuilder) addFormerServices() {
-	directory := b.state.directory
-	if !directory.KnowsRouteHistory(b.now, b.state.settings.Packets.FlowLifetime()) {
+	known := b.state.directory
+	if !known.KnowsRouteHistory(b.now, b.state.settings.Packets.FlowLifetime()) {
 		b.hasFormer = true
 		if len(b.table.Agents) <= maxAssumedHolders {
 			b.assumeAllServices()
 		}
 	}
-	for _, former := range directory.FormerServices(b.now) {
+	for _, former := range known.FormerServices(b.now) {
 		if route := b.table.Routes[flow.AddressOf(former.Address)]; route != nil {
 			b.hasFormer = true
 			route.Former = append(route.Former, b.service(former.Service))
