--- a/standin/e2e/packets_cluster_test.go
+++ b/standin/e2e/packets_cluster_test.go
@@ -66,6 +66,7 @@
 	c.Deployment, release, err = packets.NewDeployment([2]byte{128 | byte(pid)&0x7f, byte(packetClusters.Add(1))})
 	must.NoError(t, err)
 	t.Cleanup(release)
+	c.AllowEvacuations()
 	for host, zone := range zones {
 		c.SetZone(host, zone)
 	}
--- a/standin/packets/deployment.go
+++ b/standin/packets/deployment.go
@@ -53,6 +53,9 @@
 	// Translate has set another.
 	bound [2]byte
 	ports map[string]uint16
+	// evacuateMillis is in the settings of all daemons; 0 leaves it out, as for builds that do not
+	// know it.
+	evacuateMillis float64
 	// zones has the failure domains of machines that are not in zone.
 	zones map[int]string
 	// Zones are the failure domains to which the other machines belong in turn; if there are none,
@@ -87,6 +90,9 @@
 // forward there what is sent to the machines' addresses, as the links of package soak do.
 func (d *Deployment) Translate(bound [2]byte) { d.bound = bound }
 
+// AllowEvacuations makes the daemons that start from now on follow orders to evacuate a failure domain.
+func (d *Deployment) AllowEvacuations() { d.evacuateMillis = evacuateMillis }
+
 // SetZone moves a machine to a failure domain; it must not have been used before.
 func (d *Deployment) SetZone(host int, name string) {
 	if d.zones == nil {
@@ -125,7 +131,7 @@
 func (d *Deployment) Settings(host int) *settings.Settings {
 	p := &settings.PacketSettings{
 		Edge: d.Bound(host, "edge"), Peer: d.Bound(host, "peer"), Health: d.Bound(host, "health"),
-		FlowSeconds: flowSeconds, StopMillis: stopMillis, EvacuateMillis: evacuateMillis, LinkMbps: linkMbps,
+		FlowSeconds: flowSeconds, StopMillis: stopMillis, EvacuateMillis: d.evacuateMillis, LinkMbps: linkMbps,
 	}
 	const seeds = 3
 	for i := range seeds {
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -90,6 +90,7 @@
 		return nil, err
 	}
 	d.Translate([2]byte{network[0] | 0x20, number})
+	d.AllowEvacuations()
 	c := &cluster{
 		Deployment: d, plan: plan, dir: dir, binary: binary, store: packets.NewStore(),
 		storeProxy: make(map[int]*proxy), controlProxy: make(map[int]*proxy), machines: make(map[int]*machine),
