--- a/flow/agent_table.go
+++ b/flow/agent_table.go
@@ -60,9 +60,10 @@
 	// hops is the hop count of the last packet from a balancer or agent.
 	hops uint8
 	// otherAgent is the alternate for an offered flow, or the agent to which a
-	// forwarded flow went.
-	otherAgent Address
-	lastSeen   Timestamp
+	// forwarded flow went. otherNaming is how the opening packet states its service there.
+	otherAgent  Address
+	otherNaming Naming
+	lastSeen    Timestamp
 	// received is the sequence number after the caller's last data so far.
 	received uint32
 	// requestedAt is when the request in progress reached the endpoint, requestID its
@@ -86,6 +87,8 @@
 	// AlternateRunning is how many requests the alternate's endpoint had in
 	// progress, by its last report to the balancer.
 	AlternateRunning uint8
+	// AlternateNaming is how an opening packet states its service to the alternate.
+	AlternateNaming Naming
 	// Search is true if the balancer does not know which agent holds the flow.
 	Search bool
 	// Hops counts the nodes that have forwarded or returned the packet.
@@ -99,6 +102,9 @@
 	// Evacuated is true for an opening packet that is returned because the agent's failure
 	// domain is evacuated.
 	Evacuated bool
+	// NameRequired is true for an opening packet that is returned because it does not name its
+	// service although its balancer can.
+	NameRequired bool
 }
 
 // maxHops bounds how often a packet is sent between nodes: to three endpoints that
@@ -138,8 +144,10 @@
 	// Balancer gets the replies about a packet that is forwarded; it may be zero for any
 	// other.
 	Balancer Address
-	// Class goes with an opening packet that is forwarded; it may be unknown.
-	Class Class
+	// Class goes with an opening packet that is forwarded; it may be unknown. Naming is how the
+	// packet states its service.
+	Class  Class
+	Naming Naming
 	// Hops is the hop count to send with a packet that is forwarded or returned.
 	Hops uint8
 	// RequestBegins is true if a request starts with this packet, which goes to the
@@ -242,7 +250,7 @@
 		t.store(p.Flow, r)
 		switch r.state {
 		case forwarded:
-			return Verdict{Action: ForwardToAgent, To: r.otherAgent, Reason: HandedOn, Notify: d.Balancer, Owner: r.otherAgent, Class: r.class}
+			return Verdict{Action: ForwardToAgent, To: r.otherAgent, Reason: HandedOn, Notify: d.Balancer, Owner: r.otherAgent, Class: r.class, Naming: r.otherNaming}
 		case refused:
 			return Verdict{Action: Return, To: d.Balancer, Reason: EndpointRefused}
 		case delayed:
@@ -255,13 +263,13 @@
 		return Verdict{Action: Return, To: d.Balancer, Reason: Evacuated}
 	}
 	if reason, away := t.shouldForward(now, d); away && !d.Alternate.IsZero() {
-		return t.forward(now, p.Flow, d.Balancer, d.Alternate, d.Class, reason)
+		return t.forward(now, p.Flow, flowRecord{balancer: d.Balancer, otherAgent: d.Alternate, otherNaming: d.AlternateNaming, class: d.Class}, reason)
 	}
 	if len(t.flows) >= maxFlows {
 		return Verdict{Action: Return, To: d.Balancer, Reason: TableFull}
 	}
 	return t.admitOrWait(now, p, flowRecord{
-		state: offered, balancer: d.Balancer, hops: d.Hops, otherAgent: d.Alternate, lastSeen: now,
+		state: offered, balancer: d.Balancer, hops: d.Hops, otherAgent: d.Alternate, otherNaming: d.AlternateNaming, lastSeen: now,
 		opening: append([]byte(nil), datagram...), class: d.Class,
 	})
 }
@@ -293,9 +301,15 @@
 	return EndpointBusy, t.running >= t.slots && t.running > int(d.AlternateRunning)
 }
 
-func (t *AgentTable) forward(now Timestamp, key Key, balancer, to Address, class Class, reason Reason) Verdict {
-	t.store(key, flowRecord{state: forwarded, balancer: balancer, otherAgent: to, lastSeen: now, class: class})
-	return Verdict{Action: ForwardToAgent, To: to, Reason: reason, Notify: balancer, Owner: to, Balancer: balancer, Class: class}
+// forward forwards the opening packet of r to the other agent of r, with the class of r.
+func (t *AgentTable) forward(now Timestamp, key Key, r flowRecord, reason Reason) Verdict {
+	t.store(key, flowRecord{
+		state: forwarded, balancer: r.balancer, otherAgent: r.otherAgent, otherNaming: r.otherNaming, lastSeen: now, class: r.class,
+	})
+	return Verdict{
+		Action: ForwardToAgent, To: r.otherAgent, Reason: reason, Notify: r.balancer, Owner: r.otherAgent, Balancer: r.balancer,
+		Class: r.class, Naming: r.otherNaming,
+	}
 }
 
 // handleUnknown decides on a packet of a flow that has no record.
--- a/flow/agent_table_endpoint.go
+++ b/flow/agent_table_endpoint.go
@@ -87,7 +87,7 @@
 	}
 	t.failureRate.ended(now, true)
 	if !r.otherAgent.IsZero() {
-		return t.forward(now, p.Flow, r.balancer, r.otherAgent, r.class, EndpointRefused)
+		return t.forward(now, p.Flow, r, EndpointRefused)
 	}
 	r.state, r.opening = refused, nil
 	t.store(p.Flow, r)
@@ -133,7 +133,9 @@
 	case !r.otherAgent.IsZero():
 		// The endpoint may still accept the flow: without a class, the alternate does not refuse
 		// it.
-		v = t.forward(now, key, r.balancer, r.otherAgent, Class{}, EndpointSilent)
+		unclassed := r
+		unclassed.class = Class{}
+		v = t.forward(now, key, unclassed, EndpointSilent)
 	case r.hops > 0:
 		v = Verdict{Action: Return, To: r.balancer, Reason: EndpointSilent, Balancer: r.balancer}
 	default:
--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -13,7 +13,7 @@
 	openingTimeout = 2 * time.Second
 	// lastCopy is the number of the last copy of an opening packet that callers send.
 	lastCopy = 2
-	// maxAssignments bounds the table of a balancer: 94 bytes per entry, by
+	// maxAssignments bounds the table of a balancer: 105 bytes per entry, by
 	// BenchmarkAssignmentMemory.
 	maxAssignments = 1 << 18
 	// maxRoutingTableAge is the maximum age of a routing table that is used to refuse a
@@ -30,8 +30,10 @@
 // assignment is the agent at which a balancer placed or found a flow.
 type assignment struct {
 	agent Address
-	// tag is the tag of the agent's service, or 0 if it is not known.
-	tag uint16
+	// service is the service for which the flow was placed, or that of the agent at which it was
+	// found, and tag its tag; both are 0 if it is not known.
+	service ServiceID
+	tag     uint16
 	// placedAt is when the flow was offered to the agent.
 	placedAt   Timestamp
 	lastSeen   Timestamp
@@ -86,6 +88,11 @@
 	// Tag is the tag of the service whose endpoint gets the packet, or 0 if it is not
 	// known.
 	Tag uint16
+	// ServiceName is the name of that service for an opening packet, else empty. Naming is how
+	// the packet states the service, and AlternateNaming how it does if its agent forwards it.
+	ServiceName     string
+	Naming          Naming
+	AlternateNaming Naming
 	// Alternate is the agent for an opening packet if To's endpoint is busy or silent
 	// or refuses it.
 	Alternate Address
@@ -111,7 +118,7 @@
 // packet may have to be resent.
 func (a *Assignments) FromCaller(now Timestamp, packet Packet, routing *RoutingTable, datagram []byte) Decision {
 	if packet.Opening {
-		return a.open(now, packet, routing, datagram).withClass(now, routing, packet.Flow, true)
+		return a.open(now, packet, routing, datagram).withNaming(routing).withClass(now, routing, packet.Flow, true)
 	}
 	known, ok := a.flows[packet.Flow]
 	switch {
@@ -167,21 +174,29 @@
 	}
 	load := endpoint.AgentLoad
 	reports := load.ReportedAt() > a.placedAt || load.AwaitsReport(now)
-	return a.matchesService(endpoint) && !endpoint.Evacuated && (packet.Copy == 0 || reports)
+	isKnown := a.service != 0 && !endpoint.Introduced
+	return (a.matchesService(endpoint) || !isKnown) && !endpoint.Evacuated && (packet.Copy == 0 || reports)
 }
 
-// matchesService reports whether an endpoint still belongs to the flow's service.
+// matchesService reports whether an endpoint still belongs to the flow's service. It does not if
+// either service is not known.
 func (a assignment) matchesService(endpoint *Endpoint) bool {
-	return a.tag == 0 || a.tag == endpoint.Service.Tag
+	return a.service == endpoint.Service.ID && !endpoint.Introduced
 }
 
-// repeat sends an opening packet again to the agent that already has it.
+// repeat sends an opening packet again to the agent that already has it. The packet must name
+// its service, so it is dropped if that is not known.
 func (a *Assignments) repeat(routing *RoutingTable, known assignment) Decision {
 	endpoint := routing.Agents[known.agent]
 	if endpoint == nil || !known.matchesService(endpoint) {
 		return Decision{Reason: NoEndpoint}
 	}
-	return Decision{To: known.agent, Tag: endpoint.Service.Tag, Reason: Repeated}
+	return repeatAt(endpoint)
+}
+
+// repeatAt returns the decision to send an opening packet again to the agent of an endpoint.
+func repeatAt(endpoint *Endpoint) Decision {
+	return Decision{To: endpoint.Agent, Tag: endpoint.Service.Tag, ServiceName: endpoint.Service.Name, Reason: Repeated}
 }
 
 // place offers the flow to the best endpoint of the service to which it has not been offered
@@ -195,11 +210,15 @@
 		return a.unplaced(now, packet, service, known)
 	}
 	endpoint := service.Accepting[first]
-	known.agent, known.tag, known.placedAt, known.lastSeen, known.ended = endpoint.Agent, service.Tag, now, now, false
+	known.agent, known.placedAt, known.lastSeen, known.ended = endpoint.Agent, now, now, false
+	known.service, known.tag = service.ID, service.Tag
 	known.tried[known.triedCount] = endpoint.Agent
 	known.triedCount++
 	a.flows[packet.Flow] = known
-	d := Decision{To: endpoint.Agent, Tag: service.Tag, Reason: Opened, Crosses: endpoint.Remote, Overflow: service != route.Service(packet.Flow)}
+	d := Decision{
+		To: endpoint.Agent, Tag: service.Tag, ServiceName: service.Name, Reason: Opened,
+		Crosses: endpoint.Remote, Overflow: service != route.Service(packet.Flow),
+	}
 	if second >= 0 {
 		other := service.Accepting[second]
 		d.Alternate = other.Agent
@@ -227,15 +246,18 @@
 	return false
 }
 
-// Found records that a flow is at an agent of the service with the tag, and returns the
-// datagrams that the agent has yet to receive.
-func (a *Assignments) Found(now Timestamp, key Key, agent Address, tag uint16) [][]byte {
+// Found records that a flow is at an agent of the service, which is nil if the agent is not
+// known, and returns the datagrams that the agent has yet to receive.
+func (a *Assignments) Found(now Timestamp, key Key, agent Address, service *Service) [][]byte {
 	if a.searches.flows[key] != nil {
 		a.bulk.lost = 0
 	}
 	waiting := a.searches.endAt(key, agent)
 	known := a.flows[key]
-	known.agent, known.tag, known.lastSeen, known.ended = agent, tag, now, false
+	known.agent, known.lastSeen, known.ended = agent, now, false
+	if service != nil {
+		known.service, known.tag = service.ID, service.Tag
+	}
 	if known.placedAt == 0 {
 		known.placedAt = now
 	}
@@ -246,7 +268,7 @@
 }
 
 // Returned decides on a packet that an agent returned: an opening packet goes to
-// another endpoint, any other to the agent recorded for the flow or, failing that, to a
+// another endpoint, or again to the agent if that requires the service's name, any other to the agent recorded for the flow or, failing that, to a
 // search. d came with the packet.
 func (a *Assignments) Returned(now Timestamp, packet Packet, agent Address, d Delivery, routing *RoutingTable, datagram []byte) Decision {
 	known, ok := a.flows[packet.Flow]
@@ -261,9 +283,15 @@
 	if route == nil {
 		return Decision{Reason: UnknownAddress}
 	}
+	if d.NameRequired && ok && known.agent == agent {
+		repeated := a.repeat(routing, known)
+		repeated.Naming = ByName
+		return repeated.withClass(now, routing, packet.Flow, false)
+	}
 	known.recordFailure(agent, d.Silent)
 	a.evacuated.record(now, agent, d, routing)
-	return a.place(now, packet, route, a.serviceFor(now, route, packet.Flow, known), known).withClass(now, routing, packet.Flow, false)
+	placed := a.place(now, packet, route, a.serviceFor(now, route, packet.Flow, known), known)
+	return placed.withNaming(routing).withClass(now, routing, packet.Flow, false)
 }
 
 // recordFailure records that an endpoint gave the opening packet back or left it
--- a/flow/assignments_test.go
+++ b/flow/assignments_test.go
@@ -15,7 +15,7 @@
 	routing := NewRoutingTable()
 	routing.Complete = true
 	routing.CurrentAt = func() Timestamp { return time.Second }
-	service := &Service{Name: "orders", Tag: 1}
+	service := &Service{Name: "orders", ID: 1, Tag: 1}
 	for i := range endpoints {
 		endpoint := NewEndpoint(agentAt(i), service, placement.Candidate{AgentLoad: new(placement.AgentLoad), Slots: 2})
 		endpoint.AgentLoad.Report(time.Second, placement.Usage{Running: i})
@@ -114,9 +114,9 @@
 	must.EqOp(t, 3, len(first.SearchAgents))
 	second := a.FromCaller(time.Second+time.Millisecond, packet, routing, []byte("b"))
 	must.Eq(t, Decision{Reason: SearchWaits}, second)
-	must.Eq(t, [][]byte{[]byte("b")}, a.Found(time.Second, packet.Flow, agentAt(2), 0))
+	must.Eq(t, [][]byte{[]byte("b")}, a.Found(time.Second, packet.Flow, agentAt(2), nil))
 	must.EqOp(t, agentAt(2), a.FromCaller(time.Second, packet, routing, []byte("c")).To)
-	must.SliceEmpty(t, a.Found(time.Second, packet.Flow, agentAt(2), 0))
+	must.SliceEmpty(t, a.Found(time.Second, packet.Flow, agentAt(2), nil))
 	must.EqOp(t, 0, a.searches.waiting)
 }
 
@@ -161,17 +161,20 @@
 }
 
 // A copy of an opening packet does not go to the agent that got the first one if the
-// agent's address has moved to another service.
+// agent's address has moved to another service, whether or not that has another tag.
 func TestRepeatedOpeningAvoidsReassignedAddress(t *testing.T) {
-	routing, orders := testRoutingTable(2)
-	a := newTestAssignments()
-	placed := a.FromCaller(time.Second, Packet{Flow: callerKey(1), Opening: true}, routing, nil).To
-	moved := routing.Agents[placed]
-	moved.Service = &Service{Name: "drawings", Tag: orders.Tag + 2}
-	for copies := range uint32(2) {
-		d := a.FromCaller(time.Second, Packet{Flow: callerKey(1), Opening: true, Copy: copies}, routing, nil)
-		must.NotEqOp(t, placed, d.To)
-		must.EqOp(t, orders.Tag, d.Tag)
+	for _, tagDifference := range []uint16{2, 0} {
+		routing, orders := testRoutingTable(2)
+		a := newTestAssignments()
+		placed := a.FromCaller(time.Second, Packet{Flow: callerKey(1), Opening: true}, routing, nil).To
+		moved := routing.Agents[placed]
+		moved.Service = &Service{Name: "drawings", ID: orders.ID + 1, Tag: orders.Tag + tagDifference}
+		for copies := range uint32(2) {
+			d := a.FromCaller(time.Second, Packet{Flow: callerKey(1), Opening: true, Copy: copies}, routing, nil)
+			must.NotEqOp(t, placed, d.To)
+			must.EqOp(t, orders.Tag, d.Tag)
+			must.EqOp(t, orders.Name, d.ServiceName)
+		}
 	}
 }
 
--- a/flow/assumed_test.go
+++ b/flow/assumed_test.go
@@ -29,7 +29,7 @@
 	for i := range 2 {
 		routing.Agents[agentAt(i)].AgentLoad.Report(now, placement.Usage{FlowsKnown: true})
 	}
-	service := &Service{Name: "drawings", Tag: 3}
+	service := &Service{Name: "drawings", ID: 3, Tag: 3}
 	addEndpoint(routing, service, 2)
 	s := &assumedSearch{
 		assignments: a, routing: routing, route: routing.Routes[serviceAddress], other: routing.Agents[agentAt(2)],
@@ -179,7 +179,7 @@
 	_, ended := s.endsAfter()
 	must.False(t, ended)
 
-	third := &Service{Name: "maps", Tag: 4}
+	third := &Service{Name: "maps", ID: 4, Tag: 4}
 	addEndpoint(s.routing, third, 3)
 	s.route.Assumed = append(s.route.Assumed, third)
 	must.Eq(t, []Address{agentAt(2)}, newSearch(now).remainingIn(formerWave, s.key, s.route))
--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -17,7 +17,7 @@
 	routing.Complete = true
 	routing.CurrentAt = func() Timestamp { return now }
 	for s := range services {
-		service := &Service{Name: fmt.Sprint(s), Tag: TagOf(uint64(s))}
+		service := &Service{Name: fmt.Sprint(s), ID: ServiceID(s + 1), Tag: TagOf(uint64(s))}
 		for e := s; e < endpoints; e += services {
 			agent := Address{IP: [4]byte{10, byte(e >> 16), byte(e >> 8), byte(e)}, Port: 7720}
 			endpoint := NewEndpoint(agent, service, placement.Candidate{AgentLoad: new(placement.AgentLoad), Slots: 2})
--- a/flow/distant_test.go
+++ b/flow/distant_test.go
@@ -115,7 +115,7 @@
 	d, datagram := a.Unsure(now, packet.Flow, agentAt(inTouch), routing)
 	must.Eq(t, []Address{agentAt(inTouch)}, d.SearchAgents)
 	must.Eq(t, []byte("data"), datagram)
-	must.SliceEmpty(t, a.Found(now, packet.Flow, agentAt(inTouch), 1))
+	must.SliceEmpty(t, a.Found(now, packet.Flow, agentAt(inTouch), nil))
 }
 
 // A copy of an opening packet stays with an agent that reports once a second, as long as the
@@ -181,7 +181,7 @@
 func TestDistantAgentOfAssumedServiceIsAwaited(t *testing.T) {
 	routing, _ := testRoutingTable(1)
 	now := 10 * time.Second
-	assumed := &Service{Name: "drawings", Tag: 3}
+	assumed := &Service{Name: "drawings", ID: 3, Tag: 3}
 	endpoint := NewEndpoint(agentAt(100), assumed, placement.Candidate{AgentLoad: new(placement.AgentLoad)})
 	endpoint.Distant, assumed.hasDistant, assumed.Holders = true, true, []*Endpoint{endpoint}
 	routing.Agents[endpoint.Agent] = endpoint
--- a/flow/domains_replay_test.go
+++ b/flow/domains_replay_test.go
@@ -200,7 +200,7 @@
 }
 
 func (r *domainReplay) addBalancer(domain int) {
-	b := &replayBalancer{domain: domain, assignments: NewAssignments(time.Minute, r.random), service: &Service{Name: "feed", Tag: 1}, route: &Route{}}
+	b := &replayBalancer{domain: domain, assignments: NewAssignments(time.Minute, r.random), service: &Service{Name: "feed", ID: 1, Tag: 1}, route: &Route{}}
 	if r.rule.class {
 		b.route.Class = Class{Goal: r.load.goal, Limit: 5 * r.load.goal}
 	}
--- a/flow/evacuation_test.go
+++ b/flow/evacuation_test.go
@@ -42,7 +42,7 @@
 	must.EqOp(t, "b", routing.Agents[a.FromCaller(1200*time.Millisecond, p, routing, nil).To].Zone)
 	// The packets of an open flow go on.
 	b := newTestAssignments()
-	b.Found(time.Second, callerKey(2), agentAt(0), service.Tag)
+	b.Found(time.Second, callerKey(2), agentAt(0), service)
 	must.EqOp(t, agentAt(0), b.FromCaller(time.Second, Packet{Flow: callerKey(2), Data: 1}, routing, nil).To)
 }
 
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -29,6 +29,7 @@
 	Evacuated
 	EndpointCold
 	OpeningRefused
+	NameRequired
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
@@ -40,7 +41,7 @@
 	UnknownAddress: "unknown-address", NoEndpoint: "no-endpoint", Searched: "searched", NobodyHolds: "nobody-holds",
 	ForeignService: "foreign-service", TooManyHops: "too-many-hops", EndpointReset: "endpoint-reset", SearchWaits: "search-waits", OpeningWaits: "opening-waits",
 	Evacuated: "evacuated", EndpointCold: "endpoint-cold",
-	OpeningRefused: "opening-refused",
+	OpeningRefused: "opening-refused", NameRequired: "name-required",
 }
 
 func (r Reason) String() string {
--- a/flow/recovery_test.go
+++ b/flow/recovery_test.go
@@ -80,7 +80,7 @@
 	}
 	l.routing = NewRoutingTable()
 	l.routing.Complete, l.routing.CurrentAt = true, func() Timestamp { return l.now }
-	a, b := &Service{Name: "a", Tag: 1}, &Service{Name: "b", Tag: 3}
+	a, b := &Service{Name: "a", ID: 1, Tag: 1}, &Service{Name: "b", Tag: 3}
 	for i := range lostFlowEndpointsA + lostFlowEndpointsB {
 		service := a
 		if i >= lostFlowEndpointsA {
@@ -191,7 +191,7 @@
 	if l.found[key] == 0 {
 		l.found[key] = l.now
 	}
-	for range l.assignments.Found(l.now, key, agent, 0) {
+	for range l.assignments.Found(l.now, key, agent, nil) {
 		l.deliver(agent, Packet{Flow: key, Acknowledged: 1001}, Delivery{})
 	}
 }
--- a/flow/resend.go
+++ b/flow/resend.go
@@ -108,12 +108,12 @@
 		if placed == nil || placed.Service != endpoint.Service || known.agent != stored.agent || !known.matchesService(placed) {
 			return false
 		}
-		d := Decision{To: stored.agent, Tag: endpoint.Service.Tag, Reason: Repeated}
+		d := repeatAt(placed)
 		if stored.agent != endpoint.Agent || endpoint.Evacuated {
 			d = a.place(now, stored.packet, route, endpoint.Service, known)
 		}
 		if !d.To.IsZero() {
-			resends = append(resends, Resend{Packet: stored.packet, Decision: d.withClass(now, routing, stored.packet.Flow, false), Datagram: stored.datagram})
+			resends = append(resends, Resend{Packet: stored.packet, Decision: d.withNaming(routing).withClass(now, routing, stored.packet.Flow, false), Datagram: stored.datagram})
 		}
 		return true
 	})
--- a/flow/retry_test.go
+++ b/flow/retry_test.go
@@ -54,7 +54,7 @@
 	retried, _ := a.RetrySearches(now, routing)
 	must.Len(t, 1, retried)
 	must.Len(t, 3, retried[0].Decision.QueryAgents)
-	must.Eq(t, [][]byte{[]byte("data")}, a.Found(now, packet.Flow, agentAt(2), 0))
+	must.Eq(t, [][]byte{[]byte("data")}, a.Found(now, packet.Flow, agentAt(2), nil))
 }
 
 // A packet that was sent to an agent before its endpoint ran is lost. Once the agent is
--- a/flow/routing_table.go
+++ b/flow/routing_table.go
@@ -56,8 +56,11 @@
 // Service is a service as the traffic goroutines see it.
 type Service struct {
 	Name string
-	// Tag is a hash of the name. Packets carry it, so that an agent whose endpoint
-	// belongs to another service does not deliver them.
+	// ID identifies the name within the process. It is 0 for the service that stands for the
+	// services of introduced endpoints, which are not known.
+	ID ServiceID
+	// Tag is a hash of the name. Packets carry it, so that an agent whose endpoint belongs to
+	// another service need not try most of them; see OwnService.
 	Tag uint16
 	// Accepting are the endpoints that accept new flows. Candidates has their loads, in
 	// the same order.
--- a/flow/search_load_test.go
+++ b/flow/search_load_test.go
@@ -71,7 +71,7 @@
 // query delivers a query to an agent, and its answer to the balancer.
 func (w *takeover) query(agent Address, q Query, packet Packet) {
 	if w.agents[agent].Query(w.now, q) == Holds {
-		for range w.assignments.Found(w.now, q.Flow, agent, 0) {
+		for range w.assignments.Found(w.now, q.Flow, agent, nil) {
 			w.arrive(agent, packet, Delivery{})
 		}
 		return
@@ -90,7 +90,7 @@
 		w.apply(packet.Flow, packet, next)
 	case v.Action == Deliver && w.found[packet.Flow] == 0:
 		w.found[packet.Flow] = w.now
-		w.assignments.Found(w.now, packet.Flow, agent, 0)
+		w.assignments.Found(w.now, packet.Flow, agent, nil)
 	}
 }
 
--- a/flow/simulation_class_test.go
+++ b/flow/simulation_class_test.go
@@ -13,7 +13,7 @@
 	s := newSimulation(t, 2, 2)
 	s.saturated = true
 	route := s.table.Routes[serviceAddress]
-	other := &Service{Name: "spare", Tag: 3}
+	other := &Service{Name: "spare", ID: 3, Tag: 3}
 	s.addAgents(other, 2)
 	route.Shares = append(route.Shares, Share{Service: other, Weight: 1})
 	route.Weight, route.Class = 2, testClass
--- a/flow/simulation_search_test.go
+++ b/flow/simulation_search_test.go
@@ -42,7 +42,7 @@
 }
 
 func (s *simulation) found(b int, key Key, owner Address) {
-	for _, datagram := range s.balancers[b].Found(s.now, key, owner, 0) {
+	for _, datagram := range s.balancers[b].Found(s.now, key, owner, nil) {
 		s.applyDecision(b, s.packetOf(datagram), Decision{To: owner}, 0)
 	}
 }
@@ -95,7 +95,7 @@
 		rapid.Check(t, func(t *rapid.T) {
 			s := newSimulation(t, agents, 2)
 			s.bulk = rapid.Bool().Draw(t, "bulk")
-			other := &Service{Name: "drawings", Tag: 3}
+			other := &Service{Name: "drawings", ID: 3, Tag: 3}
 			s.addAgents(other, 2)
 			s.table.Routes[serviceAddress].Former = []*Service{other}
 			for range 3 {
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -76,7 +76,7 @@
 
 func newSimulation(t *rapid.T, agents, balancers int) *simulation {
 	s := &simulation{t: t, now: time.Second}
-	service := &Service{Name: "orders", Tag: 1}
+	service := &Service{Name: "orders", ID: 1, Tag: 1}
 	s.table = NewRoutingTable()
 	s.table.Complete = true
 	s.table.CurrentAt = func() Timestamp { return s.now }
--- a/flow/split.go
+++ b/flow/split.go
@@ -37,8 +37,8 @@
 		return service
 	}
 	hasRoom := func(s *Service) bool { return s.hasFreeSlot(now) && !a.evacuated.hasAll(now, s) }
-	if known.triedCount > 0 && known.tag != 0 {
-		placed := slices.IndexFunc(route.Shares, func(s Share) bool { return s.Weight > 0 && s.Service.Tag == known.tag })
+	if known.triedCount > 0 && known.service != 0 {
+		placed := slices.IndexFunc(route.Shares, func(s Share) bool { return s.Weight > 0 && s.Service.ID == known.service })
 		if placed >= 0 && !a.evacuated.hasAll(now, route.Shares[placed].Service) {
 			return route.Shares[placed].Service
 		}
--- a/flow/split_replay_test.go
+++ b/flow/split_replay_test.go
@@ -78,7 +78,7 @@
 func (r *splitReplay) addBalancer(class Class) {
 	b := &splitBalancer{assignments: NewAssignments(time.Minute, r.random)}
 	for s := range b.services {
-		b.services[s] = &Service{Name: []string{"a", "b"}[s], Tag: uint16(2*s + 1)}
+		b.services[s] = &Service{Name: []string{"a", "b"}[s], ID: ServiceID(s + 1), Tag: uint16(2*s + 1)}
 	}
 	for i := range r.endpoints {
 		service := b.services[0]
--- a/flow/split_test.go
+++ b/flow/split_test.go
@@ -18,7 +18,7 @@
 	routing.CurrentAt = func() Timestamp { return time.Second }
 	route := &Route{Class: class}
 	for s, running := range []int{first, second} {
-		service := &Service{Name: []string{"a", "b"}[s], Tag: uint16(2*s + 1)}
+		service := &Service{Name: []string{"a", "b"}[s], ID: ServiceID(s + 1), Tag: uint16(2*s + 1)}
 		for i := range 4 {
 			endpoint := NewEndpoint(agentAt(100*s+i), service, placement.Candidate{AgentLoad: new(placement.AgentLoad), Slots: 3})
 			endpoint.AgentLoad.Report(time.Second, placement.Usage{Running: running, Mean: float64(running), ProcessingTime: 40 * time.Millisecond})
--- a/flow/wire/class_test.go
+++ b/flow/wire/class_test.go
@@ -13,7 +13,7 @@
 // A class that is lost or shortened on the way makes an agent order requests wrongly.
 func TestClassFollowsOpeningPacket(t *testing.T) {
 	packet := append(make([]byte, wire.EnvelopeSize), "packet"...)
-	wire.PutEnvelope(packet, wire.Forward, wire.Envelope{Tag: 7})
+	wire.PutEnvelope(packet, wire.Forward, wire.Envelope{StatedService: flow.StatedService{Tag: 7}})
 	class := flow.Class{Priority: 1, Repeatable: true, Goal: 300 * time.Millisecond, Limit: 1500 * time.Millisecond}
 	datagram := wire.AppendClass(packet, class)
 	must.Eq(t, wire.ForwardClass, wire.KindOf(datagram))
--- a/flow/wire/kind.go
+++ b/flow/wire/kind.go
@@ -35,7 +35,7 @@
 // MessageKindOf returns the kind of a datagram. It reads only the first two bytes.
 func MessageKindOf(b []byte) MessageKind {
 	switch KindOf(b) {
-	case Forward, ForwardClass:
+	case Forward, ForwardClass, ForwardNamed:
 		return ForwardKind
 	case Return:
 		return ReturnKind
--- a/flow/wire/kind_test.go
+++ b/flow/wire/kind_test.go
@@ -22,6 +22,7 @@
 	}{
 		{envelope(Forward), ForwardKind},
 		{envelope(ForwardClass), ForwardKind},
+		{envelope(ForwardNamed), ForwardKind},
 		{envelope(Return), ReturnKind},
 		{Encode(Hello{}), HelloKind},
 		{Encode(Hello{Slots: 2, Clock: 1}), HelloKind},
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -29,6 +29,10 @@
 	// ForwardClass carries a caller's opening packet to an agent, followed by the class of
 	// the request. Only agents that report ReadsClass get it.
 	ForwardClass Kind = 4
+	// ForwardNamed carries a caller's opening packet to an agent, followed by the class of the
+	// request, if it is stated, and the name of the service. Agents whose last report does not
+	// state ReadsServiceName do not get it.
+	ForwardNamed Kind = 5
 )
 
 const (
@@ -39,15 +43,18 @@
 	silentFlag   = 2
 	// evacuatedFlag is ignored by older builds, which try the next endpoint.
 	evacuatedFlag = 4
-	hopsShift     = 4
+	// noNameFlag marks a forwarded opening packet whose service's name was omitted, and a
+	// returned one whose service's name is required.
+	noNameFlag = 8
+	hopsShift  = 4
 	// maxBalancers bounds the balancers listed in a report.
 	maxBalancers = 32
 )
 
 // Envelope precedes a caller's packet between nodes.
 type Envelope struct {
-	// Tag is the tag of the packet's service, or 0 if the agent is not to check the service.
-	Tag uint16
+	// StatedService is the packet's service. A returned packet states none.
+	flow.StatedService
 	flow.Delivery
 }
 
@@ -74,7 +81,8 @@
 
 func (e *AddressError) Error() string { return fmt.Sprintf("address of %d bytes", e.Length) }
 
-// PutEnvelope writes an envelope into the first EnvelopeSize bytes of b.
+// PutEnvelope writes an envelope into the first EnvelopeSize bytes of b, without the name of the
+// service, which AppendName adds.
 func PutEnvelope(b []byte, kind Kind, e Envelope) {
 	b[0], b[1] = byte(kind), e.Hops<<hopsShift
 	if e.Search {
@@ -86,6 +94,9 @@
 	if e.Evacuated {
 		b[1] |= evacuatedFlag
 	}
+	if e.NameRequired || e.Naming == flow.NameOmitted {
+		b[1] |= noNameFlag
+	}
 	binary.BigEndian.PutUint16(b[2:], e.Tag)
 	putAddress(b[4:], e.Balancer)
 	putAddress(b[4+addressSize:], e.Alternate)
@@ -98,10 +109,16 @@
 	if len(b) < EnvelopeSize {
 		return Envelope{}, nil, &DecodeError{Length: len(b), Cause: &ShortError{}}
 	}
-	e := Envelope{Tag: binary.BigEndian.Uint16(b[2:])}
+	e := Envelope{StatedService: flow.StatedService{Tag: binary.BigEndian.Uint16(b[2:])}}
 	e.Search = b[1]&searchFlag != 0
 	e.Silent = b[1]&silentFlag != 0
 	e.Evacuated = b[1]&evacuatedFlag != 0
+	switch withoutName := b[1]&noNameFlag != 0; {
+	case withoutName && KindOf(b) == Return:
+		e.NameRequired = true
+	case withoutName:
+		e.Naming = flow.NameOmitted
+	}
 	e.Hops = b[1] >> hopsShift
 	e.Balancer = decodeAddress(b[4:])
 	e.Alternate = decodeAddress(b[4+addressSize:])
@@ -285,7 +302,7 @@
 		AnswerUs:   uint32(min(m.ProcessingTime.Microseconds(), math.MaxUint32)),
 		IntervalMs: uint32(m.Interval.Milliseconds()), FlowsKnown: m.FlowsKnown,
 		BalancersKnownMs: uint32(min(m.BalancersKnown.Milliseconds(), math.MaxUint32)), ReadsClass: m.ReadsClass,
-		RoutesStated: m.RoutesStated, BulkQueries: m.BulkQueries,
+		RoutesStated: m.RoutesStated, BulkQueries: m.BulkQueries, ReadsServiceName: m.ReadsServiceName,
 	}
 	for _, b := range m.Balancers[:min(len(m.Balancers), maxBalancers)] {
 		r.Balancers = appendAddress(r.Balancers, b)
@@ -374,7 +391,7 @@
 		Silent: r.GetSilent(), Leaving: r.GetLeaving(), Failing: float64(r.GetFailingMilli()) / 1000,
 		ProcessingTime: time.Duration(r.GetAnswerUs()) * time.Microsecond,
 		Interval:       time.Duration(r.GetIntervalMs()) * time.Millisecond,
-		FlowsKnown:     r.GetFlowsKnown(), BulkQueries: r.GetBulkQueries(),
+		FlowsKnown:     r.GetFlowsKnown(), BulkQueries: r.GetBulkQueries(), ReadsServiceName: r.GetReadsServiceName(),
 	}, BalancersKnown: time.Duration(r.GetBalancersKnownMs()) * time.Millisecond, ReadsClass: r.GetReadsClass(), RoutesStated: r.GetRoutesStated()}
 	for b := r.GetBalancers(); len(b) >= addressSize; b = b[addressSize:] {
 		m.Balancers = append(m.Balancers, decodeAddress(b))
--- a/flow/wire/wire_test.go
+++ b/flow/wire/wire_test.go
@@ -43,7 +43,7 @@
 }
 
 func TestEnvelopeRoundTrip(t *testing.T) {
-	e := Envelope{Tag: 513, Delivery: flow.Delivery{Balancer: caller, Alternate: service, AlternateRunning: 3, Search: true, Silent: true, Evacuated: true, Hops: 7}}
+	e := Envelope{StatedService: flow.StatedService{Tag: 513}, Delivery: flow.Delivery{Balancer: caller, Alternate: service, AlternateRunning: 3, Search: true, Silent: true, Evacuated: true, NameRequired: true, Hops: 7}}
 	b := append(make([]byte, EnvelopeSize), "packet"...)
 	PutEnvelope(b, Return, e)
 	must.EqOp(t, Return, KindOf(b))
@@ -82,10 +82,12 @@
 	f.Add(Encode(Answers{Denied: []flow.Key{key}}))
 	f.Add([]byte{byte(Notice), 0xff})
 	f.Add([]byte{byte(Forward)})
+	f.Add(AppendName(make([]byte, EnvelopeSize), "orders", flow.ByName))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		_, err := Decode(b)
 		_, _, envelopeErr := OpenEnvelope(b)
-		for _, err := range []error{err, envelopeErr} {
+		_, _, forwardErr := OpenForward(b)
+		for _, err := range []error{err, envelopeErr, forwardErr} {
 			var typed *DecodeError
 			must.True(t, err == nil || errors.As(err, &typed))
 		}
--- a/packetagent/class.go
+++ b/packetagent/class.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"cactustray/control/clock"
 	"cactustray/event"
 	"cactustray/flow"
 	"cactustray/flow/wire"
@@ -13,23 +12,19 @@
 // refusalsEndAfter is how long no waiting opening was refused before that is logged.
 const refusalsEndAfter = 5 * time.Second
 
-// openingForwarded handles an opening packet with the class of its requests.
-func (f *forwarder) openingForwarded(buffer []byte) {
-	rest, class, err := wire.SplitClass(buffer)
-	if err != nil {
-		f.counters.CountMalformed(f.log, clock.Now(), err)
-		return
+// encodeForward returns the datagram that forwards the packet in buffer, after space for an
+// envelope, to another agent. It states the service, since the other agent's address may meanwhile
+// belong to another one, and the class of the requests if it is known: then that agent reads it.
+func (f *forwarder) encodeForward(buffer []byte, v flow.Verdict, balancer flow.Address) []byte {
+	stated := f.service.Stated(v.Naming)
+	wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{StatedService: stated, Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
+	if v.Class.IsKnown() {
+		buffer = wire.AppendClass(buffer, v.Class)
 	}
-	f.packetForwarded(rest, class)
-}
-
-// withClass returns a datagram to another agent with the class of the requests, if it is known:
-// then the other agent reads it.
-func withClass(datagram []byte, class flow.Class) []byte {
-	if !class.IsKnown() {
-		return datagram
+	if v.Naming == flow.ByName {
+		buffer = wire.AppendName(buffer, stated.Name, flow.ByName)
 	}
-	return wire.AppendClass(datagram, class)
+	return buffer
 }
 
 func (f *forwarder) overload() flow.Overload {
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -241,7 +241,7 @@
 		Flows: usage.Flows, Running: usage.Running + usage.Waiting, Mean: s.lastMean, Failing: usage.Failing,
 		ProcessingTime: usage.ProcessingTime,
 		Interval:       s.reportInterval(), Silent: usage.Silent, Leaving: s.leaving,
-		FlowsKnown: s.traffic.flowsKnown(), BulkQueries: true,
+		FlowsKnown: s.traffic.flowsKnown(), BulkQueries: true, ReadsServiceName: true,
 	}, ReadsClass: true}
 	if s.firstHello != 0 {
 		report.BalancersKnown = now - s.firstHello
--- a/packetagent/forward_test.go
+++ b/packetagent/forward_test.go
@@ -104,7 +104,7 @@
 func TestPacketOfAnotherServiceIsReturned(t *testing.T) {
 	balancer, endpoint := listenLoopback(t), listenLoopback(t)
 	agent := startBusyAgent(t, "drawings", localAddr(endpoint))
-	e := wire.Envelope{Tag: flow.TagOf(xxhash.Sum64String("orders")), Delivery: flow.Delivery{Balancer: flow.AddressOf(localAddr(balancer))}}
+	e := wire.Envelope{StatedService: flow.StatedService{Tag: flow.TagOf(xxhash.Sum64String("orders"))}, Delivery: flow.Delivery{Balancer: flow.AddressOf(localAddr(balancer))}}
 	packet := append(make([]byte, wire.EnvelopeSize), 9)
 	wire.PutEnvelope(packet, wire.Forward, e)
 	_, err := balancer.WriteToUDPAddrPort(packet, agent)
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -33,8 +33,8 @@
 	outbound *net.UDPConn
 	codec    flow.Codec
 	endpoint netip.AddrPort
-	// tag is the tag of the endpoint's service.
-	tag uint16
+	// service is the endpoint's service.
+	service flow.OwnService
 	// callerPort is the port at which callers receive packets.
 	callerPort uint16
 	startOrder flow.StartOrder
@@ -73,7 +73,7 @@
 	}
 	f := &forwarder{
 		peers: peers, outbound: outbound, codec: codec, loop: loop, log: log, answers: metrics.NewTimer(),
-		endpoint: p.Endpoint, tag: flow.TagOf(xxhash.Sum64String(p.Service)), callerPort: p.Edge.Port(),
+		endpoint: p.Endpoint, service: flow.NewOwnService(p.Service, flow.TagOf(xxhash.Sum64String(p.Service))), callerPort: p.Edge.Port(),
 		startOrder: flow.NewStartOrder(clock.Now(), time.Now().UnixMilli()),
 		flowTable:  flow.NewAgentTable(clock.Now(), initialSlots, p.FlowLifetime(), p.FirstStart),
 	}
@@ -133,12 +133,8 @@
 }
 
 func (f *forwarder) datagramReceived(buffer []byte, from netip.AddrPort) {
-	switch wire.KindOf(buffer) {
-	case wire.Forward:
-		f.packetForwarded(buffer, flow.Class{})
-		return
-	case wire.ForwardClass:
-		f.openingForwarded(buffer)
+	if wire.KindOf(buffer).IsForward() {
+		f.packetForwarded(buffer)
 		return
 	}
 	message, err := wire.Decode(buffer)
@@ -193,15 +189,14 @@
 	f.log.Emit(EventSocketFailed, event.Fields{"socket": socket, "cause": err.Error()})
 }
 
-// packetForwarded handles a caller's packet that a balancer or another agent forwarded, with
-// the class of the requests on a new flow, if it is known.
-func (f *forwarder) packetForwarded(buffer []byte, class flow.Class) {
-	envelope, payload, err := wire.OpenEnvelope(buffer)
+// packetForwarded handles a caller's packet that a balancer or another agent forwarded.
+func (f *forwarder) packetForwarded(datagram []byte) {
+	envelope, buffer, err := wire.OpenForward(datagram)
 	if err != nil {
 		f.counters.CountMalformed(f.log, clock.Now(), err)
 		return
 	}
-	envelope.Class = class
+	payload := buffer[wire.EnvelopeSize:]
 	packet, err := f.codec.Decode(payload)
 	if err != nil {
 		f.counters.CountMalformed(f.log, clock.Now(), err)
@@ -230,10 +225,10 @@
 
 // decide returns the flow table's verdict on a packet. A packet for another service is
 // returned to its balancer, which does not know yet that the address now belongs to this
-// service.
+// service, and so is an opening packet that does not name its service although it could.
 func (f *forwarder) decide(packet flow.Packet, e wire.Envelope, payload []byte) flow.Verdict {
-	if e.Tag != 0 && e.Tag != f.tag {
-		return flow.Verdict{Action: flow.Return, To: e.Balancer, Reason: flow.ForeignService, Hops: e.Hops + 1}
+	if reason, refuses := f.service.Refuses(packet, e.StatedService); refuses {
+		return flow.Verdict{Action: flow.Return, To: e.Balancer, Reason: reason, Hops: e.Hops + 1}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -346,13 +341,11 @@
 	case flow.ToCaller:
 		f.counters.Send(f.outbound, payload, f.callerAddress(key))
 	case flow.ForwardToAgent:
-		// The tag lets the other agent refuse the packet if its address now belongs to
-		// another service.
-		wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: f.tag, Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
-		f.counters.SendToNode(f.peers, withClass(buffer, v.Class), v.To.AddrPort())
+		f.counters.SendToNode(f.peers, f.encodeForward(buffer, v, balancer), v.To.AddrPort())
 	case flow.Return:
 		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{
 			Balancer: balancer, Hops: v.Hops, Silent: v.Reason == flow.EndpointSilent, Evacuated: v.Reason == flow.Evacuated,
+			NameRequired: v.Reason == flow.NameRequired,
 		}})
 		f.counters.SendToNode(f.peers, buffer, v.To.AddrPort())
 	case flow.Deny:
--- a/packetbalancer/class.go
+++ b/packetbalancer/class.go
@@ -12,11 +12,15 @@
 	}
 }
 
-// withClass returns the datagram of an opening packet with the class of its requests, if the
-// agents that may receive it read it.
-func withClass(datagram []byte, d flow.Decision) []byte {
-	if !d.StatesClass {
-		return datagram
+// withTrailers returns the datagram of the kind Forward that carries a packet, with what follows
+// an opening packet: the class of its requests and the name of its service, if the agents that may
+// receive them read them.
+func withTrailers(datagram []byte, d flow.Decision) []byte {
+	if d.StatesClass {
+		datagram = wire.AppendClass(datagram, d.Class)
 	}
-	return wire.AppendClass(datagram, d.Class)
+	if d.Naming == flow.ByName {
+		datagram = wire.AppendName(datagram, flow.StatedName(d.ServiceName), d.AlternateNaming)
+	}
+	return datagram
 }
--- a/packetbalancer/class_test.go
+++ b/packetbalancer/class_test.go
@@ -37,7 +37,7 @@
 				if reads {
 					want = wire.ForwardClass
 				}
-				must.EqOp(t, want, wire.KindOf(withClass(packet, d)))
+				must.EqOp(t, want, wire.KindOf(withTrailers(packet, d)))
 			}
 		}
 		f.readsClassReceived(flow.Address{Port: 1}, true) // an unknown agent changes nothing
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -73,6 +73,7 @@
 	// survivorsLogged is true once it was logged that agents outlived all balancers.
 	survivorsLogged bool
 	loads           map[flow.Address]*placement.AgentLoad
+	serviceIDs      flow.ServiceIDs
 	// introduced has the agents that introduced themselves, and when they first did.
 	introduced map[flow.Address]time.Duration
 	// introducedChanged is true if the routing table lacks some of them.
--- a/packetbalancer/forward_test.go
+++ b/packetbalancer/forward_test.go
@@ -64,7 +64,7 @@
 	f.table.Store(newTableBuilder(clock.Now(), withRoute).build())
 	for i := range flows {
 		packet, _ := portCodec{}.Decode([]byte{byte(i >> 8), byte(i)})
-		f.assignments.Found(clock.Now(), packet.Flow, flow.AddressOf(agent), 0)
+		f.assignments.Found(clock.Now(), packet.Flow, flow.AddressOf(agent), nil)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/packetbalancer/introduced.go
+++ b/packetbalancer/introduced.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		service := b.service(introducedService)
-		service.Tag = 0 // any service
+		service.ID, service.Tag = 0, 0 // any service
 		endpoint := flow.NewEndpoint(agent, service, placement.Candidate{AgentLoad: b.state.agentLoad(agent)})
 		endpoint.Introduced, endpoint.Unregistered = true, true
 		service.Holders = append(service.Holders, endpoint)
--- a/packetbalancer/peers.go
+++ b/packetbalancer/peers.go
@@ -111,11 +111,12 @@
 
 // flowFound records that a flow is at an agent, and sends the packets that waited for it.
 func (f *forwarder) flowFound(now time.Duration, key flow.Key, agent flow.Address) {
+	var service *flow.Service
 	var tag uint16
 	if endpoint := f.table.Load().Agents[agent]; endpoint != nil {
-		tag = endpoint.Service.Tag
+		service, tag = endpoint.Service, endpoint.Service.Tag
 	}
-	waiting := withAssignments(f, func(a *flow.Assignments) [][]byte { return a.Found(now, key, agent, tag) })
+	waiting := withAssignments(f, func(a *flow.Assignments) [][]byte { return a.Found(now, key, agent, service) })
 	for _, datagram := range waiting {
 		buffer := append(make([]byte, wire.EnvelopeSize), datagram...)
 		f.execute(key, flow.Decision{To: agent, Tag: tag, Reason: flow.Known}, buffer, 0)
--- a/packetbalancer/routing_table.go
+++ b/packetbalancer/routing_table.go
@@ -54,6 +54,7 @@
 	for _, service := range b.services {
 		b.table.Services = append(b.table.Services, service)
 	}
+	b.state.serviceIDs.Retain(func(name string) bool { return b.services[name] != nil })
 	return b.table
 }
 
@@ -186,7 +187,7 @@
 func (b *tableBuilder) service(name string) *flow.Service {
 	service := b.services[name]
 	if service == nil {
-		service = &flow.Service{Name: name, Tag: flow.TagOf(xxhash.Sum64String(name))}
+		service = &flow.Service{Name: name, ID: b.state.serviceIDs.Of(name), Tag: flow.TagOf(xxhash.Sum64String(name))}
 		b.services[name] = service
 	}
 	return service
--- a/packetbalancer/traffic.go
+++ b/packetbalancer/traffic.go
@@ -163,9 +163,9 @@
 		Balancer: f.self, Alternate: d.Alternate, AlternateRunning: d.AlternateRunning,
 		Search: len(d.SearchAgents) > 0, Hops: hops,
 	}
-	wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{Tag: d.Tag, Delivery: delivery})
+	wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{StatedService: flow.StatedService{Naming: d.Naming, Tag: d.Tag}, Delivery: delivery})
 	if !d.To.IsZero() {
-		f.counters.SendToNode(f.peers, withClass(buffer, d), d.To.AddrPort())
+		f.counters.SendToNode(f.peers, withTrailers(buffer, d), d.To.AddrPort())
 	}
 	for _, agent := range d.SearchAgents {
 		f.counters.SendToNode(f.peers, buffer, agent.AddrPort())
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -68,6 +68,8 @@
 	flowsKnown     atomic.Bool
 	readsClass     atomic.Bool
 	bulkQueries    atomic.Bool
+	// readsServiceName is true if the agent reads the name of the service in opening packets.
+	readsServiceName atomic.Bool
 	// placed is the number of flows placed here since the last report.
 	placed atomic.Int64
 	pace   pace
@@ -94,6 +96,8 @@
 	FlowsKnown bool
 	// BulkQueries is true if the agent answers bulk queries.
 	BulkQueries bool
+	// ReadsServiceName is true if the agent reads the name of the service in opening packets.
+	ReadsServiceName bool
 }
 
 // Report stores an agent's report, received at now. Intervals below ReportInterval
@@ -108,6 +112,7 @@
 	l.leaving.Store(u.Leaving)
 	l.flowsKnown.Store(u.FlowsKnown)
 	l.bulkQueries.Store(u.BulkQueries)
+	l.readsServiceName.Store(u.ReadsServiceName)
 	l.placed.Store(0)
 	l.interval.Store(int64(max(u.Interval, ReportInterval)))
 	l.reportedAt.Store(int64(max(now, 1)))
@@ -156,6 +161,10 @@
 // BulkQueries reports whether the agent answers bulk queries, by its last report.
 func (l *AgentLoad) BulkQueries() bool { return l.bulkQueries.Load() }
 
+// ReadsServiceName reports whether the agent reads the name of the service in opening packets, by
+// its last report.
+func (l *AgentLoad) ReadsServiceName() bool { return l.readsServiceName.Load() }
+
 // Candidate is an endpoint that may get a new flow.
 type Candidate struct {
 	AgentLoad *AgentLoad
--- a/standin/cmd/standin/packets.go
+++ b/standin/cmd/standin/packets.go
@@ -70,7 +70,7 @@
 
 func (d *packetsDemo) start(ctx context.Context) error {
 	packets.PublishRoutes(d.store, 1, map[netip.AddrPort]string{
-		packets.OrdersAddress: "orders", packets.DrawingsAddress: "drawings",
+		packets.OrdersAddress: "orders", packets.DrawingsAddress: packets.DrawingsService,
 	})
 	var edges, health []netip.AddrPort
 	var hosts []int
--- a/standin/e2e/packets_classes_test.go
+++ b/standin/e2e/packets_classes_test.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"testing"
 
+	"cactustray/standin/packets"
+
 	"github.com/shoenig/test/must"
 	"golang.org/x/sync/errgroup"
 )
@@ -21,8 +23,8 @@
 		}
 	}
 	split, single := route("r-orders", ordersAddress, 2), route("r-drawings", drawingsAddress, 1)
-	split["split"] = []map[string]any{{"service": "orders", "weight": 90}, {"service": "drawings", "weight": 10}}
-	single["service"] = "drawings"
+	split["split"] = []map[string]any{{"service": "orders", "weight": 90}, {"service": packets.DrawingsService, "weight": 10}}
+	single["service"] = packets.DrawingsService
 	c.store.Put("op/config", map[string]any{"version": c.version, "routes": []map[string]any{split, single}, "limits": map[string]any{"idle-timeout-ms": 60000}})
 }
 
@@ -61,6 +63,6 @@
 			served[e.Service] = true
 		}
 	}
-	must.Eq(t, map[string]bool{"orders": true, "drawings": true}, served)
+	must.Eq(t, map[string]bool{"orders": true, packets.DrawingsService: true}, served)
 	c.mustUpholdInvariants()
 }
--- a/standin/e2e/packets_cluster_test.go
+++ b/standin/e2e/packets_cluster_test.go
@@ -77,7 +77,7 @@
 		edges = append(edges, c.Address(balancerHost+i, "edge"))
 		health = append(health, c.Address(balancerHost+i, "health"))
 	}
-	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", drawingsAddress: "drawings"})
+	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", drawingsAddress: packets.DrawingsService})
 	for i := range 6 {
 		c.startEndpoint(endpointHost + i)
 	}
--- a/standin/e2e/packets_test.go
+++ b/standin/e2e/packets_test.go
@@ -13,8 +13,10 @@
 	"testing"
 	"time"
 
+	"cactustray/flow"
 	"cactustray/standin/packets"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test/must"
 )
 
@@ -144,7 +146,7 @@
 	c := newPacketCluster(t, 3)
 	added := netip.MustParseAddrPort("198.18.0.9:99")
 	c.store.SetMode(c.IP(balancerHost), packets.Refuse)
-	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", drawingsAddress: "drawings", added: "drawings"})
+	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", drawingsAddress: packets.DrawingsService, added: packets.DrawingsService})
 	c.awaitBalancers("desired state in force", `"version":6`)
 	must.True(t, c.tryRequest(added))
 	c.store.SetMode("", packets.Silent)
@@ -171,14 +173,14 @@
 	c := newPacketCluster(t, 3)
 	kept, added := netip.MustParseAddrPort("198.18.0.8:98"), netip.MustParseAddrPort("198.18.0.9:99")
 	copied := c.store.Copy()
-	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", kept: "drawings"})
+	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", kept: packets.DrawingsService})
 	c.awaitBalancers("desired state in force", `"version":6`)
-	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", kept: "drawings"})
+	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", kept: packets.DrawingsService})
 	c.awaitBalancers("desired state in force", `"version":9`)
 	c.store.Restore(copied)
 	c.awaitBalancers("registry was restored", `"era":2`)
 	must.True(t, c.tryRequest(kept), must.Sprint("a desired state that the registry lost stays in force"))
-	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", added: "drawings"})
+	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", added: packets.DrawingsService})
 	c.awaitBalancers("desired state in force", `"version":12`)
 	must.True(t, c.tryRequest(added))
 	_, err := c.caller.Open(kept)
@@ -193,7 +195,7 @@
 	c := newPacketCluster(t, 3)
 	added := netip.MustParseAddrPort("198.18.0.9:99")
 	copied := c.store.Copy()
-	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", drawingsAddress: "drawings", added: "drawings"})
+	c.publishRoutes(map[netip.AddrPort]string{ordersAddress: "orders", drawingsAddress: packets.DrawingsService, added: packets.DrawingsService})
 	c.awaitBalancers("desired state in force", `"version":6`)
 	c.store.Restore(copied)
 	c.restart(balancerHost+1, syscall.SIGKILL)
@@ -207,13 +209,26 @@
 // An address that is reused by another service gets no flow of its former service.
 func TestPacketAddressReusedByAnotherService(t *testing.T) {
 	t.Parallel()
+	mustReuseAddress(t, "drawings")
+}
+
+// Guards against flows that open at a service whose tag equals that of their own.
+func TestPacketAddressReusedByServiceWithEqualTag(t *testing.T) {
+	t.Parallel()
+	must.EqOp(t, flow.TagOf(xxhash.Sum64String(packets.OrdersService)), flow.TagOf(xxhash.Sum64String(packets.DrawingsService)))
+	mustReuseAddress(t, packets.DrawingsService)
+}
+
+// mustReuseAddress replaces an agent of the service orders by one of another service, while the
+// registry still lists the endpoint of orders, and checks that no flow of orders opens there.
+func mustReuseAddress(t *testing.T, other string) {
 	c := newPacketCluster(t, 2)
 	moved := c.endpoints[0]
 	c.store.Delete("servers/i-50")
 	c.signal(endpointHost, syscall.SIGKILL)
 	_ = c.daemons[c.IP(endpointHost)].Wait()
 	s := c.Settings(endpointHost)
-	s.Packets.Service = "drawings"
+	s.Packets.Service = other
 	raw, err := json.Marshal(s)
 	must.NoError(t, err)
 	before := moved.Counts()
--- a/standin/packets/deployment.go
+++ b/standin/packets/deployment.go
@@ -12,8 +12,8 @@
 // Hosts of a deployment, by the last byte of their addresses, and settings of its daemons.
 const (
 	// BalancerHost is the host of the first balancer, EndpointHost that of the first
-	// endpoint. Endpoints from DrawingsHost on belong to the service drawings, the others
-	// to orders.
+	// endpoint. Endpoints from DrawingsHost on belong to DrawingsService, the others to
+	// OrdersService.
 	BalancerHost = 10
 	EndpointHost = 50
 	DrawingsHost = EndpointHost + 4
@@ -37,12 +37,19 @@
 	DrawingsAddress = netip.MustParseAddrPort("198.18.0.2:443")
 )
 
+// Names of the services. Both have the same tag (flow.TagOf), which therefore keeps no packet of one
+// from the other.
+const (
+	OrdersService   = "orders"
+	DrawingsService = "drawings-62044"
+)
+
 // ServiceOf returns the service of the endpoint on a machine.
 func ServiceOf(host int) string {
 	if host >= DrawingsHost {
-		return "drawings"
+		return DrawingsService
 	}
-	return "orders"
+	return OrdersService
 }
 
 // Deployment holds the addresses of a deployment's machines: each has a loopback address of
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -95,7 +95,7 @@
 		Deployment: d, plan: plan, dir: dir, binary: binary, store: packets.NewStore(),
 		storeProxy: make(map[int]*proxy), controlProxy: make(map[int]*proxy), machines: make(map[int]*machine),
 		history: newHistory(), closers: []func(){release}, endpointCounts: make(map[string]int),
-		routes: map[netip.AddrPort]string{packets.OrdersAddress: "orders", packets.DrawingsAddress: "drawings"},
+		routes: map[netip.AddrPort]string{packets.OrdersAddress: "orders", packets.DrawingsAddress: packets.DrawingsService},
 	}
 	if plan.has(EvacuateZone) {
 		for _, host := range remoteHosts {
--- a/standin/soak/inject.go
+++ b/standin/soak/inject.go
@@ -164,7 +164,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if f.Kind == AddRoute {
-		c.routes[extraAddress] = "drawings"
+		c.routes[extraAddress] = packets.DrawingsService
 	} else {
 		delete(c.routes, extraAddress)
 	}
@@ -183,7 +183,7 @@
 	defer c.mu.Unlock()
 	next := "orders"
 	if c.routes[movingAddress] == next {
-		next = "drawings"
+		next = packets.DrawingsService
 	}
 	c.routes[movingAddress] = next
 	c.publish()
@@ -263,7 +263,7 @@
 // reuse gives the machine and its address to the other service, or to a new endpoint of the
 // same service if too few endpoints of it would be left.
 func (c *cluster) reuse(m *machine) error {
-	other := "drawings"
+	other := packets.DrawingsService
 	if m.service == other {
 		other = "orders"
 	}
--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -38,7 +38,7 @@
 var services = []struct {
 	name    string
 	address netip.AddrPort
-}{{"orders", packets.OrdersAddress}, {"orders", packets.OrdersAddress}, {"drawings", packets.DrawingsAddress}}
+}{{"orders", packets.OrdersAddress}, {"orders", packets.OrdersAddress}, {packets.DrawingsService, packets.DrawingsAddress}}
 
 // load holds the callers of a run and numbers their requests.
 type load struct {
@@ -66,7 +66,7 @@
 		service := services[i%len(services)]
 		l.group.Go(func() { l.runShortFlows(ctx, shortPause, service.name, service.address, false) })
 	}
-	l.group.Go(func() { l.runShortFlows(ctx, probePause, "drawings", extraAddress, true) })
+	l.group.Go(func() { l.runShortFlows(ctx, probePause, packets.DrawingsService, extraAddress, true) })
 	if !l.plan.moves() {
 		return
 	}
