Agents that stop as planned hand over their flows

Cause: an agent that starts beside a living endpoint knows none of its flows. For 60 s balancers had to search it by callers' whole packets, which restarted balancers with links of 10 Mbit/s could not send in time.

That agent knows all flows at once and is queried by key. No time of day is compared.

Tests of packetagent's control state run it as an agent without one before, where the messages that they count would otherwise include queries for a hand-over.

--- a/flow/agent_table.go
+++ b/flow/agent_table.go
@@ -173,6 +173,15 @@
 	complete  bool
 	startedAt Timestamp
 	lifetime  time.Duration
+	// knownSince is from when the table has every flow that opened. takenOver is true if it took
+	// over the flows of the agent before, and takenComplete if that knew all of them.
+	knownSince    Timestamp
+	takenOver     bool
+	takenComplete bool
+	// unsure are flows taken over that the endpoint may hold, and when they were.
+	unsure map[Key]Timestamp
+	// leaving is true once the flows were handed over.
+	leaving bool
 
 	running     int
 	flowCount   int
@@ -201,7 +210,7 @@
 func NewAgentTable(now Timestamp, slots int, lifetime time.Duration, complete bool) *AgentTable {
 	return &AgentTable{
 		flows: make(map[Key]flowRecord), slots: max(slots, 1), complete: complete,
-		startedAt: now, lifetime: lifetime, accountedAt: now, endpointLastSeen: now,
+		startedAt: now, knownSince: now, lifetime: lifetime, accountedAt: now, endpointLastSeen: now,
 		waiting: waitingOpenings{order: newClassOrder(max(slots, 1))},
 	}
 }
@@ -217,7 +226,7 @@
 
 // isComplete reports whether a flow without a record cannot be at the endpoint.
 func (t *AgentTable) isComplete(now Timestamp) bool {
-	return t.complete || now-t.startedAt > t.lifetime
+	return t.complete || t.takenComplete || now-t.knownSince > t.lifetime
 }
 
 // FromBalancer decides on a caller's packet that a balancer or another agent sent.
@@ -262,6 +271,9 @@
 	if t.evacuated {
 		return Verdict{Action: Return, To: d.Balancer, Reason: Evacuated}
 	}
+	if t.leaving {
+		return Verdict{Action: Return, To: d.Balancer, Reason: HandingOver}
+	}
 	if reason, away := t.shouldForward(now, d); away && !d.Alternate.IsZero() {
 		return t.forward(now, p.Flow, flowRecord{balancer: d.Balancer, otherAgent: d.Alternate, otherNaming: d.AlternateNaming, class: d.Class}, reason)
 	}
@@ -317,7 +329,10 @@
 	if p.Reset {
 		return Verdict{Action: Drop, Reason: NotHeld}
 	}
-	if t.isComplete(now) || len(t.flows) >= maxFlows {
+	// A flow that a balancer has on record here may be one of an agent that ran after the one whose
+	// flows were taken over.
+	onRecord := t.takenComplete && !d.Search && d.Hops == 0
+	if !t.mayLack(now, p.Flow) && !onRecord || len(t.flows) >= maxFlows {
 		return t.notHeld(d)
 	}
 	r := flowRecord{state: trial, searched: d.Search, balancer: d.Balancer, hops: d.Hops, lastSeen: now}
@@ -377,7 +392,7 @@
 // recorded one. If the endpoint may have sent that acceptance while an earlier agent ran
 // next to it, the packet is tried there.
 func (t *AgentTable) handleMismatch(now Timestamp, p Packet, d Delivery, r flowRecord) Verdict {
-	if t.isComplete(now) {
+	if !t.mayLack(now, p.Flow) {
 		return t.notHeld(d)
 	}
 	r.lastSeen, r.balancer, r.searched, r.hops = now, d.Balancer, d.Search, d.Hops
--- a/flow/agent_table_endpoint.go
+++ b/flow/agent_table_endpoint.go
@@ -155,6 +155,7 @@
 // Calling it every second is enough.
 func (t *AgentTable) Sweep(now Timestamp) []AbandonedRequest {
 	t.account(now)
+	t.expireUnsure(now)
 	var abandoned []AbandonedRequest
 	for key, r := range t.flows {
 		age := now - r.lastSeen
--- a/flow/bulk.go
+++ b/flow/bulk.go
@@ -82,6 +82,11 @@
 			answer.Unsure = append(answer.Unsure, f)
 		}
 	}
+	for key := range t.unsure {
+		if f := key.Fingerprint(); queried[f] {
+			answer.Unsure = append(answer.Unsure, f)
+		}
+	}
 	if len(answer.Unsure) > maxBulkUnsure {
 		return BulkAnswer{ID: q.ID} // more than fits into the answer
 	}
--- a/flow/cold_limit.go
+++ b/flow/cold_limit.go
@@ -107,5 +107,5 @@
 
 // isColdLimitUsedUp reports whether the endpoint is cold and gets no new flow now.
 func (t *AgentTable) isColdLimitUsedUp(now Timestamp) bool {
-	return t.cold.isUsedUp(now, t.startedAt, t.isComplete(now))
+	return t.cold.isUsedUp(now, t.startedAt, t.complete || now-t.startedAt > t.lifetime)
 }
--- a/flow/evacuation.go
+++ b/flow/evacuation.go
@@ -45,12 +45,17 @@
 	if !evacuated {
 		return nil
 	}
+	return t.returnWaiting(Evacuated)
+}
+
+// returnWaiting returns the opening packets that wait, which go back to their balancers.
+func (t *AgentTable) returnWaiting(reason Reason) []AdmittedOpening {
 	var returned []AdmittedOpening
 	for key, r := range t.flows {
 		if r.state != delayed {
 			continue
 		}
-		v := Verdict{Action: Return, To: r.balancer, Reason: Evacuated, Balancer: r.balancer, Hops: r.hops + 1}
+		v := Verdict{Action: Return, To: r.balancer, Reason: reason, Balancer: r.balancer, Hops: r.hops + 1}
 		returned = append(returned, AdmittedOpening{Verdict: v, Flow: key, Datagram: r.opening})
 		t.waiting.remove(key)
 		t.remove(key)
--- a/flow/held_routes.go
+++ b/flow/held_routes.go
@@ -31,6 +31,9 @@
 		}
 		routes = append(routes, key.Service)
 	}
+	if len(t.unsure) > 0 {
+		return nil, false
+	}
 	slices.SortFunc(routes, Address.compare)
 	return routes, true
 }
--- a/flow/query.go
+++ b/flow/query.go
@@ -26,7 +26,7 @@
 func (t *AgentTable) Query(now Timestamp, q Query) Answer {
 	r, known := t.flows[q.Flow]
 	if !known {
-		if t.isComplete(now) || len(t.flows) >= maxFlows {
+		if !t.mayLack(now, q.Flow) || len(t.flows) >= maxFlows {
 			return Denies
 		}
 		return IsUnsure
@@ -38,12 +38,12 @@
 		if q.Acknowledged-r.sequence <= acceptWindow {
 			return Holds
 		}
-		if t.isComplete(now) {
+		if !t.mayLack(now, q.Flow) {
 			return Denies
 		}
 		return IsUnsure
 	case trial:
-		if t.isComplete(now) {
+		if !t.mayLack(now, q.Flow) {
 			return Denies // an endpoint that holds the flow would have shown it by now
 		}
 		return IsUnsure
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -30,6 +30,7 @@
 	EndpointCold
 	OpeningRefused
 	NameRequired
+	HandingOver
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
@@ -42,6 +43,7 @@
 	ForeignService: "foreign-service", TooManyHops: "too-many-hops", EndpointReset: "endpoint-reset", SearchWaits: "search-waits", OpeningWaits: "opening-waits",
 	Evacuated: "evacuated", EndpointCold: "endpoint-cold",
 	OpeningRefused: "opening-refused", NameRequired: "name-required",
+	HandingOver: "handing-over",
 }
 
 func (r Reason) String() string {
--- a/flow/usage.go
+++ b/flow/usage.go
@@ -118,4 +118,5 @@
 		t.flowCount--
 	}
 	delete(t.flows, key)
+	delete(t.unsure, key)
 }
--- a/flow/wire/kind.go
+++ b/flow/wire/kind.go
@@ -16,17 +16,19 @@
 	AnnouncementKind
 	QueryKind
 	AnswerKind
+	// HandoverKind is HandoverPart and HandoverQuery.
+	HandoverKind
 	KindCount
 )
 
 func (k MessageKind) String() string {
-	return [...]string{"unknown", "forward", "return", "hello", "report", "owner", "announcement", "query", "answer"}[k]
+	return [...]string{"unknown", "forward", "return", "hello", "report", "owner", "announcement", "query", "answer", "handover"}[k]
 }
 
 // noticeKinds has the kinds of notices by the protobuf field of their message. The numbers are those
 // that the first byte of a field's key shows; fields above 31 would need its second.
 var noticeKinds = [...]MessageKind{
-	1: HelloKind, 2: ReportKind, 3: OwnerKind, 4: OwnerKind, 5: AnnouncementKind, 6: QueryKind, 7: AnswerKind, 20: QueryKind, 21: AnswerKind,
+	1: HelloKind, 2: ReportKind, 3: OwnerKind, 4: OwnerKind, 5: AnnouncementKind, 6: QueryKind, 7: AnswerKind, 20: QueryKind, 21: AnswerKind, 22: HandoverKind, 23: HandoverKind,
 }
 
 // fieldShift is the position of the field's number in the key of a protobuf field.
--- a/flow/wire/kind_test.go
+++ b/flow/wire/kind_test.go
@@ -34,6 +34,8 @@
 		{Encode(Answers{Held: []flow.Key{key}}), AnswerKind},
 		{Encode(BulkQuery{ID: 1 << 63, Fingerprints: []flow.Fingerprint{1}}), QueryKind},
 		{Encode(BulkAnswer{ID: 7}), AnswerKind},
+		{Encode(HandoverPart{From: 1}), HandoverKind},
+		{Encode(HandoverQuery{Process: 1}), HandoverKind},
 		{nil, UnknownKind},
 		{[]byte{byte(Notice)}, UnknownKind},
 		{[]byte{byte(Notice), 0xff}, UnknownKind},
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -11,6 +11,7 @@
 	"cactustray/directory"
 	"cactustray/flow"
 	"cactustray/flow/flowpb"
+	"cactustray/flow/handover"
 	"cactustray/placement"
 
 	"google.golang.org/protobuf/proto"
@@ -251,6 +252,10 @@
 	case BulkAnswer:
 		answer := &flowpb.BulkAnswer{Id: m.ID, Complete: m.Complete, Held: appendKeys(nil, m.Held), Unsure: appendFingerprints(nil, m.Unsure)}
 		return &flowpb.Notice{Kind: &flowpb.Notice_BulkAnswer{BulkAnswer: answer}}
+	case HandoverPart:
+		return &flowpb.Notice{Kind: &flowpb.Notice_HandoverPart{HandoverPart: encodeHandoverPart(m)}}
+	case HandoverQuery:
+		return &flowpb.Notice{Kind: &flowpb.Notice_HandoverQuery{HandoverQuery: &flowpb.HandoverQuery{Process: uint64(m.Process)}}}
 	case DirectoryAnnouncement:
 		news := &flowpb.News{
 			Era: uint64(m.Era), Revision: uint64(m.Revision), Digest: m.Digest,
@@ -363,6 +368,10 @@
 		return BulkAnswer{
 			ID: a.GetId(), Complete: a.GetComplete(), Held: decodeKeys(a.GetHeld()), Unsure: decodeFingerprints(a.GetUnsure()),
 		}, nil
+	case *flowpb.Notice_HandoverPart:
+		return decodeHandoverPart(kind.HandoverPart), nil
+	case *flowpb.Notice_HandoverQuery:
+		return HandoverQuery{Process: handover.Process(kind.HandoverQuery.GetProcess())}, nil
 	case *flowpb.Notice_News:
 		news, err := decodeNews(kind.News)
 		if err != nil {
--- a/flow/wire/wire_test.go
+++ b/flow/wire/wire_test.go
@@ -11,6 +11,7 @@
 	"cactustray/placement"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -53,6 +54,14 @@
 	must.EqOp(t, "packet", string(payload))
 }
 
+// A balancer or agent of an older build does not know the messages of a later one: it ignores them.
+func TestUnknownMessageIsIgnored(t *testing.T) {
+	laterField := protowire.EncodeTag(30, protowire.BytesType)
+	message, err := Decode(append([]byte{byte(Notice)}, protowire.AppendBytes(protowire.AppendVarint(nil, laterField), []byte{8, 1})...))
+	must.NoError(t, err)
+	must.Nil(t, message)
+}
+
 // As many queries as a datagram may have, and their answers, fit into a packet.
 func TestQueriesFitIntoOnePacket(t *testing.T) {
 	const payload = 1500 - 28
@@ -81,6 +90,7 @@
 	f.Add(Encode(Queries{Flows: []flow.Query{{Flow: key, Acknowledged: 7}}}))
 	f.Add(Encode(Answers{Denied: []flow.Key{key}}))
 	f.Add([]byte{byte(Notice), 0xff})
+	f.Add(Encode(HandoverPart{From: 7, Count: 1, Handover: flow.Handover{Open: []flow.HeldFlow{{Flow: key}}, Unsure: []flow.Key{key}}}))
 	f.Add([]byte{byte(Forward)})
 	f.Add(AppendName(make([]byte, EnvelopeSize), "orders", flow.ByName))
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -29,6 +29,7 @@
 		return err
 	}
 	state := newState(log, traffic, seedsOf(s.Packets))
+	state.predecessor.isFirst = s.Packets.FirstStart
 	state.statement.apply(s.Packets)
 	healthy := new(atomic.Bool)
 	healthy.Store(true)
@@ -82,7 +83,7 @@
 
 // stopGracefully waits until ctx ends, then lets the agent run until no request is in
 // progress or the time for a stop is nearly over. The endpoint's flows continue with
-// the agent that starts next.
+// the agent that starts next, to which they are handed over.
 func stopGracefully(ctx, running context.Context, loop *control.Loop, f *forwarder) error {
 	select {
 	case <-running.Done():
@@ -97,5 +98,13 @@
 	for time.Since(start) < f.stopTime()-stopReserve && f.usage().Running > 0 && running.Err() == nil {
 		control.Sleep(running, idleCheckInterval)
 	}
+	done := make(chan struct{})
+	if err := loop.Send(running, handOver{done: done}); err != nil {
+		return nil
+	}
+	select {
+	case <-done:
+	case <-running.Done():
+	}
 	return nil
 }
--- a/packetagent/contact_test.go
+++ b/packetagent/contact_test.go
@@ -15,16 +15,25 @@
 
 // reportsAt returns the reports that have arrived at a socket.
 func reportsAt(t *testing.T, socket *net.UDPConn) (reports []wire.Report) {
-	buffer := make([]byte, 500)
+	for _, message := range messagesAt(t, socket) {
+		reports = append(reports, message.(wire.Report))
+	}
+	return reports
+}
+
+// messagesAt returns the messages that have arrived at a socket.
+func messagesAt(t *testing.T, socket *net.UDPConn) (messages []wire.Message) {
+	t.Helper()
+	buffer := make([]byte, 2000)
 	for {
 		must.NoError(t, socket.SetReadDeadline(time.Now().Add(30*time.Millisecond)))
 		n, _, err := socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
-			return reports
+			return messages
 		}
 		message, err := wire.Decode(buffer[:n])
 		must.NoError(t, err)
-		reports = append(reports, message.(wire.Report))
+		messages = append(messages, message)
 	}
 }
 
@@ -35,7 +44,7 @@
 func TestReportsFollowTheIntervalOfEachReceiver(t *testing.T) {
 	older, remote, endpoint := listenLoopback(t), listenLoopback(t), listenLoopback(t)
 	f := startBusyForwarder(t, "orders", localAddr(endpoint))
-	s := newState(f.log, f, nil)
+	s := newTestState(f, nil)
 	now := time.Minute
 	hello := func(from *net.UDPConn, h wire.Hello) {
 		h.Slots = 2
@@ -95,7 +104,7 @@
 func TestRareHellosDoNotLoseABalancer(t *testing.T) {
 	endpoint := listenLoopback(t)
 	f := startBusyForwarder(t, "orders", localAddr(endpoint))
-	s := newState(f.log, f, nil)
+	s := newTestState(f, nil)
 	remote, older := flow.AddressOf(localAddr(listenLoopback(t))), flow.AddressOf(localAddr(listenLoopback(t)))
 	now := time.Minute
 	s.helloReceived(now, helloReceived{Hello: wire.Hello{Slots: 2, Remote: true, ReportInterval: time.Second}, balancer: remote})
@@ -113,7 +122,7 @@
 func TestEndOfContactBeginsNoIntroduction(t *testing.T) {
 	endpoint := listenLoopback(t)
 	f := startBusyForwarder(t, "orders", localAddr(endpoint))
-	s := newState(f.log, f, nil)
+	s := newTestState(f, nil)
 	remote := flow.AddressOf(localAddr(listenLoopback(t)))
 	contactHello := wire.Hello{Slots: 2, Remote: true, ReportInterval: time.Second}
 	s.helloReceived(time.Minute, helloReceived{Hello: contactHello, balancer: remote})
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -50,6 +50,7 @@
 	traffic       *forwarder
 	balancers     map[flow.Address]time.Duration
 	introductions introductions
+	predecessor   predecessor
 	// receivers are the balancers that requested a longer interval between reports.
 	receivers contact.Receivers
 	// remote has the balancers that stated to be in another failure domain.
@@ -82,7 +83,8 @@
 func newState(log *event.Log, f *forwarder, seeds []flow.Address) *state {
 	now := clock.Now()
 	s := &state{
-		log: log, traffic: f, balancers: make(map[flow.Address]time.Duration), introductions: make(introductions), refusals: newRefusals(),
+		predecessor: newPredecessor(now),
+		log:         log, traffic: f, balancers: make(map[flow.Address]time.Duration), introductions: make(introductions), refusals: newRefusals(),
 		lastTick: now, lastSweep: now, lastUsageAt: now,
 	}
 	for _, seed := range seeds {
@@ -103,6 +105,11 @@
 		s.silenceChanged(now, m.silent)
 	case *settings.Settings:
 		s.apply(m)
+	case handoverPartReceived:
+		s.handoverPartReceived(now, m.part)
+	case handOver:
+		s.handOver(now)
+		close(m.done)
 	case leave:
 		s.leaving = true
 		s.log.Emit(EventLeaving, event.Fields{"requests": s.traffic.usage().Running, "flows": s.traffic.usage().Flows})
@@ -119,6 +126,7 @@
 		defer s.report(now)
 	}
 	s.statementReceived(now, m)
+	s.queryHandover(now, m.balancer)
 	delete(s.introductions, m.balancer)
 	s.recordDomain(m.balancer, m.Remote)
 	_, known := s.balancers[m.balancer]
--- a/packetagent/control_test.go
+++ b/packetagent/control_test.go
@@ -30,7 +30,7 @@
 func TestReportsStateHowLongBalancersAreKnown(t *testing.T) {
 	balancer, endpoint := listenLoopback(t), listenLoopback(t)
 	f := startBusyForwarder(t, "orders", localAddr(endpoint))
-	s := newState(f.log, f, nil)
+	s := newTestState(f, nil)
 	hello := func(now time.Duration, from flow.Address) {
 		s.helloReceived(now, helloReceived{Hello: wire.Hello{Slots: 2}, balancer: from})
 	}
@@ -55,7 +55,7 @@
 func TestReportsListBalancersPeriodically(t *testing.T) {
 	balancer, endpoint := listenLoopback(t), listenLoopback(t)
 	f := startBusyForwarder(t, "orders", localAddr(endpoint))
-	s := newState(f.log, f, nil)
+	s := newTestState(f, nil)
 	now := time.Minute
 	listed := func() int {
 		s.report(now)
--- a/packetagent/first_reports_test.go
+++ b/packetagent/first_reports_test.go
@@ -16,7 +16,7 @@
 func TestReportsToNewBalancersDoNotMultiply(t *testing.T) {
 	const balancers = 24
 	f := startBusyForwarder(t, "orders", localAddr(listenLoopback(t)))
-	s := newState(f.log, f, nil)
+	s := newTestState(f, nil)
 	now := time.Minute
 	var sockets []*net.UDPConn
 	for range balancers {
@@ -40,7 +40,7 @@
 // If the message about new balancers is dropped, the next report must list them.
 func TestNextReportListsNewBalancers(t *testing.T) {
 	f := startBusyForwarder(t, "orders", localAddr(listenLoopback(t)))
-	s := newState(f.log, f, nil)
+	s := newTestState(f, nil)
 	first, second := listenLoopback(t), listenLoopback(t)
 	for _, socket := range []*net.UDPConn{first, second} {
 		s.helloReceived(time.Minute, helloReceived{Hello: wire.Hello{Slots: 2}, balancer: flow.AddressOf(localAddr(socket))})
--- a/packetagent/forward_test.go
+++ b/packetagent/forward_test.go
@@ -48,21 +48,13 @@
 	return localAddr(socket)
 }
 
-// startBusyForwarder starts the traffic side of an agent of the service; its endpoint has
-// no free slot.
-func startBusyForwarder(t *testing.T, service string, endpoint netip.AddrPort) *forwarder {
+// startForwarder starts the traffic side of an agent of the service.
+func startForwarder(t *testing.T, service string, endpoint netip.AddrPort) *forwarder {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	p := &settings.PacketSettings{Peer: freeAddr(t), Outbound: freeAddr(t), Edge: freeAddr(t), Endpoint: endpoint, Service: service, FlowSeconds: 60}
 	f, err := newForwarder(&settings.Settings{Packets: p}, openingCodec{}, control.NewLoop(time.Second), event.NewLog(logger, "test"))
 	must.NoError(t, err)
-	f.applyHello(clock.Now(), wire.Hello{Slots: 1})
-	for i := range 2 {
-		key := flow.Key{Caller: flow.Address{Port: uint16(i)}}
-		f.flowTable.FromBalancer(time.Second, flow.Packet{Flow: key, Opening: true}, flow.Delivery{}, nil)
-		f.flowTable.FromEndpoint(time.Second, flow.Packet{Flow: key, Accepting: true})
-		f.flowTable.FromBalancer(time.Second, flow.Packet{Flow: key, Acknowledged: 1, Data: 1}, flow.Delivery{}, nil)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- f.servePeers(ctx) }()
@@ -74,6 +66,22 @@
 	return f
 }
 
+// startBusyForwarder starts the traffic side of an agent of the service; its endpoint has
+// no free slot.
+func startBusyForwarder(t *testing.T, service string, endpoint netip.AddrPort) *forwarder {
+	f := startForwarder(t, service, endpoint)
+	f.applyHello(clock.Now(), wire.Hello{Slots: 1})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range 2 {
+		key := flow.Key{Caller: flow.Address{Port: uint16(i)}}
+		f.flowTable.FromBalancer(time.Second, flow.Packet{Flow: key, Opening: true}, flow.Delivery{}, nil)
+		f.flowTable.FromEndpoint(time.Second, flow.Packet{Flow: key, Accepting: true})
+		f.flowTable.FromBalancer(time.Second, flow.Packet{Flow: key, Acknowledged: 1, Data: 1}, flow.Delivery{}, nil)
+	}
+	return f
+}
+
 // startBusyAgent calls startBusyForwarder and returns the address at which the agent
 // receives packets from balancers.
 func startBusyAgent(t *testing.T, service string, endpoint netip.AddrPort) netip.AddrPort {
@@ -114,3 +122,10 @@
 	must.NoError(t, err)
 	must.EqOp(t, wire.Return, wire.KindOf(buffer[:n]))
 }
+
+// newTestState returns the control state of an agent before which none ran.
+func newTestState(f *forwarder, seeds []flow.Address) *state {
+	s := newState(f.log, f, seeds)
+	s.predecessor.isFirst = true
+	return s
+}
--- a/packetagent/introductions_test.go
+++ b/packetagent/introductions_test.go
@@ -32,7 +32,7 @@
 func TestAgentReportsToBalancerThatForgotIt(t *testing.T) {
 	balancer, endpoint := listenLoopback(t), listenLoopback(t)
 	f := startBusyForwarder(t, "orders", localAddr(endpoint))
-	s := newState(f.log, f, nil)
+	s := newTestState(f, nil)
 	address := flow.AddressOf(localAddr(balancer))
 	reports := func(now time.Duration) (count int) {
 		s.report(now)
@@ -60,7 +60,7 @@
 	balancer, endpoint := listenLoopback(t), listenLoopback(t)
 	f := startBusyForwarder(t, "orders", localAddr(endpoint))
 	address := flow.AddressOf(localAddr(balancer))
-	s := newState(f.log, f, []flow.Address{address})
+	s := newTestState(f, []flow.Address{address})
 	s.report(s.lastTick)
 	_ = balancer.SetReadDeadline(time.Now().Add(time.Second))
 	_, _, err := balancer.ReadFromUDPAddrPort(make([]byte, 200))
--- a/packetagent/statement.go
+++ b/packetagent/statement.go
@@ -126,8 +126,13 @@
 		f.evacuated.Store(1)
 	}
 	openings := withFlows(f, func(t *flow.AgentTable) []flow.AdmittedOpening { return t.SetEvacuated(evacuated) })
+	f.returnOpenings(openings)
+	return len(openings)
+}
+
+// returnOpenings returns opening packets that waited to their balancers.
+func (f *forwarder) returnOpenings(openings []flow.AdmittedOpening) {
 	for _, o := range openings {
 		f.execute(o.Flow, o.Verdict, o.Verdict.Balancer, append(make([]byte, wire.EnvelopeSize), o.Datagram...))
 	}
-	return len(openings)
 }
--- a/packetagent/statement_test.go
+++ b/packetagent/statement_test.go
@@ -64,7 +64,7 @@
 func TestEvacuatedAgentReturnsPackets(t *testing.T) {
 	balancer, endpoint := listenLoopback(t), listenLoopback(t)
 	f := startBusyForwarder(t, "orders", localAddr(endpoint))
-	s := newState(f.log, f, nil)
+	s := newTestState(f, nil)
 	s.statement.hasEvacuations = true
 	send := func(caller byte) {
 		packet := append(make([]byte, wire.EnvelopeSize), caller)
@@ -133,7 +133,7 @@
 	endpoint := listenLoopback(t)
 	f := startBusyForwarder(t, "orders", localAddr(endpoint))
 	f.flowTable.SetColdLimit(flow.ColdLimit{Excess: 1, Slack: 0.5})
-	s := newState(f.log, f, nil)
+	s := newTestState(f, nil)
 	hello := stated(1, 10, false)
 	hello.Slots, hello.EndpointStart, hello.ColdLeft, hello.ColdRate = 1000, 5000, time.Hour, 0.6
 	from := flow.AddressOf(localAddr(listenLoopback(t)))
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -12,6 +12,7 @@
 	"cactustray/control/clock"
 	"cactustray/event"
 	"cactustray/flow"
+	"cactustray/flow/handover"
 	"cactustray/flow/traffic"
 	"cactustray/flow/wire"
 	"cactustray/metrics"
@@ -150,6 +151,8 @@
 	case wire.BulkQuery:
 		answer := withFlows(f, func(t *flow.AgentTable) flow.BulkAnswer { return t.BulkQuery(clock.Now(), flow.BulkQuery(m)) })
 		f.counters.SendToNode(f.peers, wire.Encode(wire.BulkAnswer(answer)), from)
+	case wire.HandoverPart:
+		f.loop.Offer(handoverPartReceived{part: handover.Part(m)})
 	}
 }
 
@@ -344,7 +347,7 @@
 		f.counters.SendToNode(f.peers, f.encodeForward(buffer, v, balancer), v.To.AddrPort())
 	case flow.Return:
 		wire.PutEnvelope(buffer, wire.Return, wire.Envelope{Delivery: flow.Delivery{
-			Balancer: balancer, Hops: v.Hops, Silent: v.Reason == flow.EndpointSilent, Evacuated: v.Reason == flow.Evacuated,
+			Balancer: balancer, Hops: v.Hops, Silent: v.Reason == flow.EndpointSilent || v.Reason == flow.HandingOver, Evacuated: v.Reason == flow.Evacuated,
 			NameRequired: v.Reason == flow.NameRequired,
 		}})
 		f.counters.SendToNode(f.peers, buffer, v.To.AddrPort())
--- a/packetbalancer/control.go
+++ b/packetbalancer/control.go
@@ -11,6 +11,7 @@
 	"cactustray/directory/exchange"
 	"cactustray/event"
 	"cactustray/flow"
+	"cactustray/flow/handover"
 	"cactustray/flow/wire"
 	"cactustray/placement"
 	"cactustray/settings"
@@ -74,6 +75,7 @@
 	survivorsLogged bool
 	loads           map[flow.Address]*placement.AgentLoad
 	serviceIDs      flow.ServiceIDs
+	handovers       handover.Store
 	// introduced has the agents that introduced themselves, and when they first did.
 	introduced map[flow.Address]time.Duration
 	// introducedChanged is true if the routing table lacks some of them.
@@ -181,6 +183,10 @@
 		s.surveyPeers(now)
 	case agentIntroduced:
 		s.agentIntroduced(now, m)
+	case handoverReceived:
+		s.handovers.Add(now, m.agent, m.part)
+	case handoverQueried:
+		s.passOnHandover(m)
 	case exchange.SnapshotRequested:
 		m.Reply <- exchange.SnapshotReply{Change: s.directorySnapshot(now, m.Request), Known: s.directory.Known()}
 	case *settings.Settings:
@@ -208,6 +214,7 @@
 		s.sendHellosToUnresponsive(now)
 	}
 	s.sendRemoteHellos(now)
+	s.awaitSuccessors(now)
 	s.checkContacts(now)
 	s.recordSurvivors(now)
 	s.publishIntroduced(now)
--- a/packetbalancer/events.go
+++ b/packetbalancer/events.go
@@ -38,6 +38,7 @@
 	EventContactWidth       = event.Define(3130, logrus.InfoLevel, "another number of agents of other failure domains in touch")
 	EventContactInterval    = event.Define(3131, logrus.InfoLevel, "another interval of reports requested of other failure domains")
 	EventManyLost           = event.Define(3140, logrus.InfoLevel, "many flows are lost")
+	EventHandoverPassedOn   = event.Define(3150, logrus.InfoLevel, "hand-over passed on to the next agent")
 	EventPaused             = event.Define(3107, logrus.WarnLevel, "packet balancer was paused")
 	EventFlowPlaced         = event.Define(3201, logrus.InfoLevel, "flow placed")
 	EventFlowSearched       = event.Define(3203, logrus.InfoLevel, "flow search sent to agents")
--- a/packetbalancer/peers.go
+++ b/packetbalancer/peers.go
@@ -7,6 +7,7 @@
 
 	"cactustray/control/clock"
 	"cactustray/flow"
+	"cactustray/flow/handover"
 	"cactustray/flow/wire"
 	"cactustray/placement"
 	"cactustray/steering/datagram"
@@ -89,6 +90,10 @@
 		f.answersReceived(now, m, sender)
 	case wire.BulkAnswer:
 		f.bulkAnswered(now, flow.BulkAnswer(m), sender)
+	case wire.HandoverPart:
+		f.loop.Offer(handoverReceived{agent: sender, part: handover.Part(m)})
+	case wire.HandoverQuery:
+		f.loop.Offer(handoverQueried{agent: sender, process: m.Process})
 	case wire.DirectoryAnnouncement:
 		f.loop.Offer(announcementReceived{DirectoryAnnouncement: m, from: sender})
 	}
--- a/standin/e2e/packets_test.go
+++ b/standin/e2e/packets_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cactustray/flow"
+	"cactustray/packetagent"
 	"cactustray/standin/packets"
 
 	"github.com/cespare/xxhash/v2"
@@ -305,3 +306,37 @@
 		})
 	}
 }
+
+// Guards against packets of open flows that are tried at many endpoints after planned restarts
+// alone: an agent that starts knows the flows of the one before, so that balancers, which have
+// been restarted too, find them by their keys.
+func TestPacketFlowsAreKnownAfterPlannedRestarts(t *testing.T) {
+	t.Parallel()
+	c := newPacketCluster(t, 2)
+	for i := range 6 { // agents that know all flows of their endpoints
+		c.signal(endpointHost+i, syscall.SIGKILL)
+		_ = c.daemons[c.IP(endpointHost+i)].Wait()
+		must.NoError(t, os.Remove(filepath.Join(c.dir, fmt.Sprint(endpointHost+i)+".log")))
+		s := c.Settings(endpointHost + i)
+		s.Packets.FirstStart = true
+		raw, err := json.Marshal(s)
+		must.NoError(t, err)
+		c.runWith(endpointHost+i, raw)
+		c.await(func() bool { return c.hasLogged(endpointHost+i, packetagent.EventBalancerFound) })
+	}
+	feeds := c.openFeeds(12)
+	c.mustContinue(feeds)
+	for i := range 6 {
+		c.restart(endpointHost+i, syscall.SIGTERM)
+		c.await(func() bool { return c.hasLogged(endpointHost+i, packetagent.EventFlowsTakenOver) })
+	}
+	for i := range 2 {
+		c.restart(balancerHost+i, syscall.SIGTERM)
+		c.await(func() bool { return c.router.Check() == 2 })
+		c.mustContinue(feeds)
+	}
+	for i := range 6 {
+		must.False(t, c.hasLogged(endpointHost+i, packetagent.EventFlowTried), must.Sprint(endpointHost+i))
+	}
+	c.mustUpholdInvariants()
+}
