Balancers refute what a set clock shows an agent about its endpoint

Cause: an agent denies flows that it does not know if its endpoint started with it or later.

Change: balancers state for how long they have known the endpoint's start, on their monotonic clocks (Hello.endpoint_known_ms), and no time of day about one known for 30 s. Every flow came through a balancer that knew that start, so an agent that runs for less time concludes nothing, and takes back what a balancer that started later let it conclude. Nodes of older builds behave as before.

ConfirmComplete takes the endpoint's start in the tests too; their checks are as they were.

--- a/flow/agent_table.go
+++ b/flow/agent_table.go
@@ -172,7 +172,10 @@
 	// started before any of them.
 	complete  bool
 	startedAt Timestamp
-	lifetime  time.Duration
+	// confirmedStart is the start of the endpoint by which complete was concluded, or 0, and
+	// refutedStart one that is earlier than the agent's.
+	confirmedStart, refutedStart int64
+	lifetime                     time.Duration
 	// knownSince is from when the table has every flow that opened. takenOver is true if it took
 	// over the flows of the agent before, and takenComplete if that knew all of them.
 	knownSince    Timestamp
--- a/flow/bulk_test.go
+++ b/flow/bulk_test.go
@@ -99,7 +99,7 @@
 	open, offeredOnly, unknown := callerKey(1), callerKey(2), callerKey(3)
 	query := BulkQuery{ID: 5, Fingerprints: []Fingerprint{open.Fingerprint(), offeredOnly.Fingerprint(), unknown.Fingerprint()}}
 	must.False(t, table.BulkQuery(now, query).Complete)
-	table.ConfirmComplete()
+	table.ConfirmComplete(1)
 	for _, key := range []Key{open, offeredOnly, callerKey(4)} {
 		table.FromBalancer(now, Packet{Flow: key, Opening: true}, Delivery{}, []byte("opening"))
 	}
--- a/flow/cold_limit_test.go
+++ b/flow/cold_limit_test.go
@@ -133,7 +133,7 @@
 	must.Len(t, 1, restarted.AdmitWaiting(time.Second+coldWindow))
 	both := coldAgent(time.Second, limit, false)
 	must.EqOp(t, OpeningWaits, openAt(both, time.Second, 1, Delivery{}).Reason)
-	both.ConfirmComplete()
+	both.ConfirmComplete(1)
 	must.Len(t, 1, both.AdmitWaiting(time.Second))
 }
 
--- a/flow/held_routes_test.go
+++ b/flow/held_routes_test.go
@@ -81,7 +81,7 @@
 	table := NewAgentTable(now, 2, time.Hour, false)
 	_, ok := table.HeldRoutes(now)
 	must.False(t, ok, must.Sprint("an earlier agent may have delivered flows"))
-	table.ConfirmComplete()
+	table.ConfirmComplete(1)
 	routes, ok := table.HeldRoutes(now)
 	must.True(t, ok)
 	must.SliceEmpty(t, routes)
--- a/flow/query.go
+++ b/flow/query.go
@@ -58,5 +58,23 @@
 func (t *AgentTable) FlowsKnown(now Timestamp) bool { return t.isComplete(now) }
 
 // ConfirmComplete records that the endpoint started no earlier than this agent, so that the
-// table has every flow of the endpoint.
-func (t *AgentTable) ConfirmComplete() { t.complete = true }
+// table has every flow of the endpoint, unless that was refuted. start is the endpoint's start, in
+// milliseconds since the Unix epoch by its own clock. It reports whether this is new.
+func (t *AgentTable) ConfirmComplete(start int64) bool {
+	if t.complete || start == t.refutedStart {
+		return false
+	}
+	t.complete, t.confirmedStart = true, start
+	return true
+}
+
+// RefuteComplete records that an endpoint with that start may have started before this agent. It
+// reports whether the opposite had been concluded.
+func (t *AgentTable) RefuteComplete(start int64) bool {
+	t.refutedStart = start
+	if t.confirmedStart == 0 || t.confirmedStart != start {
+		return false
+	}
+	t.complete, t.confirmedStart = false, 0
+	return true
+}
--- a/flow/retry_test.go
+++ b/flow/retry_test.go
@@ -67,7 +67,7 @@
 	agent := NewAgentTable(now, 2, simFlowLifetime, false)
 	must.EqOp(t, Deliver, agent.FromBalancer(now, packet, Delivery{Search: true}, nil).Action)
 	must.EqOp(t, IsUnsure, agent.Query(now, Query{Flow: packet.Flow}))
-	agent.ConfirmComplete()
+	agent.ConfirmComplete(1)
 	routing.Agents[agentAt(0)].AgentLoad.Report(now, placement.Usage{FlowsKnown: true})
 	retried, _ := a.RetrySearches(now+retryInterval, routing)
 	must.Len(t, 1, retried)
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -417,7 +417,7 @@
 	load := s.table.Agents[a.address].AgentLoad
 	if s.table.Agents[a.address].Distant {
 		if a.flowTable.startedAt < a.endpoint.startedAt {
-			a.flowTable.ConfirmComplete()
+			a.flowTable.ConfirmComplete(1)
 		}
 		return
 	}
@@ -434,7 +434,7 @@
 	}
 	load.Report(s.now, usage)
 	if a.flowTable.startedAt < a.endpoint.startedAt {
-		a.flowTable.ConfirmComplete()
+		a.flowTable.ConfirmComplete(1)
 	}
 }
 
--- a/flow/start_order.go
+++ b/flow/start_order.go
@@ -19,6 +19,10 @@
 // since the agent started, or differs from that of the balancer that states the endpoint's
 // start.
 //
+// A clock may also have been set between the two starts. So what balancers have seen goes first:
+// flows reach an endpoint only through a balancer that knows its start, and one that has known it
+// for longer than the agent runs shows that an earlier agent may have served the endpoint.
+//
 // Times of day are in milliseconds since the Unix epoch.
 type StartOrder struct {
 	// startedAt and startedClock are when the agent started.
@@ -47,4 +51,11 @@
 	return endpointStart >= s.startedClock-startTolerance.Milliseconds()
 }
 
+// EndpointIsOlder reports whether the endpoint may have started before the agent: a balancer has
+// known its start for longer than the agent runs. known is measured on the balancer's monotonic
+// clock.
+func (s StartOrder) EndpointIsOlder(now Timestamp, known time.Duration) bool {
+	return known > now-s.startedAt+startTolerance
+}
+
 func abs(n int64) int64 { return max(n, -n) }
--- a/flow/start_order_test.go
+++ b/flow/start_order_test.go
@@ -32,3 +32,34 @@
 		})
 	}
 }
+
+// Guards against resets of flows that an earlier agent delivered (its endpoint started while the
+// machine's clock was ahead, which was then set back): what balancers have seen on their monotonic
+// clocks goes before times of day, in whatever order they state it.
+func TestEndpointThatBalancersKnewBeforeIsOlder(t *testing.T) {
+	const started, clock, ahead = 5 * time.Second, int64(1_000_000), 2400
+	order := NewStartOrder(started, clock)
+	endpointStart := clock - 1200 + ahead // it started 1.2 s before the agent
+	now := started + 10*time.Millisecond
+	must.True(t, order.EndpointIsNewer(now, clock+10, endpointStart, clock+10))
+	must.True(t, order.EndpointIsOlder(now, time.Second))
+	must.False(t, order.EndpointIsOlder(now, 10*time.Millisecond+startTolerance)) // started together
+	must.False(t, order.EndpointIsOlder(now, 0))                                  // a balancer of an older build
+
+	for _, refutedFirst := range []bool{true, false} {
+		table := NewAgentTable(started, 2, time.Minute, false)
+		if refutedFirst {
+			must.False(t, table.RefuteComplete(endpointStart))
+			must.False(t, table.ConfirmComplete(endpointStart))
+		} else {
+			must.True(t, table.ConfirmComplete(endpointStart)) // by a balancer that has just started
+			must.True(t, table.RefuteComplete(endpointStart))
+		}
+		must.False(t, table.FlowsKnown(now))
+		must.False(t, table.ConfirmComplete(endpointStart))
+		// The endpoint starts again, beside this agent.
+		must.True(t, table.ConfirmComplete(endpointStart+5000))
+		must.False(t, table.RefuteComplete(endpointStart)) // a balancer with an older directory
+		must.True(t, table.FlowsKnown(now))
+	}
+}
--- a/flow/wire/size_test.go
+++ b/flow/wire/size_test.go
@@ -29,6 +29,8 @@
 	}{
 		{"hello message", Hello{Slots: 3, EndpointStart: started, Clock: started}, 20},
 		{"hello message to another domain", Hello{Slots: 3, EndpointStart: started, Clock: started, Remote: true, ReportInterval: time.Second}, 25},
+		{"hello message about an endpoint that has just started", Hello{Slots: 3, EndpointStart: started, Clock: started, EndpointKnown: 10 * time.Second}, 23},
+		{"hello message about an endpoint known for long", Hello{Slots: 3, EndpointStart: started, EndpointKnown: MaxEndpointKnown}, 16},
 		{"report", report, 30},
 		{"report with 4 balancers", short, 56},
 		{"report with a full list", long, 30 + 32*addressSize + 4},
--- a/flow/wire/wire.go
+++ b/flow/wire/wire.go
@@ -159,6 +159,9 @@
 	// the balancer's time of day when it sent this: in milliseconds since the Unix epoch.
 	EndpointStart int64
 	Clock         int64
+	// EndpointKnown is for how long the balancer has known of the endpoint's start, up to
+	// MaxEndpointKnown; 0 if not stated. It is sent in whole milliseconds.
+	EndpointKnown time.Duration
 	// Evacuated is true if the failure domain of the endpoint is evacuated. This, ColdLeft and
 	// ColdRate are from the directory at Position.
 	Evacuated bool
@@ -174,6 +177,10 @@
 	ReportInterval time.Duration
 }
 
+// MaxEndpointKnown is the largest value of Hello.EndpointKnown. An agent that runs for longer has no
+// use for it.
+const MaxEndpointKnown = 30 * time.Second
+
 // Report informs a balancer of the load of the sender's endpoint and, in some reports,
 // of the balancers that send the sender Hello messages.
 type Report struct {
@@ -273,6 +280,7 @@
 		Evacuated: m.Evacuated, Era: uint64(m.Position.Era), Revision: uint64(m.Position.Revision),
 		ColdLeftMs: uint32(max(m.ColdLeft, 0).Milliseconds()), ColdRateMilli: thousandths(m.ColdRate),
 		Remote: m.Remote, ReportIntervalMs: uint32(max(m.ReportInterval, 0).Milliseconds()),
+		EndpointKnownMs: uint32(min(max(m.EndpointKnown, 0), MaxEndpointKnown).Milliseconds()),
 	}
 }
 
@@ -292,6 +300,7 @@
 		Position:  directory.Position{Era: directory.Era(h.GetEra()), Revision: directory.Revision(h.GetRevision())},
 		ColdLeft:  time.Duration(h.GetColdLeftMs()) * time.Millisecond, ColdRate: float64(h.GetColdRateMilli()) / 1000,
 		Remote: h.GetRemote(), ReportInterval: time.Duration(h.GetReportIntervalMs()) * time.Millisecond,
+		EndpointKnown: time.Duration(h.GetEndpointKnownMs()) * time.Millisecond,
 	}
 }
 
--- a/packetagent/control.go
+++ b/packetagent/control.go
@@ -121,8 +121,12 @@
 	if s.firstHello == 0 {
 		s.firstHello = now
 	}
-	if s.traffic.applyHello(now, m.Hello) {
-		s.log.Emit(EventFlowsKnown, event.Fields{"balancer": m.balancer.String(), "endpoint_start_ms": m.EndpointStart})
+	if confirmed, refuted := s.traffic.applyHello(now, m.Hello); confirmed || refuted {
+		e := EventFlowsKnown
+		if refuted {
+			e = EventFlowsNotKnown
+		}
+		s.log.Emit(e, event.Fields{"balancer": m.balancer.String(), "endpoint_start_ms": m.EndpointStart, "known_ms": m.EndpointKnown.Milliseconds()})
 		defer s.report(now)
 	}
 	s.statementReceived(now, m)
--- a/packetagent/events.go
+++ b/packetagent/events.go
@@ -23,6 +23,7 @@
 	EventFlowsKnown       = event.Define(3312, logrus.InfoLevel, "all flows of the endpoint are known")
 	EventFlowsHandedOver  = event.Define(3313, logrus.InfoLevel, "flows handed over")
 	EventFlowsTakenOver   = event.Define(3314, logrus.InfoLevel, "flows of the agent before taken over")
+	EventFlowsNotKnown    = event.Define(3315, logrus.WarnLevel, "endpoint started before the agent after all")
 	EventEvacuated        = event.Define(3320, logrus.InfoLevel, "endpoint's failure domain evacuated")
 	EventEvacuationEnded  = event.Define(3321, logrus.InfoLevel, "endpoint's failure domain back in service")
 	EventContactBegun     = event.Define(3330, logrus.InfoLevel, "balancer of another failure domain is in touch")
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -90,18 +90,21 @@
 }
 
 // applyHello stores what a balancer knows of the endpoint, and reports whether it shows
-// that every flow of the endpoint is known, which was not certain until now.
-func (f *forwarder) applyHello(now time.Duration, h wire.Hello) (confirmed bool) {
+// that every flow of the endpoint is known, which was not certain until now, or that this had been
+// concluded wrongly.
+func (f *forwarder) applyHello(now time.Duration, h wire.Hello) (confirmed, refuted bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if h.Slots > 0 { // a balancer that knows the endpoint only by this agent's reports states none
 		f.flowTable.SetSlots(h.Slots)
 	}
-	if f.flowTable.FlowsKnown(now) || !f.startOrder.EndpointIsNewer(now, time.Now().UnixMilli(), h.EndpointStart, h.Clock) {
-		return false
+	switch {
+	case f.startOrder.EndpointIsOlder(now, h.EndpointKnown):
+		return false, f.flowTable.RefuteComplete(h.EndpointStart)
+	case f.flowTable.FlowsKnown(now) || !f.startOrder.EndpointIsNewer(now, time.Now().UnixMilli(), h.EndpointStart, h.Clock):
+		return false, false
 	}
-	f.flowTable.ConfirmComplete()
-	return true
+	return f.flowTable.ConfirmComplete(h.EndpointStart), false
 }
 
 // flowsKnown reports whether every flow of the endpoint is known.
--- a/packetbalancer/agents.go
+++ b/packetbalancer/agents.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cactustray/control/clock"
 	"cactustray/event"
 	"cactustray/flow"
 	"cactustray/flow/wire"
@@ -42,15 +43,28 @@
 func (s *state) sendHello(endpoint *flow.Endpoint) {
 	interval, _ := s.contacts.requested(endpoint)
 	hello := wire.Hello{
-		Slots: endpoint.Slots, Leaving: s.leaving, EndpointStart: endpoint.StartedAt, Clock: time.Now().UnixMilli(),
+		Slots: endpoint.Slots, Leaving: s.leaving, EndpointStart: endpoint.StartedAt,
 		Remote: endpoint.Remote, ReportInterval: interval,
 	}
+	addStartOrder(clock.Now(), &hello, endpoint)
 	if !endpoint.Introduced {
 		s.addStatement(&hello, endpoint)
 	}
 	s.traffic.counters.SendToNode(s.traffic.peers, wire.Encode(hello), endpoint.Agent.AddrPort())
 }
 
+// addStartOrder adds what shows the agent whether its endpoint started before it. The time of day
+// shows nothing about an endpoint that has been known for long, and is left out then.
+func addStartOrder(now time.Duration, hello *wire.Hello, endpoint *flow.Endpoint) {
+	if endpoint.StartedAt == 0 {
+		return
+	}
+	hello.EndpointKnown = min(max(now-endpoint.AddedAt, time.Millisecond), wire.MaxEndpointKnown)
+	if hello.EndpointKnown < wire.MaxEndpointKnown {
+		hello.Clock = time.Now().UnixMilli()
+	}
+}
+
 // compareProcessingTimes finds the endpoints that answer slowly and logs the changes.
 func (s *state) compareProcessingTimes() {
 	slow := 0
--- a/standin/e2e/packets_test.go
+++ b/standin/e2e/packets_test.go
@@ -307,6 +307,27 @@
 	}
 }
 
+// Guards against resets of open flows after the clock of their endpoint's machine was set back: the
+// endpoint seems to have started after its agent, which was killed meanwhile.
+func TestPacketFlowsSurviveClockStepAndKilledAgent(t *testing.T) {
+	t.Parallel()
+	c := newPacketCluster(t, 2)
+	const ahead = 5 * time.Second
+	c.register(endpointHost, "ready", int(time.Now().Add(ahead).UnixMilli()))
+	c.await(func() bool { return c.hasLogged(endpointHost, packetagent.EventFlowsKnown) }) // balancers know that start
+	feeds := c.openFeeds(12)
+	for began := time.Now(); time.Since(began) < time.Second; { // longer than an agent takes to start
+		c.mustContinue(feeds)
+	}
+	must.NoError(t, os.Remove(filepath.Join(c.dir, fmt.Sprint(endpointHost)+".log")))
+	c.restart(endpointHost, syscall.SIGKILL)
+	c.await(func() bool { return c.hasLogged(endpointHost, packetagent.EventBalancerFound) })
+	for range 3 {
+		c.mustContinue(feeds)
+	}
+	c.mustUpholdInvariants()
+}
+
 // Guards against packets of open flows that are tried at many endpoints after planned restarts
 // alone: an agent that starts knows the flows of the one before, so that balancers, which have
 // been restarted too, find them by their keys.
