A balancer that starts takes up endpoints that only its peer still lists

Cause: the balancer took its directory for complete by the answer of another one that had not noticed the expiry. That answer was an increment after a later position than its sender's, so it listed neither the endpoint as registered nor as departed.

Change: an answer counts only if it lists all departed endpoints and its sender has reached the position of the one that asks, or has the same content. Otherwise the whole directory is fetched, and endpoints that only it lists are taken up as departed. Plain fetches, whose answers lack what departed earlier, do not make a directory complete any more. Revisions of an earlier era are not compared.

--- a/directory/state.go
+++ b/directory/state.go
@@ -120,7 +120,7 @@
 	s.applyDesired(now, c)
 	s.evacuations.merge(c)
 	if isOlder {
-		s.mergeEntries(now, c)
+		added = s.mergeEntries(now, c) || added
 		return s.mergeRouteHistory(now, c) || added || s.Digest() != before, true
 	}
 	added = s.mergeRouteHistory(now, c) || added
@@ -154,11 +154,17 @@
 }
 
 // mergeEntries takes what an older update knows of registered endpoints beyond the
-// entries here. Those may be copies in a restored source.
-func (s *State) mergeEntries(now time.Duration, c Change) {
+// entries here. Those may be copies in a restored source. It reports whether there were
+// endpoints unknown here.
+//
+// An endpoint that another balancer lists and that is not known here was deleted between its
+// position and the one here. It may live, if its entry expired, so it counts as departed.
+func (s *State) mergeEntries(now time.Duration, c Change) (added bool) {
 	for _, e := range c.Endpoints {
 		existing := s.entries[e.ID]
 		switch {
+		case existing == nil && !c.fromSource():
+			added = s.addDeparted(now, Change{Era: c.Era, Departed: []Departed{{Endpoint: e}}}) || added
 		case existing == nil || existing.DepartedAt != 0 || !e.laterThan(existing.Endpoint):
 		case c.Era == s.era && e.ModRevision != existing.ModRevision: // the revisions decide
 		default:
@@ -166,6 +172,7 @@
 			s.put(now, s.asOf, e)
 		}
 	}
+	return added
 }
 
 // applyDesired puts the desired state of an update into force, if it has a newer one.
@@ -220,6 +227,9 @@
 			}
 			continue
 		}
+		if c.Era < s.era {
+			d.ModRevision = 0 // not comparable
+		}
 		departedAt := now - d.Age
 		if departedAt == 0 {
 			departedAt-- // 0 means registered
--- a/packetbalancer/departed.go
+++ b/packetbalancer/departed.go
@@ -74,7 +74,7 @@
 			queryCtx, cancel := context.WithTimeout(ctx, surveyTimeout)
 			change, err := r.client.Fetch(queryCtx, query.peer, query.Request)
 			cancel()
-			if r.loop.Send(ctx, surveyEnded{fetchEnded{from: query.peer, change: change, err: err}}) != nil {
+			if r.loop.Send(ctx, surveyEnded{fetchEnded{fetchRequest: query, change: change, err: err}}) != nil {
 				return nil
 			}
 		}
@@ -124,8 +124,38 @@
 func (s *state) surveyEnded(now time.Duration, m surveyEnded) {
 	s.survey.pending--
 	s.applyFetched(now, m.fetchEnded)
+	if m.err == nil && m.change.Complete && !s.survey.complete {
+		s.queryInFull(m.fetchEnded)
+	}
 	s.surveyPeers(now)
-	s.admitTraffic(now, m.from.String())
+	s.admitTraffic(now, m.peer.String())
+}
+
+// hasAllOf reports whether the directory has every endpoint that may hold flows as far as the sender
+// of an answer knows, now that the answer is applied.
+//
+// Invariant: the answer lists the departed endpoints, all of them, and what the sender lists as
+// registered is registered or has departed here. An increment after a position that the sender has not
+// reached lists neither what it has nor what was deleted meanwhile; only if both contents are the
+// same is nothing missing.
+func (s *state) hasAllOf(m fetchEnded) bool {
+	switch {
+	case m.change.Snapshot:
+		return true
+	case !m.AllDeparted:
+		return false
+	}
+	return m.change.Position().Compare(m.Position) >= 0 || m.change.Digest == s.directory.Digest()
+}
+
+// queryInFull queries a balancer for its whole directory after an answer that does not have all of
+// it, once.
+func (s *state) queryInFull(m fetchEnded) {
+	if m.change.Snapshot || len(s.reader.surveys) == cap(s.reader.surveys) {
+		return
+	}
+	s.survey.pending++
+	s.reader.surveys <- fetchRequest{peer: m.peer, Request: directory.Request{AllDeparted: true}}
 }
 
 // otherBalancers returns the control addresses of the other balancers: those from the
--- a/packetbalancer/directory.go
+++ b/packetbalancer/directory.go
@@ -114,10 +114,10 @@
 // applyFetched applies the directory fetched from another balancer.
 func (s *state) applyFetched(now time.Duration, m fetchEnded) {
 	if m.err != nil {
-		s.log.Emit(EventPeerFailed, event.Fields{"peer": m.from, "cause": m.err.Error()})
+		s.log.Emit(EventPeerFailed, event.Fields{"peer": m.peer, "cause": m.err.Error()})
 		return
 	}
-	changed, ok := s.applyChange(now, m.change, m.from.String())
+	changed, ok := s.applyChange(now, m.change, m.peer.String())
 	if !ok {
 		s.contentDiffers = true
 		return
@@ -127,14 +127,14 @@
 	}
 	s.takeOverIntroduced(now, m.change.Introduced)
 	s.fullRead = false
-	s.updateTraffic(now, changed || s.knowsRouteHistory(now) != s.historyKnown, m.from.String())
+	s.updateTraffic(now, changed || s.knowsRouteHistory(now) != s.historyKnown, m.peer.String())
 	if changed {
 		s.announceFetched(now, m)
 	} else {
 		s.correctSender(now, m)
 	}
-	if m.change.Complete && !s.survey.complete {
-		s.markComplete(now, m.from.String())
+	if m.change.Complete && !s.survey.complete && s.hasAllOf(m) {
+		s.markComplete(now, m.peer.String())
 	}
 }
 
@@ -146,7 +146,7 @@
 		return
 	}
 	s.lastCorrection = now
-	sender := netip.AddrPortFrom(m.from.Addr(), s.settings.Packets.Peer.Port())
+	sender := netip.AddrPortFrom(m.peer.Addr(), s.settings.Packets.Peer.Port())
 	s.traffic.counters.SendToNode(s.traffic.peers, s.announcement(now), sender)
 }
 
@@ -225,7 +225,7 @@
 		s.announceDirectory(now)
 		return
 	}
-	from := netip.AddrPortFrom(m.from.Addr(), s.settings.Packets.Peer.Port())
+	from := netip.AddrPortFrom(m.peer.Addr(), s.settings.Packets.Peer.Port())
 	s.announceTo(now, s.dissemination.AfterFetch(now, from, s.directory.Position(), s.directory.Digest(), s.schedule.Peers(now)))
 }
 
--- a/packetbalancer/reader.go
+++ b/packetbalancer/reader.go
@@ -39,7 +39,7 @@
 
 // fetchEnded brings the directory of another balancer to the control goroutine.
 type fetchEnded struct {
-	from   netip.AddrPort
+	fetchRequest
 	change directory.Change
 	err    error
 }
@@ -113,7 +113,7 @@
 			return nil
 		case fetch := <-r.fetches:
 			change, err := r.client.Fetch(ctx, fetch.peer, fetch.Request)
-			if err := r.loop.Send(ctx, fetchEnded{from: fetch.peer, change: change, err: err}); err != nil {
+			if err := r.loop.Send(ctx, fetchEnded{fetchRequest: fetch, change: change, err: err}); err != nil {
 				return nil
 			}
 		}
