A survey does not end while a complete directory is still to arrive

Cause: if the whole directory of a balancer did not arrive in the time of a query, as over a slow link, the survey of a balancer that starts ended as if nobody had one.

Tested by TestFailedQueryInFullLeavesDirectoryIncomplete, which fails with the condition taken out.

--- a/flow/assignments.go
+++ b/flow/assignments.go
@@ -268,8 +268,9 @@
 }
 
 // Returned decides on a packet that an agent returned: an opening packet goes to
-// another endpoint, or again to the agent if that requires the service's name, any other to the agent recorded for the flow or, failing that, to a
-// search. d came with the packet.
+// another endpoint, or again to the agent if that requires the service's name; any other
+// goes to the agent recorded for the flow or, failing that, to a search. d came with the
+// packet.
 func (a *Assignments) Returned(now Timestamp, packet Packet, agent Address, d Delivery, routing *RoutingTable, datagram []byte) Decision {
 	known, ok := a.flows[packet.Flow]
 	if !packet.Opening {
--- a/packetagent/traffic.go
+++ b/packetagent/traffic.go
@@ -365,6 +365,21 @@
 	}
 }
 
+// encodeForward returns the datagram that forwards the packet in buffer, after space for an
+// envelope, to another agent. It states the service, since the other agent's address may meanwhile
+// belong to another one, and the class of the requests if it is known: then that agent reads it.
+func (f *forwarder) encodeForward(buffer []byte, v flow.Verdict, balancer flow.Address) []byte {
+	stated := f.service.Stated(v.Naming)
+	wire.PutEnvelope(buffer, wire.Forward, wire.Envelope{StatedService: stated, Delivery: flow.Delivery{Balancer: balancer, Hops: v.Hops}})
+	if v.Class.IsKnown() {
+		buffer = wire.AppendClass(buffer, v.Class)
+	}
+	if v.Naming == flow.ByName {
+		buffer = wire.AppendName(buffer, stated.Name, flow.ByName)
+	}
+	return buffer
+}
+
 func (f *forwarder) callerAddress(key flow.Key) netip.AddrPort {
 	caller := key.Caller
 	caller.Port = f.callerPort
--- a/packetbalancer/departed.go
+++ b/packetbalancer/departed.go
@@ -38,8 +38,8 @@
 //
 // Invariant: unless the settings state that no node of the system has run before, no flow
 // is reset because no agent holds it until a balancer with a complete directory has
-// answered, all known balancers have been queried without such an answer, or
-// completeTimeout has passed. If agents outlived all balancers, none is before
+// sent all of it, all known balancers have been queried and none of those that answered has
+// one, or completeTimeout has passed. If agents outlived all balancers, none is before
 // reregisterTimeout has passed either.
 type survey struct {
 	queried map[netip.AddrPort]bool
@@ -47,6 +47,8 @@
 	pending int
 	// agentReportedAt is when an agent first listed the balancers that it reports to, or 0.
 	agentReportedAt time.Duration
+	// lacksContent is true if a balancer has a complete directory that has not arrived here.
+	lacksContent bool
 	// complete is true if the directory has every endpoint that may hold flows.
 	complete bool
 }
@@ -99,7 +101,7 @@
 			s.reader.surveys <- fetchRequest{peer: peer, Request: s.request(true)} // has capacity for maxSurveyedPeers
 		}
 	}
-	if s.survey.pending == 0 && s.agentsReported(now) {
+	if s.survey.pending == 0 && !s.survey.lacksContent && s.agentsReported(now) {
 		s.markComplete(now, "nobody-older")
 	}
 }
@@ -151,6 +153,7 @@
 // queryInFull queries a balancer for its whole directory after an answer that does not have all of
 // it, once.
 func (s *state) queryInFull(m fetchEnded) {
+	s.survey.lacksContent = true
 	if m.change.Snapshot || len(s.reader.surveys) == cap(s.reader.surveys) {
 		return
 	}
--- a/packetbalancer/survey_test.go
+++ b/packetbalancer/survey_test.go
@@ -1,6 +1,7 @@
 package packetbalancer
 
 import (
+	"context"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -78,6 +79,24 @@
 	s.directory.Each(func(e *directory.Entry) { must.EqOp(t, 0, e.DepartedAt) })
 }
 
+// Guards against a directory that counts as complete although a balancer has more: its whole
+// directory did not arrive in time.
+func TestFailedQueryInFullLeavesDirectoryIncomplete(t *testing.T) {
+	desired := &directory.Desired{Version: 1, Routes: []directory.Route{routeTo(80, "orders")}}
+	listed := []directory.Endpoint{endpointOf(1, "orders", 2), endpointOf(2, "orders", 3)}
+	peer := surveyed{stateWith(directory.Change{Era: 1, Revision: 5, Snapshot: true, Desired: desired, Endpoints: listed}), netip.MustParseAddrPort("127.0.0.1:1")}
+	peer.survey.complete = true
+	s := restartedState(t, directory.Change{Era: 1, Revision: 7, Snapshot: true, Desired: desired, Endpoints: listed[:1]}, peer)
+	s.survey.agentReportedAt = clock.Now() - surveyTimeout
+	query := <-s.reader.surveys
+	s.surveyEnded(clock.Now(), surveyEnded{fetchEnded{fetchRequest: query, change: peer.directorySnapshot(clock.Now(), query.Request)}})
+	inFull := <-s.reader.surveys
+	s.surveyEnded(clock.Now(), surveyEnded{fetchEnded{fetchRequest: inFull, err: context.DeadlineExceeded}})
+	must.False(t, s.survey.complete)
+	s.surveyPeers(s.started + completeTimeout + 1)
+	must.True(t, s.survey.complete)
+}
+
 // Guards against queries without end, and against whole directories that are sent although the
 // increment has everything.
 func TestPeerWithSameContentIsQueriedOnce(t *testing.T) {
