--- a/flow/handover/handover.go
+++ b/flow/handover/handover.go
@@ -1,7 +1,7 @@
-// Package handover passes what an agent that stops in order knows of its endpoint's flows to the
-// agent that starts next beside the endpoint. A few balancers keep it in memory meanwhile. Without
-// it the next agent would know no flow, and balancers that search for flows would have to try
-// their packets at its endpoint.
+// Package handover transfers the flows of an agent that stops gracefully to the agent that starts
+// next at the same endpoint. A few balancers store them in memory meanwhile. Without it the next
+// agent would know no flow, and balancers that search for flows would have to try their packets at
+// its endpoint.
 package handover
 
 import (
--- a/flow/start_order.go
+++ b/flow/start_order.go
@@ -19,9 +19,9 @@
 // since the agent started, or differs from that of the balancer that states the endpoint's
 // start.
 //
-// A clock may also have been set between the two starts. So what balancers have seen goes first:
-// flows reach an endpoint only through a balancer that knows its start, and one that has known it
-// for longer than the agent runs shows that an earlier agent may have served the endpoint.
+// A clock may also have been set between the two starts. So what balancers have seen takes
+// precedence: flows reach an endpoint only through a balancer that knows its start, and one that
+// has known it for longer than the agent runs shows that an earlier agent may have served it.
 //
 // Times of day are in milliseconds since the Unix epoch.
 type StartOrder struct {
--- a/flow/start_order_test.go
+++ b/flow/start_order_test.go
@@ -35,7 +35,7 @@
 
 // Guards against resets of flows that an earlier agent delivered (its endpoint started while the
 // machine's clock was ahead, which was then set back): what balancers have seen on their monotonic
-// clocks goes before times of day, in whatever order they state it.
+// clocks takes precedence over times of day, in whatever order they state it.
 func TestEndpointThatBalancersKnewBeforeIsOlder(t *testing.T) {
 	const started, clock, ahead = 5 * time.Second, int64(1_000_000), 2400
 	order := NewStartOrder(started, clock)
@@ -57,7 +57,7 @@
 		}
 		must.False(t, table.FlowsKnown(now))
 		must.False(t, table.ConfirmComplete(endpointStart))
-		// The endpoint starts again, beside this agent.
+		// The endpoint starts again while this agent runs.
 		must.True(t, table.ConfirmComplete(endpointStart+5000))
 		must.False(t, table.RefuteComplete(endpointStart)) // a balancer with an older directory
 		must.True(t, table.FlowsKnown(now))
--- a/flow/stated_service.go
+++ b/flow/stated_service.go
@@ -44,7 +44,7 @@
 // Invariant: an opening packet of a node that can name the service is delivered only if it names
 // exactly this one. A tag is no proof, since two services may have the same. A packet of an open
 // flow opens none, and an endpoint gives it back unless it holds the flow; there the tag only
-// saves the detour.
+// saves a round trip.
 type OwnService struct {
 	stated string
 	tag    uint16
--- a/flow/wire/handover.go
+++ b/flow/wire/handover.go
@@ -13,7 +13,7 @@
 // agent.
 type HandoverPart handover.Part
 
-// HandoverQuery asks a balancer for the hand-over of the agent that stopped at the sender's address.
+// HandoverQuery requests from a balancer the hand-over of the agent that stopped at the sender's address.
 type HandoverQuery struct{ Process handover.Process }
 
 const (
--- a/packetagent/handover.go
+++ b/packetagent/handover.go
@@ -19,7 +19,7 @@
 	handoverQueries     = 3
 )
 
-// handOver is the message that the agent is about to end; done is closed once its flows are handed
+// handOver is the message that the agent is about to stop; done is closed once its flows are handed
 // over.
 type handOver struct{ done chan<- struct{} }
 
@@ -77,8 +77,8 @@
 	s.report(now)
 }
 
-// handOver gives the flows of the endpoint to a few balancers, which pass them on to the agent that
-// starts next, and returns the opening packets that wait to theirs.
+// handOver sends the flows of the endpoint to a few balancers, which pass them on to the agent that
+// starts next, and returns the waiting opening packets to the balancers that sent them.
 func (s *state) handOver(now time.Duration) {
 	var returned []flow.AdmittedOpening
 	h := withFlows(s.traffic, func(t *flow.AgentTable) (h flow.Handover) {
--- a/packetagent/start_order_test.go
+++ b/packetagent/start_order_test.go
@@ -25,7 +25,7 @@
 	must.False(t, confirmed)
 	must.False(t, f.flowsKnown())
 
-	// The balancer that started last is heard first.
+	// The hello message of the balancer that started last arrives first.
 	f = startForwarder(t, "orders", localAddr(endpoint))
 	confirmed, _ = f.applyHello(clock.Now(), hello(time.Millisecond))
 	must.True(t, confirmed)
--- a/packetbalancer/departed.go
+++ b/packetbalancer/departed.go
@@ -136,10 +136,9 @@
 // hasAllOf reports whether the directory has every endpoint that may hold flows as far as the sender
 // of an answer knows, now that the answer is applied.
 //
-// Invariant: the answer lists the departed endpoints, all of them, and what the sender lists as
-// registered is registered or has departed here. An increment after a position that the sender has not
-// reached lists neither what it has nor what was deleted meanwhile; only if both contents are the
-// same is nothing missing.
+// Invariant: the answer lists all departed endpoints, and every endpoint that the sender lists as
+// registered is registered here or has departed. An increment after a position that the sender has
+// not reached shows neither, so it counts only if both directories have the same content.
 func (s *state) hasAllOf(m fetchEnded) bool {
 	switch {
 	case m.change.Snapshot:
