The test of many lost flows waits for the flows that are found

The test is wrong there: a search that finds its flow ends the row of lost ones that this event counts, and the flows that continue were searched for all the while.

Change: the flows that continue are still searched for while flows are lost, but only beside the first third of these; the second third makes the row, the last one is searched for in bulk. Number of flows, limit and checks are as they were.

--- a/standin/e2e/lost_flows_test.go
+++ b/standin/e2e/lost_flows_test.go
@@ -166,10 +166,12 @@
 		}
 		return nil
 	})
-	// Searches that begin before the first ones have ended are not in bulk.
-	requireResets(t, feeds[:lost/2], time.Now())
-	took := requireResets(t, feeds[lost/2:], time.Now())
+	// A search that finds its flow ends a row of lost ones, and searches that begin before a row has
+	// ended are not in bulk.
+	requireResets(t, feeds[:lost/3], time.Now())
 	must.NoError(t, group.Wait())
+	requireResets(t, feeds[lost/3:2*lost/3], time.Now())
+	took := requireResets(t, feeds[2*lost/3:], time.Now())
 	t.Logf("reset after %v to %v, median %v", took[0], took[len(took)-1], took[len(took)/2])
 	must.Less(t, resetLimit, took[len(took)-1])
 	must.True(t, slices.ContainsFunc(balancers, func(host int) bool { return c.hasLogged(host, packetbalancer.EventManyLost) }))
