--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(r *record, trouble bool) (broken []string, err error){
 	"flow":  flowCase,
 	"drain": drainCase,
+	"crash": crashCase,
 }
 
 func main() {
