--- a/review/_rig3/flow.go
+++ b/review/_rig3/flow.go
@@ -6,12 +6,13 @@
 	"time"
 )
 
-// flowCase: agents are stopped and started in turn, each once more 1.5 s later; then the balancers.
-// An open flow whose endpoint lives must not be reset by the system.
+// flowCase: agents are stopped and started in turn, each three times within five seconds; then the
+// balancers. An open flow whose endpoint lives must not be reset by the system.
 func flowCase(r *record, trouble bool) (broken []string, err error) {
 	const (
 		agents    = 11
-		perWindow = 20
+		perWindow = 12
+		windows   = 2
 		rolled    = 9 // balancers
 		limit     = 4 * time.Second
 		flowTTL   = 60 * time.Second
@@ -42,42 +43,46 @@
 		return nil, err
 	}
 	var flows []*clientFlow
+	restart := func(agent *node) error {
+		if !trouble {
+			return nil
+		}
+		return agent.restart()
+	}
 	for i, agent := range f.agents {
-		if trouble {
-			if err := agent.restart(); err != nil {
+		for window := range windows {
+			if err := restart(agent); err != nil {
 				return nil, err
 			}
-		}
-		time.Sleep(600 * time.Millisecond)
-		for j := range perWindow {
-			id := fmt.Sprintf("first-%d-%d", i, j)
-			opened, _ := c.open(at)
-			if opened == nil {
-				r.add("flow of %s not opened", id)
-				continue
-			}
-			end, _ := opened.request(id, limit)
-			r.add("request %s on %s: %s", id, opened.key.client, end)
-			if end == answered {
-				flows = append(flows, opened)
+			time.Sleep(600 * time.Millisecond)
+			for j := range perWindow {
+				id := fmt.Sprintf("first-%d-%d-%d", i, window, j)
+				opened, _ := c.open(at)
+				if opened == nil {
+					r.add("flow of %s not opened", id)
+					continue
+				}
+				end, _ := opened.request(id, limit)
+				r.add("request %s on %s: %s", id, opened.key.client, end)
+				if end == answered {
+					flows = append(flows, opened)
+				}
 			}
 		}
-		if trouble {
-			if err := agent.restart(); err != nil {
-				return nil, err
-			}
+		if err := restart(agent); err != nil {
+			return nil, err
 		}
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
 	}
 	if trouble {
 		for _, balancer := range f.balancers[:rolled] {
 			if err := balancer.restart(); err != nil {
 				return nil, err
 			}
-			time.Sleep(time.Second)
+			time.Sleep(300 * time.Millisecond)
 		}
 	}
-	if len(flows) < agents*perWindow*9/10 {
+	if len(flows) < agents*windows*perWindow*9/10 {
 		return nil, fmt.Errorf("%w: %d flows are open", errCannotRun, len(flows))
 	}
 	for i, opened := range flows {
