--- a/review/_rig3/fleet.go
+++ b/review/_rig3/fleet.go
@@ -67,18 +67,33 @@
 	return f, err
 }
 
-// isFree reports whether a port can be used on the loopback addresses.
-func isFree(port uint16) bool {
-	tcp, err := net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", port))
-	if err != nil {
-		return false
+// maxMachines bounds the machines of each class.
+const maxMachines = 16
+
+// addresses returns the loopback addresses that a fleet may use.
+func addresses() []netip.Addr {
+	all := []netip.Addr{netip.MustParseAddr("127.77.200.7"), netip.MustParseAddr("127.77.3.1")}
+	for i := range byte(maxMachines) {
+		all = append(all, netip.AddrFrom4([4]byte{127, 77, 1, i + 1}), netip.AddrFrom4([4]byte{127, 77, 2, i + 1}))
 	}
-	_ = tcp.Close()
-	udp, err := net.ListenUDP("udp4", &net.UDPAddr{Port: int(port)})
-	if err != nil {
-		return false
+	return all
+}
+
+// isFree reports whether a port can be used on the loopback addresses of a fleet.
+func isFree(port uint16) bool {
+	for _, ip := range addresses() {
+		at := netip.AddrPortFrom(ip, port)
+		tcp, err := net.Listen("tcp4", at.String())
+		if err != nil {
+			return false
+		}
+		_ = tcp.Close()
+		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+		if err != nil {
+			return false
+		}
+		_ = udp.Close()
 	}
-	_ = udp.Close()
 	return true
 }
 
